--- /dev/null
+++ b/src/routing/endpoint-table.ts
@@ -0,0 +1,248 @@
+/**
+ * What a shard owner knows of its endpoints, from what entries saw themselves: slots in use, time a
+ * step takes, failures. Chooses an endpoint for a ticket. Load reports are not used for choosing:
+ * they lag, and a slot that was granted is known at once.
+ */
+import type { EndpointDeclaration } from '../types/declarations.js';
+import { createMovingAverage } from '../utils/moving-average.js';
+import type { MovingAverage } from '../utils/moving-average.js';
+import type { Random } from '../utils/random.js';
+
+const STEP_ALPHA = 0.2;
+/** Samples before a step time is trusted for ejection. */
+const STEP_SAMPLES_TRUSTED = 4;
+/** A step this many times the median marks a straggler. */
+const STRAGGLER_FACTOR = 3;
+/** A straggler returns once its step is below this many times the median. */
+const RETURN_FACTOR = 1.8;
+/** Failures in a row that eject an endpoint. */
+const FAILURES_TO_EJECT = 2;
+const EJECTION_MS = 1000;
+const EJECTION_MAX_MS = 30_000;
+/** Time in which a newcomer's slots grow to the declared number, in milliseconds. */
+const SLOW_START_MS = 2000;
+/** A cached prefix wins unless its endpoint scores this many times worse. */
+const PREFIX_TOLERANCE = 1.5;
+/** At most this share of a shard is ejected at once. */
+const EJECTED_SHARE_MAX = 0.5;
+
+/** Why an endpoint receives little or nothing. */
+export const ENDPOINT_STATUS = {
+  Ready: 'ready',
+  Straggler: 'straggler',
+  Failing: 'failing',
+  Leaving: 'leaving',
+} as const;
+export type EndpointStatus = (typeof ENDPOINT_STATUS)[keyof typeof ENDPOINT_STATUS];
+
+/** One endpoint as shown to operators. */
+export interface EndpointView {
+  readonly name: string;
+  readonly status: EndpointStatus;
+  readonly held: number;
+  readonly slots: number;
+  readonly stepMs: number;
+}
+
+/** What the table is asked to place. */
+export interface Placement {
+  readonly organisation: string;
+  readonly prefixHash: number;
+  readonly excluded: readonly string[];
+}
+
+interface EndpointState {
+  declaration: EndpointDeclaration;
+  held: number;
+  isLeaving: boolean;
+  status: EndpointStatus;
+  step: MovingAverage;
+  failures: number;
+  ejections: number;
+  ejectedUntilMs: number;
+  /** When slow start began; -Infinity for an endpoint known from the start. */
+  rampFromMs: number;
+}
+
+/** The endpoints of one shard. */
+export interface EndpointTable {
+  /** Takes over the declared endpoints; what is known of those that stay is kept. */
+  set(endpoints: readonly EndpointDeclaration[], nowMs: number): void;
+  /** The endpoint for a placement with a free slot, or undefined. */
+  choose(placement: Placement, cached: string | undefined, nowMs: number): string | undefined;
+  take(endpoint: string): void;
+  release(endpoint: string): void;
+  recordStep(endpoint: string, stepMs: number, nowMs: number): void;
+  recordSuccess(endpoint: string): void;
+  recordFailure(endpoint: string, nowMs: number): void;
+  setLeaving(endpoint: string, isLeaving: boolean): void;
+  /** Slots that may be granted now, over all endpoints. */
+  countUsable(nowMs: number): number;
+  countSlots(): number;
+  list(): EndpointView[];
+}
+
+/** Builds a table that samples candidates with `random`. */
+export function createEndpointTable(random: Random): EndpointTable {
+  const states = new Map<string, EndpointState>();
+  let isFirstSet = true;
+
+  function computeMedianStep(): number {
+    const steps = [...states.values()]
+      .filter((state) => state.step.count() > 0)
+      .map((state) => state.step.get(0))
+      .sort((a, b) => a - b);
+    // The lower median: with two endpoints of which one straggles, the sound one is the measure.
+    return steps[Math.floor((steps.length - 1) / 2)] ?? 0;
+  }
+
+  function isEjected(state: EndpointState): boolean {
+    return state.status === ENDPOINT_STATUS.Straggler || state.status === ENDPOINT_STATUS.Failing;
+  }
+
+  function isEjectionAllowed(): boolean {
+    const ejected = [...states.values()].filter(isEjected).length;
+    return ejected + 1 <= states.size * EJECTED_SHARE_MAX;
+  }
+
+  function countAllowed(state: EndpointState, nowMs: number): number {
+    if (state.isLeaving) return 0;
+    if (state.status === ENDPOINT_STATUS.Straggler) return 1;
+    if (state.status === ENDPOINT_STATUS.Failing) return nowMs >= state.ejectedUntilMs ? 1 : 0;
+    const ramp = Math.min(1, (nowMs - state.rampFromMs) / SLOW_START_MS);
+    return Math.max(1, Math.ceil(state.declaration.slots * ramp));
+  }
+
+  function computeScore(state: EndpointState, medianStep: number): number {
+    const load = (state.held + 1) / state.declaration.slots;
+    return state.step.get(medianStep || 1) * (1 + load);
+  }
+
+  function listFree(excluded: readonly string[], nowMs: number): EndpointState[] {
+    const free: EndpointState[] = [];
+    for (const state of states.values()) {
+      const isFree = state.held < countAllowed(state, nowMs);
+      if (isFree && !excluded.includes(state.declaration.name)) free.push(state);
+    }
+    return free;
+  }
+
+  function findStragglers(nowMs: number): void {
+    const median = computeMedianStep();
+    if (median === 0) return;
+    for (const state of states.values()) {
+      const ratio = state.step.get(median) / median;
+      const isTrusted = state.step.count() >= STEP_SAMPLES_TRUSTED;
+      if (state.status === ENDPOINT_STATUS.Straggler && ratio < RETURN_FACTOR) {
+        state.status = ENDPOINT_STATUS.Ready;
+        state.rampFromMs = nowMs;
+      } else if (
+        state.status === ENDPOINT_STATUS.Ready &&
+        isTrusted &&
+        ratio > STRAGGLER_FACTOR &&
+        isEjectionAllowed()
+      ) {
+        state.status = ENDPOINT_STATUS.Straggler;
+      }
+    }
+  }
+
+  return {
+    set(endpoints, nowMs) {
+      const names = new Set(endpoints.map((endpoint) => endpoint.name));
+      for (const name of states.keys()) if (!names.has(name)) states.delete(name);
+      for (const declaration of endpoints) {
+        const known = states.get(declaration.name);
+        if (known !== undefined) {
+          known.declaration = declaration;
+        } else {
+          states.set(declaration.name, {
+            declaration,
+            held: 0,
+            isLeaving: false,
+            status: ENDPOINT_STATUS.Ready,
+            step: createMovingAverage(STEP_ALPHA),
+            failures: 0,
+            ejections: 0,
+            ejectedUntilMs: 0,
+            rampFromMs: isFirstSet ? -Infinity : nowMs,
+          });
+        }
+      }
+      isFirstSet = false;
+    },
+    choose(placement, cached, nowMs) {
+      let free = listFree(placement.excluded, nowMs);
+      if (free.length === 0) free = listFree([], nowMs);
+      const first = free[random.nextIndex(free.length)];
+      const second = free[random.nextIndex(free.length)];
+      if (first === undefined || second === undefined) return undefined;
+      const median = computeMedianStep();
+      const best = computeScore(first, median) <= computeScore(second, median) ? first : second;
+      const warm = free.find((state) => state.declaration.name === cached);
+      if (warm === undefined) return best.declaration.name;
+      const isWarmWorthIt =
+        computeScore(warm, median) <= computeScore(best, median) * PREFIX_TOLERANCE;
+      return (isWarmWorthIt ? warm : best).declaration.name;
+    },
+    take(endpoint) {
+      const state = states.get(endpoint);
+      if (state !== undefined) state.held += 1;
+    },
+    release(endpoint) {
+      const state = states.get(endpoint);
+      if (state !== undefined) state.held = Math.max(0, state.held - 1);
+    },
+    recordStep(endpoint, stepMs, nowMs) {
+      const state = states.get(endpoint);
+      if (state === undefined || !(stepMs > 0)) return;
+      state.step.add(stepMs);
+      findStragglers(nowMs);
+    },
+    recordSuccess(endpoint) {
+      const state = states.get(endpoint);
+      if (state === undefined) return;
+      state.failures = 0;
+      if (state.status !== ENDPOINT_STATUS.Failing) return;
+      state.status = ENDPOINT_STATUS.Ready;
+      state.ejections = 0;
+    },
+    recordFailure(endpoint, nowMs) {
+      const state = states.get(endpoint);
+      if (state === undefined) return;
+      state.failures += 1;
+      const isProbeFailed = state.status === ENDPOINT_STATUS.Failing;
+      const isDue = state.failures >= FAILURES_TO_EJECT && isEjectionAllowed();
+      if (!isProbeFailed && !isDue) return;
+      state.status = ENDPOINT_STATUS.Failing;
+      state.ejectedUntilMs = nowMs + Math.min(EJECTION_MAX_MS, EJECTION_MS * 2 ** state.ejections);
+      state.ejections += 1;
+    },
+    setLeaving(endpoint, isLeaving) {
+      const state = states.get(endpoint);
+      if (state !== undefined) state.isLeaving = isLeaving;
+    },
+    countUsable(nowMs) {
+      let usable = 0;
+      for (const state of states.values()) {
+        usable += Math.max(0, countAllowed(state, nowMs) - state.held);
+      }
+      return usable;
+    },
+    countSlots() {
+      let slots = 0;
+      for (const state of states.values()) {
+        if (!state.isLeaving) slots += state.declaration.slots;
+      }
+      return slots;
+    },
+    list: () =>
+      [...states.values()].map((state) => ({
+        name: state.declaration.name,
+        status: state.isLeaving ? ENDPOINT_STATUS.Leaving : state.status,
+        held: state.held,
+        slots: state.declaration.slots,
+        stepMs: state.step.get(0),
+      })),
+  };
+}
--- /dev/null
+++ b/src/runtime/metrics.ts
@@ -0,0 +1,67 @@
+/** Counters, gauges and timings by hot-shots (DogStatsD), with the totals kept for `status`. */
+import { StatsD } from 'hot-shots';
+
+/** Names of every metric; docs/OPERATIONS.md explains each. */
+export const METRIC = {
+  RequestsStarted: 'requests.started',
+  RequestsCompleted: 'requests.completed',
+  RequestsFailed: 'requests.failed',
+  FirstTokenMs: 'requests.first_token_ms',
+  TokensDelivered: 'tokens.delivered',
+  TokensWasted: 'tokens.wasted',
+  AttemptsStarted: 'attempts.started',
+  AttemptsResumed: 'attempts.resumed',
+  FramesDropped: 'attempts.frames_dropped',
+  Preempted: 'admission.preempted',
+  TicketsShed: 'admission.shed',
+  TicketsWaiting: 'admission.waiting',
+  ClaimsWritten: 'claims.written',
+  ClaimsRefused: 'claims.refused',
+  ConfigurationVersion: 'configuration.version',
+  ConfigurationErrors: 'configuration.errors',
+  MembersAlive: 'membership.alive',
+  PeerMessagesSent: 'peers.messages_sent',
+  PeerMessagesDropped: 'peers.messages_dropped',
+  OrdersSent: 'orders.sent',
+  InvariantBreaches: 'invariants.breaches',
+} as const;
+export type Metric = (typeof METRIC)[keyof typeof METRIC];
+
+/** Where metrics go. */
+export interface Metrics {
+  count(metric: Metric, value?: number, tags?: Readonly<Record<string, string>>): void;
+  set(metric: Metric, value: number): void;
+  record(metric: Metric, milliseconds: number, tags?: Readonly<Record<string, string>>): void;
+  /** Totals of counters and last values of gauges since the start. */
+  list(): Readonly<Record<string, number>>;
+  close(): void;
+}
+
+/** Builds metrics; without a host the totals are kept but nothing is sent. */
+export function createMetrics(host: string | undefined, port: number): Metrics {
+  const client = new StatsD({
+    host: host ?? '127.0.0.1',
+    port,
+    prefix: 'hyssoptally.',
+    mock: host === undefined,
+    maxBufferSize: 1400,
+    errorHandler: () => undefined,
+  });
+  const isSending = host !== undefined;
+  const totals = new Map<string, number>();
+  return {
+    count(metric, value = 1, tags = {}) {
+      totals.set(metric, (totals.get(metric) ?? 0) + value);
+      if (isSending) client.increment(metric, value, { ...tags });
+    },
+    set(metric, value) {
+      totals.set(metric, value);
+      if (isSending) client.gauge(metric, value);
+    },
+    record(metric, milliseconds, tags = {}) {
+      if (isSending) client.timing(metric, milliseconds, { ...tags });
+    },
+    list: () => Object.fromEntries(totals),
+    close: () => client.close(() => undefined),
+  };
+}
--- /dev/null
+++ b/src/standin/engine.ts
@@ -0,0 +1,364 @@
+/**
+ * A model engine as a stand-in, over the published chat-completions protocol with the `priority` and
+ * `continue_final_message` fields; a request's id comes in `x-request-id` and is echoed in every
+ * frame. Load is reported with a lag, cache events late and with gaps. Faults by `POST /faults`.
+ */
+import express from 'express';
+import type { Request, Response } from 'express';
+import { z } from 'zod';
+import { computeAnswerLength, countTokens } from './answer.js';
+import { createBatchEngine } from './batch-engine.js';
+import type { EngineLoad, StepEvent } from './batch-engine.js';
+import { startHttpServer } from './http-server.js';
+import type { RunningServer } from './http-server.js';
+
+/** Faults of an engine; all off at the start. */
+export interface EngineFaults {
+  /** Steps take this many times longer. */
+  slowdown: number;
+  /** No step happens, connections stay open. */
+  isFrozen: boolean;
+  /** Refuses new requests as leaving; what runs goes on. */
+  isLeaving: boolean;
+  /** Every request is answered 500 before it runs. */
+  isFailing: boolean;
+  /** This many next frames are sent twice. */
+  duplicateFrames: number;
+  /** This many next frames carry another request's id first. */
+  crossedFrames: number;
+  /** This many next frames are sent after the one that follows them. */
+  reorderedFrames: number;
+  /** This many next answers break off after a few tokens, connection closed. */
+  brokenAnswers: number;
+  /** This many next answers end cleanly, short, and without the end marker. */
+  truncatedAnswers: number;
+}
+
+/** What an engine counted. */
+export interface EngineCounts {
+  /** Tokens produced in steps. */
+  tokens: number;
+  /** Sequences that started, by request id. */
+  readonly started: Map<string, number>;
+  cancelled: number;
+  completed: number;
+  ordersApplied: number;
+  ordersRefused: number;
+  /** Models loaded since the start; a reconcile loop should need few. */
+  loads: number;
+}
+
+/** Settings of an engine stand-in. */
+export interface EngineStandinOptions {
+  readonly name: string;
+  /** @default 0 (chosen by the system) */
+  readonly port?: number;
+  /** Time of one step, in milliseconds. @default 30 */
+  readonly stepMs?: number;
+  /** @default 8 */
+  readonly slots?: number;
+  /** @default 200000 */
+  readonly kvTokens?: number;
+  /** @default 512 */
+  readonly prefillPerStep?: number;
+  /** Age of a load report, in milliseconds. @default 1000 */
+  readonly reportLagMs?: number;
+  /** Whether an order with an old fencing number is refused. @default true */
+  readonly isFencing?: boolean;
+  /** Models loaded at the start. */
+  readonly models?: readonly string[];
+}
+
+/** A running engine. */
+export interface EngineStandin extends RunningServer {
+  readonly name: string;
+  readonly faults: EngineFaults;
+  readonly counts: EngineCounts;
+  listModels(): string[];
+  getFence(): number;
+}
+
+interface Exchange {
+  readonly id: string;
+  readonly model: string;
+  readonly response: Response;
+  sent: number;
+  readonly breakAfter: number;
+  readonly isTruncated: boolean;
+  held: string | undefined;
+}
+
+const completionSchema = z.object({
+  model: z.string(),
+  messages: z.array(z.object({ role: z.string(), content: z.string() })).min(1),
+  max_tokens: z.number().int().positive().default(400),
+  priority: z.number().default(0),
+  continue_final_message: z.boolean().default(false),
+});
+
+const orderSchema = z.object({
+  fence: z.number().int(),
+  models: z.array(z.string()),
+});
+
+const REPORT_PERIOD_MS = 100;
+/** One cache event in this many is never published. */
+const CACHE_EVENT_GAP = 7;
+const BREAK_AFTER_TOKENS = 5;
+
+function createFaults(): EngineFaults {
+  return {
+    slowdown: 1,
+    isFrozen: false,
+    isLeaving: false,
+    isFailing: false,
+    duplicateFrames: 0,
+    crossedFrames: 0,
+    reorderedFrames: 0,
+    brokenAnswers: 0,
+    truncatedAnswers: 0,
+  };
+}
+
+/** Starts an engine on loopback. */
+export async function startEngineStandin(options: EngineStandinOptions): Promise<EngineStandin> {
+  const { name, stepMs = 30, slots = 8, reportLagMs = 1000, isFencing = true } = options;
+  const faults = createFaults();
+  const counts: EngineCounts = {
+    tokens: 0,
+    started: new Map(),
+    cancelled: 0,
+    completed: 0,
+    ordersApplied: 0,
+    ordersRefused: 0,
+    loads: 0,
+  };
+  const batch = createBatchEngine({
+    slots,
+    kvTokens: options.kvTokens ?? 200_000,
+    prefillPerStep: options.prefillPerStep ?? 512,
+  });
+  const exchanges = new Map<string, Exchange>();
+  const models = new Set(options.models ?? []);
+  let fence = 0;
+  const reports: { readonly atMs: number; readonly load: EngineLoad }[] = [];
+
+  function buildFrame(exchange: Exchange, id: string, event: StepEvent): string {
+    const frame = {
+      id,
+      object: 'chat.completion.chunk',
+      model: exchange.model,
+      index: event.index,
+      choices: [{ index: 0, delta: { content: event.text }, finish_reason: null }],
+    };
+    return `data: ${JSON.stringify(frame)}\n\n`;
+  }
+
+  function sendFrame(exchange: Exchange, event: StepEvent): void {
+    const frame = buildFrame(exchange, exchange.id, event);
+    if (faults.reorderedFrames > 0 && exchange.held === undefined && !event.isLast) {
+      faults.reorderedFrames -= 1;
+      exchange.held = frame;
+      return;
+    }
+    let text = frame;
+    if (faults.crossedFrames > 0) {
+      faults.crossedFrames -= 1;
+      text = buildFrame(exchange, 'another-request', { ...event, text: 'STOLEN ' }) + text;
+    }
+    if (faults.duplicateFrames > 0) {
+      faults.duplicateFrames -= 1;
+      text += frame;
+    }
+    text += exchange.held ?? '';
+    exchange.held = undefined;
+    exchange.response.write(text);
+  }
+
+  function closeExchange(exchange: Exchange): void {
+    exchanges.delete(exchange.id);
+    batch.remove(exchange.id);
+  }
+
+  function handleStepEvent(event: StepEvent): void {
+    counts.tokens += 1;
+    const exchange = exchanges.get(event.id);
+    if (exchange === undefined) return;
+    sendFrame(exchange, event);
+    exchange.sent += 1;
+    if (exchange.sent >= exchange.breakAfter && !event.isLast) {
+      closeExchange(exchange);
+      if (exchange.isTruncated) exchange.response.end();
+      else exchange.response.destroy();
+      return;
+    }
+    if (!event.isLast) return;
+    exchanges.delete(event.id);
+    counts.completed += 1;
+    const end = {
+      id: exchange.id,
+      object: 'chat.completion.chunk',
+      model: exchange.model,
+      index: event.index + 1,
+      choices: [{ index: 0, delta: {}, finish_reason: 'stop' }],
+    };
+    exchange.response.end(`data: ${JSON.stringify(end)}\n\ndata: [DONE]\n\n`);
+  }
+
+  function handleStep(): void {
+    if (faults.isFrozen) return;
+    for (const event of batch.advance()) handleStepEvent(event);
+  }
+
+  function handleCompletion(request: Request, response: Response): void {
+    if (faults.isLeaving) {
+      response.status(503).set('x-endpoint-leaving', 'true').json({ error: 'leaving' });
+      return;
+    }
+    if (faults.isFailing) {
+      response.status(500).json({ error: 'failing' });
+      return;
+    }
+    const parsed = completionSchema.safeParse(request.body);
+    if (!parsed.success) {
+      response.status(400).json({ error: parsed.error.issues });
+      return;
+    }
+    const { messages, max_tokens: maxTokens, priority } = parsed.data;
+    const isContinued = parsed.data.continue_final_message;
+    const produced = isContinued ? (messages.at(-1)?.content ?? '') : '';
+    const asked = isContinued ? messages.slice(0, -1) : messages;
+    const prompt = asked.map((message) => message.content).join('\n');
+    const id = request.get('x-request-id') ?? `${name}-${counts.started.size}`;
+    const isBroken = faults.brokenAnswers > 0;
+    const isTruncated = !isBroken && faults.truncatedAnswers > 0;
+    if (isBroken) faults.brokenAnswers -= 1;
+    if (isTruncated) faults.truncatedAnswers -= 1;
+    const offset = countTokens(produced);
+    counts.started.set(id, (counts.started.get(id) ?? 0) + 1);
+    response.set({ 'content-type': 'text/event-stream', 'x-request-id': id });
+    response.flushHeaders();
+    response.socket?.setNoDelay(true);
+    exchanges.set(id, {
+      id,
+      model: parsed.data.model,
+      response,
+      sent: 0,
+      breakAfter: isBroken || isTruncated ? BREAK_AFTER_TOKENS : Infinity,
+      isTruncated,
+      held: undefined,
+    });
+    const total = computeAnswerLength(prompt, maxTokens + (isContinued ? offset : 0));
+    batch.add({
+      id,
+      prompt,
+      priority,
+      promptTokens: Math.ceil(prompt.length / 4),
+      answerTokens: Math.max(total, offset + 1),
+      offset,
+    });
+    response.on('close', () => {
+      const exchange = exchanges.get(id);
+      if (exchange === undefined) return;
+      counts.cancelled += 1;
+      closeExchange(exchange);
+    });
+  }
+
+  function handleOrder(request: Request, response: Response): void {
+    const parsed = orderSchema.safeParse(request.body);
+    if (!parsed.success) {
+      response.status(400).json({ error: parsed.error.issues });
+      return;
+    }
+    if (isFencing && parsed.data.fence < fence) {
+      counts.ordersRefused += 1;
+      response.status(409).json({ error: 'old fencing number', fence });
+      return;
+    }
+    fence = isFencing ? parsed.data.fence : fence;
+    counts.ordersApplied += 1;
+    for (const model of parsed.data.models) if (!models.has(model)) counts.loads += 1;
+    models.clear();
+    for (const model of parsed.data.models) models.add(model);
+    response.json({ fence, models: [...models] });
+  }
+
+  function getReport(): EngineLoad {
+    const asOfMs = performance.now() - reportLagMs;
+    const past = reports.findLast((report) => report.atMs <= asOfMs);
+    return past?.load ?? { running: 0, waiting: 0, kvUsed: 0 };
+  }
+
+  const app = express();
+  app.use(express.json({ limit: '16mb' }));
+  app.post('/v1/chat/completions', handleCompletion);
+  app.post('/v1/cancel', (request, response) => {
+    const exchange = exchanges.get(String(request.body?.request_id));
+    if (exchange !== undefined) {
+      counts.cancelled += 1;
+      closeExchange(exchange);
+      exchange.response.destroy();
+    }
+    response.json({ isCancelled: exchange !== undefined });
+  });
+  app.post('/v1/orders', handleOrder);
+  app.get('/load', (_, response) => {
+    response.json({
+      ...getReport(),
+      isLeaving: faults.isLeaving,
+      models: [...models],
+      fence,
+      slots,
+    });
+  });
+  app.get('/cache-events', (request, response) => {
+    const events = batch.listCacheEvents(Number(request.query.after ?? 0));
+    response.json(events.filter((event) => event.sequence % CACHE_EVENT_GAP !== 0));
+  });
+  app.get('/kv', (_, response) => {
+    response.json({ prefixes: batch.listPrefixes() });
+  });
+  app.post('/kv', (request, response) => {
+    batch.addPrefixes(z.array(z.string()).parse(request.body?.prefixes));
+    response.json({ count: batch.listPrefixes().length });
+  });
+  app.post('/faults', (request, response) => {
+    response.json(Object.assign(faults, request.body));
+  });
+  app.get('/counts', (_, response) => {
+    response.json({ ...counts, started: Object.fromEntries(counts.started) });
+  });
+  const server = await startHttpServer(app, options.port ?? 0);
+
+  // Steps follow a schedule rather than a period: a late timer must not lengthen every later step.
+  let isStopped = false;
+  let dueMs = performance.now();
+  let timer: NodeJS.Timeout;
+  function runSteps(): void {
+    if (isStopped) return;
+    handleStep();
+    dueMs = Math.max(dueMs + stepMs * faults.slowdown, performance.now() - stepMs);
+    timer = setTimeout(runSteps, Math.max(0, dueMs - performance.now()));
+  }
+  timer = setTimeout(runSteps, stepMs);
+  const reporter = setInterval(() => {
+    reports.push({ atMs: performance.now(), load: batch.getLoad() });
+    if (reports.length > 200) reports.shift();
+  }, REPORT_PERIOD_MS);
+
+  return {
+    ...server,
+    name,
+    faults,
+    counts,
+    listModels: () => [...models],
+    getFence: () => fence,
+    close() {
+      isStopped = true;
+      clearTimeout(timer);
+      clearInterval(reporter);
+      return server.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/standin/service.ts
@@ -0,0 +1,73 @@
+/** A plain service as a stand-in: echoes, and counts how often it ran each call. */
+import express from 'express';
+import type { Response } from 'express';
+import { startHttpServer } from './http-server.js';
+import type { RunningServer } from './http-server.js';
+
+/** Faults of a service; all off at the start. */
+export interface ServiceFaults {
+  /** Added to every call, in milliseconds. */
+  delayMs: number;
+  /** This many next calls run and then lose their answer. */
+  lostAnswers: number;
+  /** Calls are answered 503 and do not run. */
+  isRefusing: boolean;
+  /** Answers that it is leaving, without running the call. */
+  isLeaving: boolean;
+}
+
+/** A running service. */
+export interface ServiceStandin extends RunningServer {
+  readonly faults: ServiceFaults;
+  /** How often each call ran, by idempotency key or request id. */
+  readonly runs: ReadonlyMap<string, number>;
+}
+
+/** Starts a service on loopback. */
+export async function startServiceStandin(name: string, port = 0): Promise<ServiceStandin> {
+  const faults: ServiceFaults = {
+    delayMs: 0,
+    lostAnswers: 0,
+    isRefusing: false,
+    isLeaving: false,
+  };
+  const runs = new Map<string, number>();
+
+  function sendAnswer(response: Response, call: object): void {
+    if (faults.lostAnswers > 0) {
+      faults.lostAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    response.json(call);
+  }
+
+  const app = express();
+  app.post('/faults', express.json(), (request, response) => {
+    response.json(Object.assign(faults, request.body));
+  });
+  app.get('/runs', (_, response) => {
+    response.json(Object.fromEntries(runs));
+  });
+  app.get('/load', (_, response) => {
+    response.json({ running: 0, waiting: 0, isLeaving: faults.isLeaving, models: [], fence: 0 });
+  });
+  app.use(express.text({ type: () => true, limit: '1mb' }));
+  app.use((request, response) => {
+    if (faults.isLeaving) {
+      response.status(503).set('x-endpoint-leaving', 'true').end();
+      return;
+    }
+    if (faults.isRefusing) {
+      response.status(503).end();
+      return;
+    }
+    const key = request.get('idempotency-key') ?? request.get('x-request-id') ?? 'none';
+    runs.set(key, (runs.get(key) ?? 0) + 1);
+    const body = typeof request.body === 'string' ? request.body : '';
+    const answer = { service: name, method: request.method, path: request.originalUrl, body };
+    setTimeout(() => sendAnswer(response, answer), faults.delayMs);
+  });
+  const server = await startHttpServer(app, port);
+  return { ...server, faults, runs };
+}
--- /dev/null
+++ b/src/types/outcomes.ts
@@ -0,0 +1,71 @@
+/** What a caller may conclude about a request that got no whole answer: a wire contract. */
+export const OUTCOME = {
+  /** No endpoint ran any of it; proved by the code that says so. */
+  NotRun: 'not_run',
+  /** An endpoint may have run it. */
+  MayHaveRun: 'may_have_run',
+  /** Part of the answer was delivered. */
+  Incomplete: 'incomplete',
+} as const;
+export type Outcome = (typeof OUTCOME)[keyof typeof OUTCOME];
+
+/** Every kind of failure a caller can see. */
+export const FAILURE = {
+  Unauthenticated: 'unauthenticated',
+  ForbiddenClass: 'forbidden_class',
+  ForbiddenPool: 'forbidden_pool',
+  UnknownModel: 'unknown_model',
+  UnknownPool: 'unknown_pool',
+  UnknownPath: 'unknown_path',
+  BadRequest: 'bad_request',
+  TooLarge: 'too_large',
+  HeadersTooLarge: 'headers_too_large',
+  OrganisationLimit: 'organisation_limit',
+  Overloaded: 'overloaded',
+  DeadlineUnreachable: 'deadline_unreachable',
+  DeadlinePassed: 'deadline_passed',
+  NoEndpoint: 'no_endpoint',
+  EndpointFailed: 'endpoint_failed',
+  EndpointRefused: 'endpoint_refused',
+  KeyInUse: 'idempotency_key_in_use',
+  KeyReused: 'idempotency_key_reused',
+  ClaimUnavailable: 'claim_unavailable',
+  NotReady: 'not_ready',
+  CallerLeft: 'caller_left',
+} as const;
+export type Failure = (typeof FAILURE)[keyof typeof FAILURE];
+
+/** A typed failure on its way to the caller. */
+export interface RequestFailure {
+  readonly type: Failure;
+  /** Says what happened and what to do about it. */
+  readonly message: string;
+  readonly outcome: Outcome;
+  /** When to come back, in milliseconds, where that helps. */
+  readonly retryAfterMs?: number;
+}
+
+/** The HTTP status that goes with each failure. */
+export const STATUS_OF_FAILURE: Readonly<Record<Failure, number>> = {
+  unauthenticated: 401,
+  forbidden_class: 403,
+  forbidden_pool: 403,
+  unknown_model: 404,
+  unknown_pool: 404,
+  unknown_path: 404,
+  bad_request: 400,
+  too_large: 413,
+  headers_too_large: 431,
+  organisation_limit: 429,
+  overloaded: 503,
+  deadline_unreachable: 503,
+  deadline_passed: 504,
+  no_endpoint: 503,
+  endpoint_failed: 502,
+  endpoint_refused: 502,
+  idempotency_key_in_use: 409,
+  idempotency_key_reused: 422,
+  claim_unavailable: 503,
+  not_ready: 503,
+  caller_left: 499,
+};
--- /dev/null
+++ b/src/types/router-status.ts
@@ -0,0 +1,32 @@
+/** What a router tells its operators. */
+import type { ShardView } from '../admission/shard-owner.js';
+import type { Stage } from '../lifecycle/drain.js';
+import type { InvariantBreach } from '../runtime/invariants.js';
+
+/** An instance as this router sees it. */
+export interface MemberStatus {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly address: string;
+  readonly state: string;
+  readonly configurationVersion: number;
+}
+
+/** The state of one router and what it sees of the fleet. */
+export interface RouterStatus {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly stage: Stage;
+  readonly configurationVersion: number;
+  readonly requestsInFlight: number;
+  readonly ticketsWaiting: number;
+  readonly slotsHeld: number;
+  readonly members: readonly MemberStatus[];
+  readonly leavingEndpoints: readonly string[];
+  /** Shards this router owns. */
+  readonly shards: readonly ShardView[];
+  /** Shards whose engines this router may order now. */
+  readonly leases: readonly string[];
+  readonly invariantBreaches: number;
+  readonly breaches: readonly InvariantBreach[];
+}
