--- a/src/admission/ticket-desk.ts
+++ b/src/admission/ticket-desk.ts
@@ -199,7 +199,7 @@
     for (const [shard, asked] of entry.asked) {
       if (shard !== except && !asked.isRefused) {
         postMessage(asked.owner, {
-          case: 'removePosted',
+          case: 'withdrawTicket',
           value: {
             $typeName: 'hyssoptally.peer.v1.WithdrawTicket',
             ticketId: entry.request.ticketId,
--- a/src/node/request-runner.ts
+++ b/src/node/request-runner.ts
@@ -25,10 +25,12 @@
 import { buildCompletionBody } from './build-completion.js';
 import type { ClaimDesk, HeldClaim } from './claim-desk.js';
 import type { AttemptListener, EndpointClient, ServiceEnding } from './endpoint-client.js';
-import type { SlotBroker } from './slot-broker.js';
+import type { SlotBroker } from './slot-broker-types.js';
 
 const LIFE_TICK_MS = 20;
 const SERVICE_TOKENS = 1;
+/** How often a slot's pace is told to the desk, in milliseconds. */
+const PROGRESS_MS = 250;
 
 /** Settings of a runner. */
 export interface RequestRunnerOptions {
@@ -39,6 +41,10 @@
   readonly invariants: Invariants;
   readonly metrics: Metrics;
   readonly events: Emittery<RouterEvents>;
+  /** Whether attempts that stall are moved; off for the bench's baselines. */
+  readonly hasStallChecks: boolean;
+  /** Whether endpoints are told a request's tier. */
+  readonly hasPriority: boolean;
   /** An endpoint said itself that it is leaving. */
   readonly onLeaving: (endpoint: string) => void;
   /** Whether a once-only request may go to another data centre now. */
@@ -299,7 +305,7 @@
       );
       return;
     }
-    const { tier } = request.classDeclaration;
+    const tier = options.hasPriority ? request.classDeclaration.tier : 0;
     run.cancelAttempt = endpoints.startCompletion(
       endpoint,
       { attemptId, offset, body: buildCompletionBody(request.work, tier, offset, delivered) },
@@ -401,10 +407,14 @@
     for (const command of run.life.handle(message, getNow())) runCommand(run, command);
   }
 
+  let tickedMs = getNow();
   timers.subscribe(LIFE_TICK_MS, () => {
-    for (const run of runs.values()) handleMessage(run, { kind: 'tick' });
+    const nowMs = getNow();
+    const lateMs = Math.max(0, nowMs - tickedMs - LIFE_TICK_MS);
+    tickedMs = nowMs;
+    for (const run of runs.values()) handleMessage(run, { kind: 'tick', lateMs });
   });
-  timers.subscribe(250, () => {
+  timers.subscribe(PROGRESS_MS, () => {
     for (const run of runs.values()) {
       const progress = run.life.getProgress();
       if (progress !== undefined) {
@@ -417,15 +427,15 @@
     run(request, sink) {
       const pace = getPace(request.pool.name);
       const budget = getBudget(request.pool.name, request.classDeclaration.name);
-      const isService = request.work.kind === 'service';
+      const isUnbounded = request.work.kind === 'service' || !options.hasStallChecks;
       const life = createRequestLife({
         requestId: request.requestId,
         repeatability: request.repeatability,
         deadlineMs: request.deadlineMs,
         invariants,
         // A plain service answers in one piece of unknown length: only its deadline bounds it.
-        getFirstBound: () => (isService ? Infinity : pace.computeFirstBound()),
-        getGapBound: () => (isService ? Infinity : pace.computeGapBound()),
+        getFirstBound: () => (isUnbounded ? Infinity : pace.computeFirstBound()),
+        getGapBound: () => (isUnbounded ? Infinity : pace.computeGapBound()),
         takeRetry: () => budget.take(),
         takeClaim: () => run.claim?.take() === true,
       });
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -45,7 +45,9 @@
 import { parseListen, resolveRouterConfig } from './settings.js';
 import type { RouterOptions } from './settings.js';
 import { createSlotBroker } from './slot-broker.js';
-import type { AdmissionPolicy } from './slot-broker.js';
+import { createIndependentBroker } from './independent-broker.js';
+import { DEFAULT_POLICY } from '../admission/policy.js';
+import type { AdmissionPolicy } from '../admission/policy.js';
 
 const MEMBERSHIP_TICK_MS = 50;
 const LIST_PERIOD_MS = 2000;
@@ -176,15 +178,19 @@
   const self: Contact = { name, address: peersAddress, dataCentre };
   const membership = createMembership({ self, incarnation, random, invariants });
 
-  const broker = createSlotBroker({
-    self: { name, dataCentre },
-    timers,
-    random,
-    invariants,
-    metrics,
-    policy: internals.policy ?? {},
-    send: (message) => sendMessage(message),
-  });
+  const policy = internals.policy ?? DEFAULT_POLICY;
+  const broker =
+    policy.kind === 'independent'
+      ? createIndependentBroker(policy.choice)
+      : createSlotBroker({
+          self: { name, dataCentre },
+          timers,
+          random,
+          invariants,
+          metrics,
+          policy,
+          send: (message) => sendMessage(message),
+        });
   const claims = createClaimDesk({
     self: name,
     table,
@@ -201,6 +207,8 @@
     invariants,
     metrics,
     events,
+    hasStallChecks: policy.kind !== 'independent',
+    hasPriority: policy.kind !== 'independent' || policy.hasPriority,
     onLeaving: (endpoint) => recordEndpoint(endpoint, true),
     isSpillSafe: () => membership.listMembers().every((fact) => fact.state !== FactState.SUSPECT),
   });
--- /dev/null
+++ b/src/node/slot-broker-types.ts
@@ -0,0 +1,47 @@
+/** What any way of finding slots for an entry's requests offers. */
+import type { LiveEntry, Shard } from '../admission/shard-map.js';
+import type { ShardView } from '../admission/shard-owner.js';
+import type { HeldGrant, SlotRequest, SlotUse } from '../admission/ticket-desk.js';
+import type { Refusal } from '../admission/ticket.js';
+import type { Declarations } from '../types/declarations.js';
+import type { PeerBody } from '../types/peer-messages.js';
+
+/** The admission messages among the messages of peers. */
+export type AdmissionBody = Extract<
+  PeerBody,
+  {
+    case:
+      | 'postTicket'
+      | 'withdrawTicket'
+      | 'releaseSlot'
+      | 'reportHoldings'
+      | 'grantSlot'
+      | 'refuseTicket'
+      | 'preemptSlot';
+  }
+>;
+
+/** What the broker tells the request that waits for a slot. */
+export interface SlotListener {
+  onGrant(grant: HeldGrant): void;
+  onRefusal(ticketId: string, reason: Refusal, retryAfterMs: number): void;
+  onPreempt(ticketId: string): void;
+}
+
+/** Slots for the requests of one entry. */
+export interface SlotBroker {
+  request(request: SlotRequest, listener: SlotListener): void;
+  cancel(ticketId: string): void;
+  release(ticketId: string, use: SlotUse): void;
+  update(ticketId: string, tokens: number, stepMs: number): void;
+  handle(from: string, body: AdmissionBody): void;
+  setDeclarations(declarations: Declarations): void;
+  setLive(entries: readonly LiveEntry[]): void;
+  removeMember(member: string): void;
+  setLeaving(endpoint: string, isLeaving: boolean): void;
+  /** Shards this entry owns now. */
+  listOwned(): readonly Shard[];
+  list(): ShardView[];
+  countPending(): number;
+  countHeld(): number;
+}
--- a/src/node/slot-broker.ts
+++ b/src/node/slot-broker.ts
@@ -5,24 +5,19 @@
 import { buildRoutes, buildShards } from '../admission/shard-map.js';
 import type { LiveEntry, Shard } from '../admission/shard-map.js';
 import { createShardOwner } from '../admission/shard-owner.js';
-import type { OwnerMessage, ShardOwner, ShardView } from '../admission/shard-owner.js';
+import type { OwnerMessage, ShardOwner } from '../admission/shard-owner.js';
 import { createTicketDesk } from '../admission/ticket-desk.js';
-import type {
-  DeskCommand,
-  DeskMessage,
-  HeldGrant,
-  SlotRequest,
-  SlotUse,
-} from '../admission/ticket-desk.js';
-import type { Refusal } from '../admission/ticket.js';
+import type { DeskCommand, DeskMessage } from '../admission/ticket-desk.js';
 import { METRIC } from '../runtime/metrics.js';
 import type { Metrics } from '../runtime/metrics.js';
 import type { Invariants } from '../runtime/invariants.js';
 import type { TimerService } from '../runtime/timer-service.js';
+import type { AdmissionPolicy } from '../admission/policy.js';
 import type { Declarations } from '../types/declarations.js';
-import type { AddressedMessage, PeerBody } from '../types/peer-messages.js';
+import type { AddressedMessage } from '../types/peer-messages.js';
 import { assertNever } from '../utils/assert-never.js';
 import type { Random } from '../utils/random.js';
+import type { AdmissionBody, SlotBroker, SlotListener } from './slot-broker-types.js';
 
 const DESK_TICK_MS = 5;
 const OWNER_TICK_MS = 25;
@@ -30,36 +25,6 @@
 /** A new owner waits this long for entries to say what they hold, in milliseconds. */
 const TAKEOVER_GRACE_MS = 250;
 
-/** The admission messages among the messages of peers. */
-export type AdmissionBody = Extract<
-  PeerBody,
-  {
-    case:
-      | 'postTicket'
-      | 'removePosted'
-      | 'releaseSlot'
-      | 'reportHoldings'
-      | 'grantSlot'
-      | 'refuseTicket'
-      | 'preemptSlot';
-  }
->;
-
-/** What the broker tells the request that waits for a slot. */
-export interface SlotListener {
-  onGrant(grant: HeldGrant): void;
-  onRefusal(ticketId: string, reason: Refusal, retryAfterMs: number): void;
-  onPreempt(ticketId: string): void;
-}
-
-/** Switches for the bench's comparisons. */
-export interface AdmissionPolicy {
-  /** @default true */
-  readonly hasFloors?: boolean;
-  /** @default true */
-  readonly hasPreemption?: boolean;
-}
-
 /** Settings of a broker. */
 export interface SlotBrokerOptions {
   readonly self: LiveEntry;
@@ -67,28 +32,10 @@
   readonly random: Random;
   readonly invariants: Invariants;
   readonly metrics: Metrics;
-  readonly policy: AdmissionPolicy;
+  readonly policy: Exclude<AdmissionPolicy, { kind: 'independent' }>;
   readonly send: (message: AddressedMessage) => void;
 }
 
-/** Slots for the requests of one entry. */
-export interface SlotBroker {
-  request(request: SlotRequest, listener: SlotListener): void;
-  cancel(ticketId: string): void;
-  release(ticketId: string, use: SlotUse): void;
-  update(ticketId: string, tokens: number, stepMs: number): void;
-  handle(from: string, body: AdmissionBody): void;
-  setDeclarations(declarations: Declarations): void;
-  setLive(entries: readonly LiveEntry[]): void;
-  removeMember(member: string): void;
-  setLeaving(endpoint: string, isLeaving: boolean): void;
-  /** Shards this entry owns now. */
-  listOwned(): readonly Shard[];
-  list(): ShardView[];
-  countPending(): number;
-  countHeld(): number;
-}
-
 /** Builds a broker without a configuration. */
 export function createSlotBroker(options: SlotBrokerOptions): SlotBroker {
   const { self, timers, random, invariants, metrics } = options;
@@ -148,7 +95,7 @@
       case 'postTicket':
         runOwner(body.value.shard, { kind: 'post', from, ticket: body.value });
         break;
-      case 'removePosted':
+      case 'withdrawTicket':
         runOwner(body.value.shard, { kind: 'withdraw', from, ticketId: body.value.ticketId });
         break;
       case 'releaseSlot':
@@ -181,14 +128,28 @@
       random,
       invariants,
       grantsFromMs: hasOwnedBefore ? getNow() + TAKEOVER_GRACE_MS : 0,
-      ...options.policy,
+      ...(options.policy.kind === 'owners' ? options.policy : {}),
     });
   }
 
+  /** The baseline of even shares: every entry owns every shard, with its part of the slots. */
+  function listShards(current: Declarations): readonly Shard[] {
+    const all = buildShards(current, live);
+    if (options.policy.kind === 'owners') return all;
+    return all.map((shard) => ({
+      ...shard,
+      owner: self.name,
+      endpoints: shard.endpoints.map((endpoint) => ({
+        ...endpoint,
+        slots: Math.max(1, Math.floor(endpoint.slots / live.length)),
+      })),
+    }));
+  }
+
   function updateShards(): void {
     if (declarations === undefined) return;
     const current = declarations;
-    shards = buildShards(current, live);
+    shards = listShards(current);
     const owned = shards.filter((shard) => shard.owner === self.name);
     const names = new Set(owned.map((shard) => shard.name));
     for (const name of owners.keys()) if (!names.has(name)) owners.delete(name);
--- a/src/requests/request-life.ts
+++ b/src/requests/request-life.ts
@@ -60,7 +60,8 @@
   | { readonly kind: 'attempt_ended'; readonly attemptId: string; readonly ending: AttemptEnding }
   | { readonly kind: 'preempted'; readonly ticketId: string }
   | { readonly kind: 'caller_left' }
-  | { readonly kind: 'tick' };
+  /** `lateMs`: how much later than it should this tick comes, because the process did not run. */
+  | { readonly kind: 'tick'; readonly lateMs: number };
 
 /** What a request asks for. */
 export type LifeCommand =
@@ -120,6 +121,8 @@
   firstFrameMs: number | undefined;
   lastFrameMs: number;
   frames: number;
+  /** Silence since the last frame that is this process's own doing, in milliseconds. */
+  ownSilenceMs: number;
 }
 
 type Phase = 'new' | 'claiming' | 'queued' | 'sent' | 'ended';
@@ -216,6 +219,7 @@
       firstFrameMs: undefined,
       lastFrameMs: nowMs,
       frames: 0,
+      ownSilenceMs: 0,
     };
     phase = 'sent';
     tries += 1;
@@ -331,6 +335,7 @@
     }
     current.firstFrameMs ??= nowMs;
     current.lastFrameMs = nowMs;
+    current.ownSilenceMs = 0;
     current.frames += 1;
     delivered.push(message.text);
     commands.push({ kind: 'deliver', text: message.text });
@@ -368,7 +373,7 @@
     if (current === undefined) return;
     const bound =
       current.firstFrameMs === undefined ? options.getFirstBound() : options.getGapBound();
-    if (nowMs - current.lastFrameMs < bound) return;
+    if (nowMs - current.lastFrameMs - current.ownSilenceMs < bound) return;
     const isRepeatable = repeatability === REPEATABILITY.Repeatable;
     // Where a second try is not allowed, waiting on is all that helps.
     if (!isRepeatable || tries >= ATTEMPTS_MAX || !options.takeRetry()) return;
@@ -377,7 +382,10 @@
     postAcquire(true);
   }
 
-  function handleTick(nowMs: number): void {
+  function handleTick(lateMs: number, nowMs: number): void {
+    // Guards against taking a pause of this process for silence of every endpoint at once: frames
+    // that came meanwhile are still unread.
+    if (attempt !== undefined) attempt.ownSilenceMs += lateMs;
     if (nowMs >= options.deadlineMs) handleDeadline();
     else checkStall(nowMs);
   }
@@ -438,7 +446,7 @@
         handleCallerLeft();
         break;
       case 'tick':
-        handleTick(nowMs);
+        handleTick(message.lateMs, nowMs);
         break;
       default:
         assertNever(message);
