One owner for a pool's shard across data centres; suspects own nothing; looks find cut endpoints

Cause: with a shard for each data centre a ticket was queued by four owners, which granted it at the same moment; three grants came back unused. In the dawn burst owners counted 104 slots as held while entries held 60: 40% of the engines stood idle on returned grants.

Ruled out: slow entries (loop lag stayed under 30 ms), false stalls and ejections (every endpoint was 'ready'), early refusal (300 tickets waited all the time).

An owner is any live entry near its endpoints; one that cannot be reached, or is suspect, loses its shards at once. Endpoints of a data centre without a live entry in sight count as out of reach until a look gets an answer.

--- a/src/admission/shard-map.ts
+++ b/src/admission/shard-map.ts
@@ -16,55 +16,57 @@
 export interface Shard {
   readonly name: string;
   readonly pool: string;
-  readonly dataCentre: string;
   readonly owner: string;
   readonly endpoints: readonly EndpointDeclaration[];
 }
 
-function chooseOwner(shard: string, dataCentre: string, live: readonly LiveEntry[]): string {
-  const local = live.filter((entry) => entry.dataCentre === dataCentre);
-  // A data centre without a live entry still has endpoints: any other entry may answer for them.
-  const names = (local.length > 0 ? local : live).map((entry) => entry.name);
+/**
+ * The owner of a shard: a live entry of a data centre that the shard has endpoints in, or any live
+ * entry where those data centres have none.
+ */
+function chooseOwner(
+  shard: string,
+  endpoints: readonly EndpointDeclaration[],
+  live: readonly LiveEntry[],
+): string {
+  const dataCentres = new Set(endpoints.map((endpoint) => endpoint.dataCentre));
+  const near = live.filter((entry) => dataCentres.has(entry.dataCentre));
+  const names = (near.length > 0 ? near : live).map((entry) => entry.name);
   return chooseRendezvous(shard, names, 1)[0] ?? '';
 }
 
-/** Every shard of a configuration with its owner among the live entries. */
+function compareEndpoints(a: EndpointDeclaration, b: EndpointDeclaration): number {
+  const left = `${a.dataCentre}|${a.name}`;
+  const right = `${b.dataCentre}|${b.name}`;
+  return left < right ? -1 : 1;
+}
+
+/**
+ * Every shard of a configuration with its owner among the live entries. Shards follow from the
+ * declarations alone, so their names stay while entries come and go; endpoints of one data centre
+ * stand together.
+ */
 export function buildShards(declarations: Declarations, live: readonly LiveEntry[]): Shard[] {
   const shards: Shard[] = [];
   for (const pool of declarations.pools.values()) {
-    const dataCentres = [...new Set(pool.endpoints.map((endpoint) => endpoint.dataCentre))].sort();
-    for (const dataCentre of dataCentres) {
-      const endpoints = pool.endpoints
-        .filter((endpoint) => endpoint.dataCentre === dataCentre)
-        .sort((a, b) => (a.name < b.name ? -1 : 1));
-      for (let start = 0; start < endpoints.length; start += ENDPOINTS_PER_SHARD) {
-        const name = `${pool.name}/${dataCentre}/${start / ENDPOINTS_PER_SHARD}`;
-        shards.push({
-          name,
-          pool: pool.name,
-          dataCentre,
-          owner: chooseOwner(name, dataCentre, live),
-          endpoints: endpoints.slice(start, start + ENDPOINTS_PER_SHARD),
-        });
-      }
+    const ordered = [...pool.endpoints].sort(compareEndpoints);
+    for (let start = 0; start < ordered.length; start += ENDPOINTS_PER_SHARD) {
+      const name = `${pool.name}/${start / ENDPOINTS_PER_SHARD}`;
+      const endpoints = ordered.slice(start, start + ENDPOINTS_PER_SHARD);
+      shards.push({ name, pool: pool.name, owner: chooseOwner(name, endpoints, live), endpoints });
     }
   }
   return shards;
 }
 
-/** The shards of each pool as one data centre's entries see them. */
-export function buildRoutes(
-  shards: readonly Shard[],
-  dataCentre: string,
-): ReadonlyMap<string, readonly ShardRoute[]> {
+/** The shards of each pool, for a ticket desk. */
+export function buildRoutes(shards: readonly Shard[]): ReadonlyMap<string, readonly ShardRoute[]> {
   const routes = new Map<string, ShardRoute[]>();
   for (const shard of shards) {
-    const route = {
-      shard: shard.name,
-      owner: shard.owner,
-      isLocal: shard.dataCentre === dataCentre,
-    };
-    routes.set(shard.pool, [...(routes.get(shard.pool) ?? []), route]);
+    const route = { shard: shard.name, owner: shard.owner };
+    const known = routes.get(shard.pool);
+    if (known === undefined) routes.set(shard.pool, [route]);
+    else known.push(route);
   }
   return routes;
 }
--- a/src/admission/shard-owner.ts
+++ b/src/admission/shard-owner.ts
@@ -1,5 +1,5 @@
 /**
- * The soft owner of one shard: some endpoints of one pool in one data centre. It queues small
+ * The soft owner of one shard: some endpoints of one pool. It queues small
  * tickets and grants a slot when one frees, so tier order and fair shares hold across entries.
  *
  * How the two promises fit. A grant is either *contest* (strictly by tier) or *floor* (paid from a
@@ -36,8 +36,8 @@
 const QUEUE_MIN = 32;
 /** Part of its first-token target a ticket waits before it may preempt. */
 const PREEMPT_PATIENCE = 0.12;
-/** A ticket of another data centre waits this many times longer: its own owner goes first. */
-const PREEMPT_REMOTE_FACTOR = 2.5;
+/** A ticket that asked another shard first waits this many times longer: that owner goes first. */
+const PREEMPT_LATER_FACTOR = 2.5;
 /** A held slot that its entry no longer reports is taken back after this long, in milliseconds. */
 const HOLD_GRACE_MS = 2500;
 /** A preempted slot that was not given back after this long may be preempted again. */
@@ -61,6 +61,10 @@
   | { readonly kind: 'holdings'; readonly from: string; readonly held: readonly HeldSlot[] }
   | { readonly kind: 'member_gone'; readonly member: string }
   | { readonly kind: 'endpoint_leaving'; readonly endpoint: string; readonly isLeaving: boolean }
+  /** What looking at an endpoint brought, apart from requests. */
+  | { readonly kind: 'endpoint_seen'; readonly endpoint: string; readonly isReachable: boolean }
+  /** Data centres without a live entry in sight: their endpoints may be behind a cut. */
+  | { readonly kind: 'cut_off'; readonly dataCentres: ReadonlySet<string> }
   | { readonly kind: 'tick' };
 
 /** What operators see of a shard. */
@@ -334,7 +338,7 @@
     const patienceMs = state.declaration.firstTokenMs * PREEMPT_PATIENCE;
     return state.queue.list().filter((ticket) => {
       const waitedMs = nowMs - ticket.postedMs + ticket.waitedMs;
-      const isPatient = waitedMs < patienceMs * (ticket.isLocal ? 1 : PREEMPT_REMOTE_FACTOR);
+      const isPatient = waitedMs < patienceMs * (ticket.isFirst ? 1 : PREEMPT_LATER_FACTOR);
       return !isPatient || nowMs >= ticket.expiresMs;
     }).length;
   }
@@ -416,7 +420,7 @@
       preemptible: post.preemptible,
       excluded: post.excludedEndpoints,
       isResumed: post.resumed,
-      isLocal: post.local,
+      isFirst: post.first,
     };
     const isUnreachableNow = isUnreachable(ticket, state, nowMs);
     state.unservedSinceMs ??= nowMs;
@@ -570,6 +574,12 @@
       case 'endpoint_leaving':
         table.setLeaving(message.endpoint, message.isLeaving);
         break;
+      case 'endpoint_seen':
+        table.recordSeen(message.endpoint, message.isReachable);
+        break;
+      case 'cut_off':
+        table.setCutOff(message.dataCentres);
+        break;
       case 'tick':
         preemptForWaiting(nowMs);
         refuseExpired(nowMs);
--- a/src/admission/ticket-desk.ts
+++ b/src/admission/ticket-desk.ts
@@ -1,7 +1,7 @@
 /**
- * The entry's side of sharing endpoints: posts a ticket to the owner of a local shard, a moment
- * later to owners in other data centres, takes the first grant and hands back any other. Nothing is
- * refused until every owner that was asked has refused.
+ * The entry's side of sharing endpoints: posts a ticket to the owners of two sampled shards of the
+ * pool, a moment later to more, takes the first grant and hands back any other. Nothing is refused
+ * until every owner that was asked has refused.
  */
 import type { HeldSlot, PostTicket } from '../gen/peer_pb.js';
 import { SlotEnding } from '../gen/peer_pb.js';
@@ -11,12 +11,12 @@
 import { REFUSAL } from './ticket.js';
 import type { Refusal } from './ticket.js';
 
-/** Local owners get this long before others are asked, in milliseconds. */
-const SPILL_AFTER_MS = 4;
-/** Owners in other data centres asked for one ticket. */
-const SPILL_SHARDS = 3;
-/** Shards of the own data centre asked for one ticket. */
-const LOCAL_SHARDS = 2;
+/** Shards asked first; with few shards that is all of them. */
+const FIRST_SHARDS = 2;
+/** The first shards get this long before others are asked, in milliseconds. */
+const SPILL_AFTER_MS = 25;
+/** Further shards asked before a ticket is given up. */
+const SPILL_SHARDS = 2;
 /** A ticket nobody has answered is posted again after this long: messages between peers may be lost. */
 const REPOST_MS = 500;
 
@@ -24,7 +24,6 @@
 export interface ShardRoute {
   readonly shard: string;
   readonly owner: string;
-  readonly isLocal: boolean;
 }
 
 /** What an entry asks a slot for. */
@@ -41,8 +40,6 @@
   readonly preemptible: boolean;
   readonly excluded: readonly string[];
   readonly isResumed: boolean;
-  /** False keeps the request in its own data centre while that has endpoints. */
-  readonly isSpillAllowed: boolean;
 }
 
 /** A slot granted to this entry. */
@@ -97,10 +94,17 @@
     }
   | { readonly kind: 'preempt'; readonly ticketId: string };
 
+interface Asked {
+  readonly owner: string;
+  readonly isFirst: boolean;
+  isRefused: boolean;
+  readonly postedMs: number;
+}
+
 interface Pending {
   readonly request: SlotRequest;
   /** Shards asked, with the owner asked and whether it has refused. */
-  readonly asked: Map<string, { owner: string; isRefused: boolean; postedMs: number }>;
+  readonly asked: Map<string, Asked>;
   isSpilled: boolean;
   retryAfterMs: number;
   reason: Refusal;
@@ -132,7 +136,12 @@
     outbox.push({ kind: 'send', message: { to, body } });
   }
 
-  function buildPost(request: SlotRequest, route: ShardRoute, nowMs: number): PostTicket {
+  function buildPost(
+    request: SlotRequest,
+    route: ShardRoute,
+    isFirst: boolean,
+    nowMs: number,
+  ): PostTicket {
     return {
       $typeName: 'hyssoptally.peer.v1.PostTicket',
       ticketId: request.ticketId,
@@ -147,37 +156,38 @@
       excludedEndpoints: [...request.excluded],
       waitedMs: nowMs - request.requestedMs,
       resumed: request.isResumed,
-      local: route.isLocal,
+      first: isFirst,
     };
   }
 
   function postTicket(entry: Pending, route: ShardRoute, nowMs: number): void {
-    entry.asked.set(route.shard, { owner: route.owner, isRefused: false, postedMs: nowMs });
+    const known = entry.asked.get(route.shard);
+    const isFirst = known?.isFirst ?? entry.asked.size === 0;
+    entry.asked.set(route.shard, {
+      owner: route.owner,
+      isFirst,
+      isRefused: false,
+      postedMs: nowMs,
+    });
     postMessage(route.owner, {
       case: 'postTicket',
-      value: buildPost(entry.request, route, nowMs),
+      value: buildPost(entry.request, route, isFirst, nowMs),
     });
   }
 
-  /** Up to `count` routes from a random start, so that load spreads over equal shards. */
-  function chooseRoutes(candidates: readonly ShardRoute[], count: number): ShardRoute[] {
-    if (candidates.length <= count) return [...candidates];
-    const start = random.nextIndex(candidates.length);
-    return [...candidates.slice(start), ...candidates.slice(0, start)].slice(0, count);
-  }
-
-  function listRoutes(request: SlotRequest, isLocal: boolean): readonly ShardRoute[] {
-    return (routes.get(request.pool) ?? []).filter((route) => route.isLocal === isLocal);
+  /** Asks up to `count` more shards of the pool, from a random start so that load spreads. */
+  function postToMore(entry: Pending, count: number, nowMs: number): void {
+    const routesOfPool = routes.get(entry.request.pool) ?? [];
+    const open = routesOfPool.filter((route) => !entry.asked.has(route.shard));
+    const start = open.length <= count ? 0 : random.nextIndex(open.length);
+    const chosen = [...open.slice(start), ...open.slice(0, start)].slice(0, count);
+    for (const route of chosen) postTicket(entry, route, nowMs);
   }
 
   function postElsewhere(entry: Pending, nowMs: number): void {
     if (entry.isSpilled) return;
     entry.isSpilled = true;
-    const isKept = !entry.request.isSpillAllowed && listRoutes(entry.request, true).length > 0;
-    if (isKept) return;
-    for (const route of chooseRoutes(listRoutes(entry.request, false), SPILL_SHARDS)) {
-      postTicket(entry, route, nowMs);
-    }
+    postToMore(entry, SPILL_SHARDS, nowMs);
   }
 
   function refuseIfAllRefused(entry: Pending, nowMs: number): void {
@@ -234,10 +244,7 @@
       reason: REFUSAL.NoEndpoint,
     };
     pending.set(request.ticketId, entry);
-    for (const route of chooseRoutes(listRoutes(request, true), LOCAL_SHARDS)) {
-      postTicket(entry, route, nowMs);
-    }
-    if (entry.asked.size === 0) postElsewhere(entry, nowMs);
+    postToMore(entry, FIRST_SHARDS, nowMs);
     if (entry.asked.size === 0) refuseIfAllRefused(entry, nowMs);
   }
 
@@ -317,6 +324,7 @@
         if (route === undefined) entry.asked.delete(shard);
         else if (route.owner !== asked.owner) postTicket(entry, route, nowMs);
       }
+      if (entry.asked.size === 0) postToMore(entry, FIRST_SHARDS, nowMs);
       refuseIfAllRefused(entry, nowMs);
     }
   }
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -18,8 +18,8 @@
   readonly excluded: readonly string[];
   /** Goes on with an answer that was broken off: placed before its organisation's other tickets. */
   readonly isResumed: boolean;
-  /** Posted to the shard of the entry's own data centre. */
-  readonly isLocal: boolean;
+  /** This shard was asked first: its owner may preempt for the ticket at once. */
+  readonly isFirst: boolean;
 }
 
 /** Why a ticket was turned away. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -59,6 +59,8 @@
       readonly isLeaving: boolean;
       readonly wallMs: number;
     }
+  /** A message to this address could not be handed over. */
+  | { readonly kind: 'unreachable'; readonly address: string }
   | { readonly kind: 'leave' }
   | { readonly kind: 'left' }
   | { readonly kind: 'tick' };
@@ -470,6 +472,11 @@
       case 'endpoint':
         handleEndpoint(message, nowMs);
         break;
+      case 'unreachable':
+        for (const fact of listOthers()) {
+          if (fact.address === message.address) setSuspect(fact.subject, nowMs);
+        }
+        break;
       case 'leave':
         handleLeave(FactState.LEAVING, nowMs);
         break;
--- a/src/node/control-runner.ts
+++ b/src/node/control-runner.ts
@@ -40,6 +40,7 @@
   readonly listOwned: () => readonly Shard[];
   readonly getDeclarations: () => Declarations | undefined;
   readonly onEndpointState: (endpoint: string, isLeaving: boolean) => void;
+  readonly onSeen: (endpoint: string, isReachable: boolean) => void;
 }
 
 /** Control duties of one instance. */
@@ -129,6 +130,7 @@
 
   async function fetchReport(endpoint: EndpointDeclaration): Promise<EngineReport | undefined> {
     const answer = await endpoints.fetchJson(endpoint, '/load', undefined, LOOK_TIMEOUT_MS);
+    options.onSeen(endpoint.name, answer !== undefined);
     const parsed = reportSchema.safeParse(answer);
     if (!parsed.success) return undefined;
     options.onEndpointState(endpoint.name, parsed.data.isLeaving);
--- a/src/node/independent-broker.ts
+++ b/src/node/independent-broker.ts
@@ -66,6 +66,7 @@
       if (isLeaving) leaving.add(endpoint);
       else leaving.delete(endpoint);
     },
+    recordSeen: () => undefined,
     listOwned: () => [],
     list: () => [],
     countPending: () => 0,
--- a/src/node/request-runner.ts
+++ b/src/node/request-runner.ts
@@ -47,8 +47,6 @@
   readonly hasPriority: boolean;
   /** An endpoint said itself that it is leaving. */
   readonly onLeaving: (endpoint: string) => void;
-  /** Whether a once-only request may go to another data centre now. */
-  readonly isSpillSafe: () => boolean;
 }
 
 /** A request that runs. */
@@ -222,7 +220,6 @@
           request.work.kind === 'completion' && request.repeatability === REPEATABILITY.Repeatable,
         excluded: command.excluded,
         isResumed: command.isResumed,
-        isSpillAllowed: request.repeatability !== REPEATABILITY.Once || options.isSpillSafe(),
       },
       {
         onGrant(grant) {
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -154,6 +154,7 @@
     incarnation,
     secret: config.peerSecret,
     metrics,
+    onUnreachable: (address) => runMembership({ kind: 'unreachable', address }),
     ...(internals.getPeerDelayMs === undefined ? {} : { getDelayMs: internals.getPeerDelayMs }),
   });
   const endpoints = createEndpointClient();
@@ -210,7 +211,6 @@
     hasStallChecks: policy.kind !== 'independent',
     hasPriority: policy.kind !== 'independent' || policy.hasPriority,
     onLeaving: (endpoint) => recordEndpoint(endpoint, true),
-    isSpillSafe: () => membership.listMembers().every((fact) => fact.state !== FactState.SUSPECT),
   });
   const configuration = createConfigurationRunner({
     store,
@@ -235,6 +235,7 @@
     listOwned: () => broker.listOwned(),
     getDeclarations: () => declarations,
     onEndpointState: recordEndpoint,
+    onSeen: (endpoint, isReachable) => broker.recordSeen(endpoint, isReachable),
   });
 
   function encodeVerdict(verdict: AttemptVerdict): WireVerdict {
@@ -289,7 +290,9 @@
   }
 
   function updateLive(): void {
-    const live = membership.listMembers().filter(isServing);
+    // A suspect owns nothing: a wrong suspicion costs a moment's double grants, a right one is time
+    // won for every request that waits on a dead owner.
+    const live = membership.listMembers().filter((fact) => fact.state === FactState.ALIVE);
     broker.setLive(live.map((fact) => ({ name: fact.subject, dataCentre: fact.dataCentre })));
     metrics.set(METRIC.MembersAlive, live.length);
   }
@@ -297,7 +300,7 @@
   function handleChanged(fact: Fact, before: Fact | undefined): void {
     if (fact.kind === FactKind.ENDPOINT) {
       broker.setLeaving(fact.subject, fact.state === FactState.LEAVING);
-    } else if (before === undefined || isServing(before) !== isServing(fact)) {
+    } else if (before?.state !== fact.state) {
       updateLive();
     }
     if (fact.kind === FactKind.MEMBER && !isPresent(fact)) broker.removeMember(fact.subject);
--- a/src/node/slot-broker-types.ts
+++ b/src/node/slot-broker-types.ts
@@ -39,6 +39,8 @@
   setLive(entries: readonly LiveEntry[]): void;
   removeMember(member: string): void;
   setLeaving(endpoint: string, isLeaving: boolean): void;
+  /** What looking at an endpoint brought. */
+  recordSeen(endpoint: string, isReachable: boolean): void;
   /** Shards this entry owns now. */
   listOwned(): readonly Shard[];
   list(): ShardView[];
--- a/src/node/slot-broker.ts
+++ b/src/node/slot-broker.ts
@@ -146,6 +146,13 @@
     }));
   }
 
+  /** Data centres of a shard that have no live entry in sight. */
+  function listCutOff(shard: Shard): ReadonlySet<string> {
+    const seen = new Set(live.map((entry) => entry.dataCentre));
+    const declared = shard.endpoints.map((endpoint) => endpoint.dataCentre);
+    return new Set(declared.filter((dataCentre) => !seen.has(dataCentre)));
+  }
+
   function updateShards(): void {
     if (declarations === undefined) return;
     const current = declarations;
@@ -161,12 +168,13 @@
         weights: (organisation) => current.organisations.get(organisation)?.weight ?? 1,
         endpoints: shard.endpoints,
       });
+      runOwner(shard.name, { kind: 'cut_off', dataCentres: listCutOff(shard) });
       for (const endpoint of leaving) {
         runOwner(shard.name, { kind: 'endpoint_leaving', endpoint, isLeaving: true });
       }
     }
     hasOwnedBefore = true;
-    runDesk({ kind: 'routes', routes: buildRoutes(shards, self.dataCentre) });
+    runDesk({ kind: 'routes', routes: buildRoutes(shards) });
   }
 
   timers.subscribe(DESK_TICK_MS, () => {
@@ -215,6 +223,11 @@
         runOwner(shard, { kind: 'endpoint_leaving', endpoint, isLeaving });
       }
     },
+    recordSeen(endpoint, isReachable) {
+      for (const shard of owners.keys()) {
+        runOwner(shard, { kind: 'endpoint_seen', endpoint, isReachable });
+      }
+    },
     listOwned: () => shards.filter((shard) => shard.owner === self.name),
     list: () => [...owners.values()].map((owner) => owner.list()),
     countPending: () => desk.countPending(),
--- a/src/peers/peer-outbox.ts
+++ b/src/peers/peer-outbox.ts
@@ -31,6 +31,8 @@
   readonly incarnation: number;
   readonly secret: string;
   readonly metrics: Metrics;
+  /** A batch could not be handed over. */
+  readonly onUnreachable: (address: string) => void;
   /**
    * Added to each batch, in milliseconds: stands for the distance between data centres on a bench.
    * @default 0
@@ -107,6 +109,7 @@
         await sendBatch(link, address);
       } catch {
         options.metrics.count(METRIC.PeerMessagesDropped);
+        if (!isClosed) options.onUnreachable(address);
       }
     }
     link.isSending = false;
--- a/src/routing/endpoint-table.ts
+++ b/src/routing/endpoint-table.ts
@@ -23,6 +23,8 @@
 const SLOW_START_MS = 2000;
 /** A cached prefix wins unless its endpoint scores this many times worse. */
 const PREFIX_TOLERANCE = 1.5;
+/** Looks without an answer after which an endpoint is out of reach. */
+const LOOKS_MISSED_MAX = 2;
 /** At most this share of a shard is ejected at once. */
 const EJECTED_SHARE_MAX = 0.5;
 
@@ -32,6 +34,7 @@
   Straggler: 'straggler',
   Failing: 'failing',
   Leaving: 'leaving',
+  Unreachable: 'unreachable',
 } as const;
 export type EndpointStatus = (typeof ENDPOINT_STATUS)[keyof typeof ENDPOINT_STATUS];
 
@@ -55,6 +58,8 @@
   declaration: EndpointDeclaration;
   held: number;
   isLeaving: boolean;
+  /** Looks in a row that got no answer. */
+  missedLooks: number;
   status: EndpointStatus;
   step: MovingAverage;
   failures: number;
@@ -76,6 +81,10 @@
   recordSuccess(endpoint: string): void;
   recordFailure(endpoint: string, nowMs: number): void;
   setLeaving(endpoint: string, isLeaving: boolean): void;
+  /** Records whether a look at an endpoint, apart from requests, got an answer. */
+  recordSeen(endpoint: string, isReachable: boolean): void;
+  /** Endpoints of these data centres count as unreachable until a look gets an answer. */
+  setCutOff(dataCentres: ReadonlySet<string>): void;
   /** Slots that may be granted now, over all endpoints. */
   countUsable(nowMs: number): number;
   countSlots(): number;
@@ -86,6 +95,7 @@
 export function createEndpointTable(random: Random): EndpointTable {
   const states = new Map<string, EndpointState>();
   let isFirstSet = true;
+  let cutOff: ReadonlySet<string> = new Set();
 
   function computeMedianStep(): number {
     const steps = [...states.values()]
@@ -105,14 +115,28 @@
     return ejected + 1 <= states.size * EJECTED_SHARE_MAX;
   }
 
+  /**
+   * Guards against endpoints behind a cut: they show as connections that time out, one request
+   * after the other. Looks find out instead; this is not ejection by judgement, so it has no bound.
+   */
+  function isUnreachable(state: EndpointState): boolean {
+    const isCutOff = cutOff.has(state.declaration.dataCentre);
+    return state.missedLooks >= (isCutOff ? 1 : LOOKS_MISSED_MAX);
+  }
+
   function countAllowed(state: EndpointState, nowMs: number): number {
-    if (state.isLeaving) return 0;
+    if (state.isLeaving || isUnreachable(state)) return 0;
     if (state.status === ENDPOINT_STATUS.Straggler) return 1;
     if (state.status === ENDPOINT_STATUS.Failing) return nowMs >= state.ejectedUntilMs ? 1 : 0;
     const ramp = Math.min(1, (nowMs - state.rampFromMs) / SLOW_START_MS);
     return Math.max(1, Math.ceil(state.declaration.slots * ramp));
   }
 
+  function getStatus(state: EndpointState): EndpointStatus {
+    if (state.isLeaving) return ENDPOINT_STATUS.Leaving;
+    return isUnreachable(state) ? ENDPOINT_STATUS.Unreachable : state.status;
+  }
+
   function computeScore(state: EndpointState, medianStep: number): number {
     const load = (state.held + 1) / state.declaration.slots;
     return state.step.get(medianStep || 1) * (1 + load);
@@ -160,6 +184,7 @@
             declaration,
             held: 0,
             isLeaving: false,
+            missedLooks: 0,
             status: ENDPOINT_STATUS.Ready,
             step: createMovingAverage(STEP_ALPHA),
             failures: 0,
@@ -222,6 +247,19 @@
       const state = states.get(endpoint);
       if (state !== undefined) state.isLeaving = isLeaving;
     },
+    recordSeen(endpoint, isReachable) {
+      const state = states.get(endpoint);
+      if (state !== undefined) state.missedLooks = isReachable ? 0 : state.missedLooks + 1;
+    },
+    setCutOff(dataCentres) {
+      for (const state of states.values()) {
+        const { dataCentre } = state.declaration;
+        // Newly out of sight: nothing is granted there until a look gets an answer.
+        const isNew = dataCentres.has(dataCentre) && !cutOff.has(dataCentre);
+        if (isNew) state.missedLooks = Math.max(1, state.missedLooks);
+      }
+      cutOff = dataCentres;
+    },
     countUsable(nowMs) {
       let usable = 0;
       for (const state of states.values()) {
@@ -232,14 +270,14 @@
     countSlots() {
       let slots = 0;
       for (const state of states.values()) {
-        if (!state.isLeaving) slots += state.declaration.slots;
+        if (!state.isLeaving && !isUnreachable(state)) slots += state.declaration.slots;
       }
       return slots;
     },
     list: () =>
       [...states.values()].map((state) => ({
         name: state.declaration.name,
-        status: state.isLeaving ? ENDPOINT_STATUS.Leaving : state.status,
+        status: getStatus(state),
         held: state.held,
         slots: state.declaration.slots,
         stepMs: state.step.get(0),
