No slot for an answer that would end too late; a learned long hold instead of a mean

Cause: 94 of 392 reconcile answers were granted a slot near their deadline and cut off half way: the prediction on arrival counted half a mean hold, and nothing was asked again when the slot came.

Ruled out: shorter queues (the same work is refused later, not earlier); last in, first out.

Change: a class's 0.9 quantile of its last 128 holds is what an answer may need. On arrival behind others, and again when its slot comes while others of its class wait, a ticket that would end past its deadline is refused at once.

--- a/src/admission/floor-credit.ts
+++ b/src/admission/floor-credit.ts
@@ -6,6 +6,7 @@
  * and never by preemption; unused credit is lent by simply not being asked for.
  */
 import { createMovingAverage } from '../utils/moving-average.js';
+import { createRecentQuantile } from '../utils/recent-quantile.js';
 
 const HOLD_ALPHA = 0.1;
 /** Assumed until the class's first slot came back, in milliseconds. */
@@ -13,6 +14,10 @@
 /** Credit is capped at this many usual holds, so that a long wait does not turn into a burst. */
 const CREDIT_CAP_HOLDS = 1.5;
 
+/** Nearly every answer of the class holds a slot no longer than this quantile of the last ones. */
+const LONG_HOLD_QUANTILE = 0.9;
+const HOLDS_KEPT = 128;
+
 /** Credit of one class. */
 export interface FloorCredit {
   /** Accounts for `elapsedMs` in which the class had waiting work. */
@@ -25,11 +30,14 @@
   record(heldMs: number, wasFloor: boolean): void;
   /** The price of one grant, in slot-milliseconds. */
   getQuantum(): number;
+  /** How long a slot may well be held, in milliseconds; 0 while unknown. */
+  getLongHold(): number;
 }
 
 /** Builds a class's credit, at nothing. */
 export function createFloorCredit(): FloorCredit {
   const hold = createMovingAverage(HOLD_ALPHA);
+  const longHold = createRecentQuantile(LONG_HOLD_QUANTILE, HOLDS_KEPT);
   let credit = 0;
   const getQuantum = (): number => Math.max(1, hold.get(HOLD_UNKNOWN_MS));
   return {
@@ -44,7 +52,9 @@
     record(heldMs, wasFloor) {
       if (wasFloor) credit += getQuantum() - heldMs;
       hold.add(heldMs);
+      longHold.add(heldMs);
     },
     getQuantum,
+    getLongHold: () => longHold.get(0),
   };
 }
--- a/src/admission/shard-owner.ts
+++ b/src/admission/shard-owner.ts
@@ -42,6 +42,8 @@
 const HOLD_GRACE_MS = 2500;
 /** A preempted slot that was not given back after this long may be preempted again. */
 const PREEMPT_RETRY_MS = 1000;
+/** Part of a usual hold that an answer broken off in the middle still needs. */
+const RESUMED_HOLD_SHARE = 0.5;
 const RETRY_AFTER_MIN_MS = 250;
 const RETRY_AFTER_MAX_MS = 30_000;
 /** Slot endings that say the endpoint failed. */
@@ -244,15 +246,21 @@
     return lowest?.queue.findMostQueued();
   }
 
+  /** Whether an answer that starts now may well not be whole before its deadline. */
+  function isTooLate(ticket: Ticket, state: ClassState, startsMs: number): boolean {
+    const holdMs = state.credit.getLongHold() * (ticket.isResumed ? RESUMED_HOLD_SHARE : 1);
+    return startsMs + holdMs > ticket.expiresMs;
+  }
+
   function isUnreachable(ticket: Ticket, state: ClassState, nowMs: number): boolean {
     const aheadAndMe = countWaitingAtOrAbove(ticket.tier) + 1;
     if (countPreemptibleBelow(ticket.tier) >= aheadAndMe) return false;
-    const holdMs = state.credit.getQuantum();
     // Fair shares: an organisation waits behind its own tickets and an equal part of the others'.
     const own = state.queue.countOf(ticket.organisation);
     const ahead = ticket.isResumed ? 0 : Math.min(state.queue.count(), own === 0 ? 1 : Infinity);
-    const wait = predictWait(state, ahead, nowMs);
-    return ahead > 0 && nowMs + wait + holdMs / 2 > ticket.expiresMs;
+    // Where nobody waits a try costs nobody anything, and shows whether the estimate still holds.
+    if (ahead === 0) return false;
+    return isTooLate(ticket, state, nowMs + predictWait(state, ahead, nowMs));
   }
 
   function grantTicket(
@@ -315,6 +323,12 @@
     const state = due ?? ordered.find((candidate) => candidate.queue.count() > 0);
     const ticket = state?.queue.find();
     if (state === undefined || ticket === undefined) return false;
+    if (state.queue.count() > 1 && isTooLate(ticket, state, nowMs)) {
+      // Others of its class wait who can still be in time: the slot is theirs, and this caller
+      // hears at once instead of being cut off half way.
+      refuseWaiting(ticket, REFUSAL.DeadlineUnreachable, nowMs);
+      return true;
+    }
     if (due === undefined) {
       invariants.check(
         'contest_by_tier',
--- /dev/null
+++ b/src/utils/recent-quantile.ts
@@ -0,0 +1,28 @@
+/** A quantile of the last samples: follows a change within that many, and never forgets by the clock. */
+export interface RecentQuantile {
+  add(sample: number): void;
+  /** The quantile, or `fallback` before the first sample. */
+  get(fallback: number): number;
+}
+
+/** Samples between two sorts. */
+const SORT_EVERY = 8;
+
+/** Builds an estimator of `quantile` (0 to 1) over the last `capacity` samples. */
+export function createRecentQuantile(quantile: number, capacity: number): RecentQuantile {
+  const samples: number[] = [];
+  let next = 0;
+  let added = 0;
+  let value: number | undefined;
+  return {
+    add(sample) {
+      samples[next] = sample;
+      next = (next + 1) % capacity;
+      added += 1;
+      if (value !== undefined && added % SORT_EVERY !== 0 && added > SORT_EVERY) return;
+      const sorted = [...samples].sort((a, b) => a - b);
+      value = sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * quantile))];
+    },
+    get: (fallback) => value ?? fallback,
+  };
+}
