Broken answers go first in their class; long holds are learned from whole answers

Cause: a contract answer preempted after 10 tokens waited 8.3 s for its class's fair turn, resumed with 5 s left and was cut off: its 112 tokens were waste. Pieces of preempted answers also taught the estimate of a long hold that answers were short.

--- a/src/admission/class-queue.ts
+++ b/src/admission/class-queue.ts
@@ -1,7 +1,8 @@
 /**
  * The waiting tickets of one class. Organisations take turns by virtual counters of tokens actually
  * produced, divided by weight (as in fair queueing): who has had least goes first, and an
- * organisation that was away comes back level with the others, not with saved-up credit.
+ * organisation that was away comes back level with the others, not with saved-up credit. Answers that
+ * were broken off go before all: what they have had is charged already, and is lost if they end late.
  */
 import { createBoundedMap } from '../utils/bounded-map.js';
 import type { Ticket } from './ticket.js';
@@ -31,6 +32,8 @@
 /** Builds an empty queue. */
 export function createClassQueue(): ClassQueue {
   const waiting = new Map<string, OrganisationQueue>();
+  /** Waiting tickets of broken answers, oldest first. */
+  const broken = new Map<string, Ticket>();
   const organisationOf = new Map<string, string>();
   const counters = createBoundedMap<string, number>(COUNTERS_KEPT);
 
@@ -52,8 +55,8 @@
         waiting.set(ticket.organisation, queue);
       }
       queue.weight = ticket.weight;
-      if (ticket.isResumed) queue.tickets.unshift(ticket);
-      else queue.tickets.push(ticket);
+      queue.tickets.push(ticket);
+      if (ticket.isResumed) broken.set(ticket.ticketId, ticket);
       organisationOf.set(ticket.ticketId, ticket.organisation);
     },
     remove(ticketId) {
@@ -61,12 +64,15 @@
       const queue = organisation === undefined ? undefined : waiting.get(organisation);
       if (organisation === undefined || queue === undefined) return undefined;
       organisationOf.delete(ticketId);
+      broken.delete(ticketId);
       const index = queue.tickets.findIndex((ticket) => ticket.ticketId === ticketId);
       const [ticket] = queue.tickets.splice(index, 1);
       if (queue.tickets.length === 0) waiting.delete(organisation);
       return ticket;
     },
     find() {
+      const [resumed] = broken.values();
+      if (resumed !== undefined) return resumed;
       let best: Ticket | undefined;
       let bestCounter = Infinity;
       for (const [organisation, queue] of waiting) {
--- a/src/admission/floor-credit.ts
+++ b/src/admission/floor-credit.ts
@@ -15,7 +15,7 @@
 const CREDIT_CAP_HOLDS = 1.5;
 
 /** Nearly every answer of the class holds a slot no longer than this quantile of the last ones. */
-const LONG_HOLD_QUANTILE = 0.9;
+const LONG_HOLD_QUANTILE = 0.98;
 const HOLDS_KEPT = 128;
 
 /** Credit of one class. */
@@ -26,8 +26,11 @@
   isDue(): boolean;
   /** Pays for a floor grant. */
   take(): void;
-  /** Learns how long a slot was held, and settles a floor grant's price. */
-  record(heldMs: number, wasFloor: boolean): void;
+  /**
+   * Learns how long a slot was held, and settles a floor grant's price. `isWhole`: for an answer
+   * from its beginning to its end; pieces of answers say little of how long one may take.
+   */
+  record(heldMs: number, wasFloor: boolean, isWhole: boolean): void;
   /** The price of one grant, in slot-milliseconds. */
   getQuantum(): number;
   /** How long a slot may well be held, in milliseconds; 0 while unknown. */
@@ -49,10 +52,11 @@
     take() {
       credit -= getQuantum();
     },
-    record(heldMs, wasFloor) {
+    record(heldMs, wasFloor, isWhole) {
       if (wasFloor) credit += getQuantum() - heldMs;
       hold.add(heldMs);
-      longHold.add(heldMs);
+      // A piece longer than what is thought long for a whole answer says that much at least.
+      if (isWhole || heldMs > longHold.get(Infinity)) longHold.add(heldMs);
     },
     getQuantum,
     getLongHold: () => longHold.get(0),
--- a/src/admission/shard-owner.ts
+++ b/src/admission/shard-owner.ts
@@ -44,6 +44,8 @@
 const PREEMPT_RETRY_MS = 1000;
 /** Part of a usual hold that an answer broken off in the middle still needs. */
 const RESUMED_HOLD_SHARE = 0.5;
+/** Long holds that must be left for a preempted answer to wait, resume and end in time. */
+const RESUMABLE_HOLDS = 1.5;
 const RETRY_AFTER_MIN_MS = 250;
 const RETRY_AFTER_MAX_MS = 30_000;
 /** Slot endings that say the endpoint failed. */
@@ -105,6 +107,8 @@
   readonly preemptible: boolean;
   readonly chargedTokens: number;
   readonly grantedMs: number;
+  readonly expiresMs: number;
+  readonly isResumed: boolean;
   seenMs: number;
   preemptedMs: number | undefined;
 }
@@ -291,6 +295,8 @@
       preemptible: ticket.preemptible,
       chargedTokens: ticket.expectedTokens,
       grantedMs: nowMs,
+      expiresMs: ticket.expiresMs,
+      isResumed: ticket.isResumed,
       seenMs: nowMs,
       preemptedMs: undefined,
     });
@@ -344,8 +350,16 @@
     while (countWaiting() > 0 && table.countUsable(nowMs) > 0 && grantNext(nowMs));
   }
 
-  function compareVictims(a: Grant, b: Grant): number {
-    return b.tier - a.tier || b.grantedMs - a.grantedMs;
+  /** Whether an answer taken back now still has time to wait, resume and end. */
+  function isResumable(grant: Grant, nowMs: number): boolean {
+    const holdMs = classes.get(grant.className)?.credit.getLongHold() ?? 0;
+    return grant.expiresMs - nowMs > holdMs * RESUMABLE_HOLDS;
+  }
+
+  /** Lowest tier first, then whoever can still end in time after a break, then who began last. */
+  function compareVictims(a: Grant, b: Grant, nowMs: number): number {
+    const resumable = Number(isResumable(b, nowMs)) - Number(isResumable(a, nowMs));
+    return b.tier - a.tier || resumable || b.grantedMs - a.grantedMs;
   }
 
   function countImpatient(state: ClassState, nowMs: number): number {
@@ -369,7 +383,7 @@
         .filter(
           (grant) => grant.tier > tier && !grant.isFloor && grant.preemptible && !isPending(grant),
         )
-        .sort(compareVictims)
+        .sort((a, b) => compareVictims(a, b, nowMs))
         .slice(0, Math.max(0, wanted));
       for (const victim of victims) {
         victim.preemptedMs = nowMs;
@@ -454,9 +468,10 @@
     if (state !== undefined) {
       if (!grant.isFloor) state.contestHeld = Math.max(0, state.contestHeld - 1);
       if (release.ending === SlotEnding.UNUSED) {
-        if (grant.isFloor) state.credit.record(0, true);
+        if (grant.isFloor) state.credit.record(0, true, false);
       } else {
-        state.credit.record(nowMs - grant.grantedMs, grant.isFloor);
+        const isWhole = release.ending === SlotEnding.COMPLETED && !grant.isResumed;
+        state.credit.record(nowMs - grant.grantedMs, grant.isFloor, isWhole);
       }
       state.queue.record(grant.organisation, release.tokens - grant.chargedTokens);
     }
@@ -506,6 +521,9 @@
           preemptible: slot.preemptible,
           chargedTokens: 0,
           grantedMs: nowMs,
+          expiresMs: Infinity,
+          // When it began is not known here, so its length must teach nothing.
+          isResumed: true,
           seenMs: nowMs,
           preemptedMs: undefined,
         });
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -16,7 +16,7 @@
   readonly prefixHash: number;
   readonly preemptible: boolean;
   readonly excluded: readonly string[];
-  /** Goes on with an answer that was broken off: placed before its organisation's other tickets. */
+  /** Goes on with an answer that was broken off: placed before the class's other tickets. */
   readonly isResumed: boolean;
   /** This shard was asked first: its owner may preempt for the ticket at once. */
   readonly isFirst: boolean;
