A soak of the real composition on fakes; a replayed answer ends its request

Cause: no long randomised run existed.

Found by its first seeds, without any fault: a request whose kept answer had been replayed stayed alive, so a caller that left afterwards got a second final answer, and its organisation's place was given back twice. The replay now ends the request's life like every other final answer.

Ruled out: the fake callers (the second answer came from the request's own life, 'caller_left' in phase 'claiming').

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,6 +33,7 @@
   'load',
   'merge',
   'on',
+  'open',
   'parse',
   'post',
   'predict',
--- a/src/node/claim-desk.ts
+++ b/src/node/claim-desk.ts
@@ -15,7 +15,7 @@
 import type { ItemKey, TableClient } from '../platform/table-client.js';
 import { METRIC } from '../runtime/metrics.js';
 import type { Metrics } from '../runtime/metrics.js';
-import type { Clock } from '../runtime/clock.js';
+import type { TimerService } from '../runtime/timer-service.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
@@ -51,7 +51,7 @@
 export interface ClaimDeskOptions {
   readonly self: string;
   readonly table: TableClient;
-  readonly clock: Clock;
+  readonly timers: TimerService;
   readonly metrics: Metrics;
   readonly writesPerSecond: number;
   /** Asks another entry; `unknown` when it does not answer. */
@@ -81,7 +81,8 @@
 
 /** Builds a desk that holds nothing. */
 export function createClaimDesk(options: ClaimDeskOptions): ClaimDesk {
-  const { self, table, clock, metrics, writesPerSecond } = options;
+  const { self, table, timers, metrics, writesPerSecond } = options;
+  const { clock } = timers;
   const ledger = createAttemptLedger();
   let allowance = writesPerSecond;
   let refilledMs = clock.monotonicMs();
@@ -173,7 +174,7 @@
       if (written.ok || written.val.kind === PLATFORM_FAILURE.Conflict) return;
       // eslint-disable-next-line no-await-in-loop
       await new Promise<void>((resolve) => {
-        setTimeout(resolve, SETTLE_PAUSE_MS);
+        timers.subscribeOnce(SETTLE_PAUSE_MS, resolve);
       });
     }
   }
--- a/src/node/configuration-runner.ts
+++ b/src/node/configuration-runner.ts
@@ -4,7 +4,6 @@
 import { parseManifest } from '../configuration/manifest.js';
 import type { ConfigurationStore } from '../configuration/store.js';
 import type { FetchConfigurationResponse } from '../gen/peer_pb.js';
-import type { PeerClient } from '../peers/peer-outbox.js';
 import type { Invariants } from '../runtime/invariants.js';
 import type { Logger } from '../runtime/logger.js';
 import { METRIC } from '../runtime/metrics.js';
@@ -16,7 +15,6 @@
 const TICK_MS = 200;
 /** Texts asked of a peer in one call. */
 const TEXTS_PER_CALL = 200;
-const FETCH_CALL_MS = 3000;
 /** Texts fetched from the object store at once. */
 const PARALLEL_READS = 8;
 
@@ -36,7 +34,11 @@
   readonly logger: Logger;
   /** Whether this instance is one of its data centre's pollers now. */
   readonly isPoller: () => boolean;
-  readonly findPeer: (name: string) => PeerClient | undefined;
+  /** Asks a peer; undefined when it is not known, rejected when it does not answer. */
+  readonly fetchFromPeer: (
+    peer: string,
+    hashes: readonly string[],
+  ) => Promise<FetchConfigurationResponse | undefined>;
   readonly onApply: (declarations: Declarations) => void;
 }
 
@@ -83,17 +85,16 @@
   }
 
   async function fetchFromPeer(peer: string): Promise<Fetched | undefined> {
-    const client = options.findPeer(peer);
-    if (client === undefined) return undefined;
-    const call = { timeoutMs: FETCH_CALL_MS };
-    const { version, manifest } = await client.fetchConfiguration({ hashes: [] }, call);
+    const head = await options.fetchFromPeer(peer, []);
+    if (head === undefined) return undefined;
+    const { version, manifest } = head;
     const missing = keeper.listMissing(parseManifest(manifest));
     const texts = new Map<string, string>();
     for (let start = 0; start < missing.length; start += TEXTS_PER_CALL) {
       const hashes = missing.slice(start, start + TEXTS_PER_CALL);
       // eslint-disable-next-line no-await-in-loop
-      const answer = await client.fetchConfiguration({ hashes }, call);
-      for (const blob of answer.blobs) texts.set(blob.hash, blob.text);
+      const answer = await options.fetchFromPeer(peer, hashes);
+      for (const blob of answer?.blobs ?? []) texts.set(blob.hash, blob.text);
     }
     return { version, manifest, texts };
   }
--- /dev/null
+++ b/src/node/fleet-view.ts
@@ -0,0 +1,166 @@
+/** This instance's view of the fleet: membership, with what follows from it for its neighbours. */
+import type { DemandShare, Fact, PeerMessage } from '../gen/peer_pb.js';
+import type { PeerDemand } from '../limits/organisation-limits.js';
+import { FactKind, FactState, isPresent, isServing } from '../membership/facts.js';
+import { createMembership } from '../membership/membership.js';
+import type {
+  Contact,
+  GossipBody,
+  MembershipCommand,
+  MembershipMessage,
+  MembershipOptions,
+} from '../membership/membership.js';
+import type { InstanceListClient } from '../platform/instance-list-client.js';
+import { LISTED_STATE } from '../platform/instance-list-client.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import type { MemberStatus } from '../types/router-status.js';
+import { assertNever } from '../utils/assert-never.js';
+import { chooseRendezvous } from '../utils/hash.js';
+
+const TICK_MS = 50;
+const LIST_PERIOD_MS = 2000;
+/** Instances that read the platform's head in each data centre. */
+const POLLERS_PER_DATA_CENTRE = 2;
+
+/** Settings of a view. */
+export interface FleetViewOptions extends MembershipOptions {
+  readonly timers: TimerService;
+  readonly instances: InstanceListClient;
+  /** HOST:PORT of peers to ask when the platform cannot be reached. */
+  readonly seeds: readonly string[];
+  readonly isLeaving: () => boolean;
+  readonly send: (address: string, body: PeerMessage['body']) => void;
+  readonly onChanged: (fact: Fact, before: Fact | undefined) => void;
+}
+
+/** The fleet as one instance sees it. */
+export interface FleetView {
+  handle(from: string, body: GossipBody): void;
+  recordEndpoint(endpoint: string, isLeaving: boolean): void;
+  recordUnreachable(address: string): void;
+  setConfigurationVersion(version: number): void;
+  setDemand(shares: readonly DemandShare[]): void;
+  leave(): void;
+  left(): void;
+  /** Members that may own shards. */
+  listAlive(): Fact[];
+  listStatus(): MemberStatus[];
+  listLeavingEndpoints(): string[];
+  /** Address of a member that takes part. */
+  findAddress(name: string): string | undefined;
+  /** Whether this instance is one of its data centre's pollers. */
+  isPoller(): boolean;
+  getPeerDemand(): PeerDemand;
+}
+
+/** Builds a view that knows only this instance, and starts looking for others. */
+export function createFleetView(options: FleetViewOptions): FleetView {
+  const { self, timers, instances } = options;
+  const membership = createMembership(options);
+
+  function runCommand(command: MembershipCommand): void {
+    switch (command.kind) {
+      case 'send':
+        options.send(command.address, command.body);
+        break;
+      case 'changed':
+        options.onChanged(command.fact, command.before);
+        break;
+      default:
+        assertNever(command);
+    }
+  }
+
+  function runMembership(message: MembershipMessage): void {
+    for (const command of membership.handle(message, timers.clock.monotonicMs())) {
+      runCommand(command);
+    }
+  }
+
+  function listServing(): Fact[] {
+    return membership.listMembers().filter(isServing);
+  }
+
+  async function updateContacts(): Promise<void> {
+    const state = options.isLeaving() ? LISTED_STATE.Leaving : LISTED_STATE.Live;
+    await instances.set({ ...self, state });
+    const listed = await instances.list();
+    const known = new Set(membership.listMembers().map((fact) => fact.address));
+    // A seed has no name until it answers; once its address is a member's it is no news.
+    const seeds: Contact[] = options.seeds
+      .filter((address) => !known.has(address))
+      .map((address) => ({ name: address, address, dataCentre: '' }));
+    const live = listed.unwrapOr([]).filter((instance) => instance.state === LISTED_STATE.Live);
+    runMembership({ kind: 'contacts', contacts: [...live, ...seeds] });
+  }
+
+  function startUpdate(): void {
+    updateContacts().catch(() => undefined);
+  }
+
+  timers.subscribe(TICK_MS, () => runMembership({ kind: 'tick' }));
+  timers.subscribe(LIST_PERIOD_MS, startUpdate);
+  timers.subscribeOnce(0, startUpdate);
+
+  return {
+    handle(from, body) {
+      runMembership({ kind: 'received', from, body });
+    },
+    recordEndpoint(endpoint, isLeaving) {
+      runMembership({ kind: 'endpoint', endpoint, isLeaving, wallMs: timers.clock.wallMs() });
+    },
+    recordUnreachable(address) {
+      runMembership({ kind: 'unreachable', address });
+    },
+    setConfigurationVersion(version) {
+      runMembership({ kind: 'configuration', version });
+    },
+    setDemand(shares) {
+      runMembership({ kind: 'demand', shares });
+    },
+    leave() {
+      runMembership({ kind: 'leave' });
+      startUpdate();
+    },
+    left() {
+      runMembership({ kind: 'left' });
+    },
+    // A suspect owns nothing: a wrong suspicion costs a moment's double grants, a right one is time
+    // won for every request that waits on a dead owner.
+    listAlive: () => membership.listMembers().filter((fact) => fact.state === FactState.ALIVE),
+    listStatus: () =>
+      membership.listMembers().map((fact) => ({
+        name: fact.subject,
+        dataCentre: fact.dataCentre,
+        address: fact.address,
+        state: FactState[fact.state].toLowerCase(),
+        configurationVersion: fact.configurationVersion,
+      })),
+    listLeavingEndpoints: () =>
+      membership
+        .listEndpoints()
+        .filter((fact) => fact.kind === FactKind.ENDPOINT && fact.state === FactState.LEAVING)
+        .map((fact) => fact.subject),
+    findAddress(name) {
+      const member = membership.findMember(name);
+      return member !== undefined && isPresent(member) ? member.address : undefined;
+    },
+    isPoller() {
+      const local = listServing()
+        .filter((fact) => fact.dataCentre === self.dataCentre)
+        .map((fact) => fact.subject);
+      return chooseRendezvous('configuration', local, POLLERS_PER_DATA_CENTRE).includes(self.name);
+    },
+    getPeerDemand() {
+      const others = listServing().filter((fact) => fact.subject !== self.name);
+      return {
+        entries: others.length + 1,
+        getDemand: (organisation) =>
+          others.reduce((sum, fact) => {
+            const share = fact.demand.find((entry) => entry.organisation === organisation);
+            return sum + (share?.rate ?? 0);
+          }, 0),
+      };
+    },
+  };
+}
--- a/src/node/request-runner.ts
+++ b/src/node/request-runner.ts
@@ -69,6 +69,8 @@
   readonly startedMs: number;
   cancelAttempt: (() => void) | undefined;
   claim: HeldClaim | undefined;
+  /** The answer kept from an earlier run of the same request. */
+  replayed: StoredAnswer | undefined;
   text: string[];
   finishReason: string;
   service: Extract<AnswerEnd, { kind: 'service' }> | undefined;
@@ -189,10 +191,11 @@
         else handleMessage(run, { kind: 'claimed' });
         break;
       case 'replay':
-        if (!isLate) sendReplay(run, ending.answer);
+        run.replayed = ending.answer;
+        handleMessage(run, { kind: 'replayed' });
         break;
       case 'refused':
-        if (!isLate) handleMessage(run, { kind: 'claim_refused', failure: ending.failure });
+        handleMessage(run, { kind: 'claim_refused', failure: ending.failure });
         break;
       default:
         assertNever(ending);
@@ -288,9 +291,9 @@
     run.lastFrameMs = undefined;
     if (endpoint === undefined) {
       // The owner knows a newer configuration than this request was routed by.
-      setImmediate(() =>
-        handleMessage(run, { kind: 'attempt_ended', attemptId, ending: 'unsent' }),
-      );
+      timers.subscribeOnce(0, () => {
+        handleMessage(run, { kind: 'attempt_ended', attemptId, ending: 'unsent' });
+      });
       return;
     }
     if (request.work.kind === 'service') {
@@ -389,6 +392,9 @@
       case 'drop_frame':
         metrics.count(METRIC.FramesDropped, 1, { reason: command.reason });
         break;
+      case 'replay':
+        if (run.replayed !== undefined) sendReplay(run, run.replayed);
+        break;
       case 'complete':
         runComplete(run, command.frames);
         break;
@@ -443,6 +449,7 @@
         startedMs: getNow(),
         cancelAttempt: undefined,
         claim: undefined,
+        replayed: undefined,
         text: [],
         finishReason: 'stop',
         service: undefined,
--- /dev/null
+++ b/src/node/router-core.ts
@@ -0,0 +1,294 @@
+/**
+ * Composes the slices of one router, without servers and connections: those come from outside, so
+ * that the same composition runs in the process, in long randomised runs and in tests.
+ */
+import type Emittery from 'emittery';
+import { DEFAULT_POLICY } from '../admission/policy.js';
+import type { AdmissionPolicy } from '../admission/policy.js';
+import type { AttemptVerdict } from '../claims/claim.js';
+import type { ConfigurationStore } from '../configuration/store.js';
+import type { Fact, FetchConfigurationResponse, PeerMessage } from '../gen/peer_pb.js';
+import { createDrain, STAGE } from '../lifecycle/drain.js';
+import type { DrainCommand, Stage } from '../lifecycle/drain.js';
+import { createOrganisationLimiter } from '../limits/organisation-limits.js';
+import type { OrganisationLimiter, PeerDemand } from '../limits/organisation-limits.js';
+import { FactKind, FactState, isPresent } from '../membership/facts.js';
+import type { Contact } from '../membership/membership.js';
+import type { PeerLinks } from '../peers/peer-links.js';
+import type { InstanceListClient } from '../platform/instance-list-client.js';
+import type { TableClient } from '../platform/table-client.js';
+import type { Invariants } from '../runtime/invariants.js';
+import type { Logger } from '../runtime/logger.js';
+import { METRIC } from '../runtime/metrics.js';
+import type { Metrics } from '../runtime/metrics.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import type { Declarations } from '../types/declarations.js';
+import type { PeerBody } from '../types/peer-messages.js';
+import type { RouterEvents } from '../types/router-events.js';
+import type { RouterStatus } from '../types/router-status.js';
+import { assertNever } from '../utils/assert-never.js';
+import type { Random } from '../utils/random.js';
+import { createAuthenticator } from './authenticator.js';
+import type { Authenticator } from './authenticator.js';
+import { createClaimDesk } from './claim-desk.js';
+import { createConfigurationRunner } from './configuration-runner.js';
+import { createControlRunner } from './control-runner.js';
+import type { EndpointClient } from './endpoint-client.js';
+import { createFleetView } from './fleet-view.js';
+import { createIndependentBroker } from './independent-broker.js';
+import { createRequestRunner } from './request-runner.js';
+import type { RequestRunner } from './request-runner.js';
+import { createSlotBroker } from './slot-broker.js';
+import type { SlotBroker } from './slot-broker-types.js';
+
+const DRAIN_TICK_MS = 100;
+const DEMAND_PERIOD_MS = 1000;
+
+/** What a core is built on. */
+export interface RouterCoreOptions {
+  readonly self: Contact;
+  readonly incarnation: number;
+  readonly seeds: readonly string[];
+  readonly claimWritesPerSecond: number;
+  readonly drainTimeoutMs: number;
+  readonly policy?: AdmissionPolicy;
+  readonly random: Random;
+  readonly timers: TimerService;
+  readonly invariants: Invariants;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly events: Emittery<RouterEvents>;
+  readonly table: TableClient;
+  readonly store: ConfigurationStore;
+  readonly instances: InstanceListClient;
+  readonly endpoints: EndpointClient;
+  readonly links: PeerLinks;
+  /** Callers are told to go elsewhere; what runs goes on. */
+  readonly onStopAccepting: () => void;
+  /** Everything that ran has ended. */
+  readonly onDrained: () => void;
+}
+
+/** A router without its servers. */
+export interface RouterCore {
+  readonly runner: RequestRunner;
+  readonly authenticator: Authenticator;
+  readonly limiter: OrganisationLimiter;
+  getDeclarations(): Declarations | undefined;
+  getPeerDemand(): PeerDemand;
+  getStage(): Stage;
+  getStatus(): RouterStatus;
+  leave(): void;
+  recordUnreachable(address: string): void;
+  handleBodies(from: string, bodies: readonly PeerMessage['body'][]): void;
+  buildConfigurationResponse(hashes: readonly string[]): FetchConfigurationResponse;
+  getAttemptVerdict(attemptId: string): AttemptVerdict;
+}
+
+/** Composes a router; its timers run from here on. */
+export function createRouterCore(options: RouterCoreOptions): RouterCore {
+  const { self, random, timers, invariants, metrics, logger, events } = options;
+  const { table, endpoints, links } = options;
+  const policy = options.policy ?? DEFAULT_POLICY;
+  const authenticator = createAuthenticator();
+  const limiter = createOrganisationLimiter();
+  const drain = createDrain(options.drainTimeoutMs);
+  let declarations: Declarations | undefined;
+
+  const fleet = createFleetView({
+    self,
+    incarnation: options.incarnation,
+    random,
+    invariants,
+    timers,
+    instances: options.instances,
+    seeds: options.seeds,
+    isLeaving: () => drain.getStage() === STAGE.Leaving || drain.getStage() === STAGE.Drained,
+    send: (address, body) => links.send(address, body),
+    onChanged: handleChanged,
+  });
+
+  function createBroker(): SlotBroker {
+    if (policy.kind === 'independent') return createIndependentBroker(policy.choice);
+    return createSlotBroker({
+      self: { name: self.name, dataCentre: self.dataCentre },
+      timers,
+      random,
+      invariants,
+      metrics,
+      policy,
+      send(message) {
+        const address = fleet.findAddress(message.to);
+        if (address !== undefined) links.send(address, message.body);
+      },
+    });
+  }
+
+  const broker = createBroker();
+  const claims = createClaimDesk({
+    self: self.name,
+    table,
+    timers,
+    metrics,
+    writesPerSecond: options.claimWritesPerSecond,
+    queryAttempt,
+  });
+  const runner = createRequestRunner({
+    broker,
+    endpoints,
+    claims,
+    timers,
+    invariants,
+    metrics,
+    events,
+    hasStallChecks: policy.kind !== 'independent',
+    hasPriority: policy.kind !== 'independent' || policy.hasPriority,
+    onLeaving: (endpoint) => fleet.recordEndpoint(endpoint, true),
+  });
+  const configuration = createConfigurationRunner({
+    store: options.store,
+    timers,
+    invariants,
+    metrics,
+    logger,
+    isPoller: () => fleet.isPoller(),
+    fetchFromPeer: async (peer, hashes) => {
+      const address = fleet.findAddress(peer);
+      return address === undefined ? undefined : links.fetchConfiguration(address, hashes);
+    },
+    onApply: applyDeclarations,
+  });
+  const control = createControlRunner({
+    self: self.name,
+    table,
+    endpoints,
+    timers,
+    metrics,
+    logger,
+    listOwned: () => broker.listOwned(),
+    getDeclarations: () => declarations,
+    onEndpointState: (endpoint, isLeaving) => fleet.recordEndpoint(endpoint, isLeaving),
+    onSeen: (endpoint, isReachable) => broker.recordSeen(endpoint, isReachable),
+  });
+
+  async function queryAttempt(entry: string, attemptId: string): Promise<AttemptVerdict> {
+    const address = fleet.findAddress(entry);
+    if (address === undefined) return 'unknown';
+    try {
+      return await links.queryAttempt(address, attemptId);
+    } catch {
+      return 'unknown';
+    }
+  }
+
+  function applyDeclarations(next: Declarations): void {
+    declarations = next;
+    authenticator.set(next);
+    broker.setDeclarations(next);
+    fleet.setConfigurationVersion(next.version);
+    drain.handle({ kind: 'configured' }, timers.clock.monotonicMs());
+    events.emit('configuration', { version: next.version });
+  }
+
+  function updateLive(): void {
+    const live = fleet.listAlive();
+    broker.setLive(live.map((fact) => ({ name: fact.subject, dataCentre: fact.dataCentre })));
+    metrics.set(METRIC.MembersAlive, live.length);
+  }
+
+  function handleMember(fact: Fact, before: Fact | undefined): void {
+    if (before?.state !== fact.state) updateLive();
+    if (!isPresent(fact)) {
+      broker.removeMember(fact.subject);
+    } else if (fact.subject !== self.name) {
+      const isNews = fact.configurationVersion > configuration.getVersion();
+      if (isNews) configuration.handle(fact.subject, fact.configurationVersion);
+    }
+  }
+
+  function handleChanged(fact: Fact, before: Fact | undefined): void {
+    if (fact.kind === FactKind.MEMBER) handleMember(fact, before);
+    else broker.setLeaving(fact.subject, fact.state === FactState.LEAVING);
+    if (before?.state === fact.state) return;
+    const state = FactState[fact.state];
+    logger.info('member changed', { subject: fact.subject, state });
+    events.emit('member', { subject: fact.subject, state });
+  }
+
+  function handleBody(from: string, body: PeerBody): void {
+    switch (body.case) {
+      case 'ping':
+      case 'pingRequest':
+      case 'ack':
+      case 'syncFacts':
+        fleet.handle(from, body);
+        break;
+      default:
+        broker.handle(from, body);
+    }
+  }
+
+  function runDrainCommand(command: DrainCommand): void {
+    switch (command) {
+      case 'announce_leaving':
+        logger.info('leaving; requests in flight go on', { inFlight: runner.count() });
+        fleet.leave();
+        break;
+      case 'stop_accepting':
+        options.onStopAccepting();
+        break;
+      case 'announce_left':
+        fleet.left();
+        break;
+      case 'stop':
+        // A moment for the last message to peers, then everything closes.
+        timers.subscribeOnce(DRAIN_TICK_MS, options.onDrained);
+        break;
+      default:
+        assertNever(command);
+    }
+  }
+
+  function runDrain(message: Parameters<typeof drain.handle>[0]): void {
+    for (const command of drain.handle(message, timers.clock.monotonicMs())) {
+      runDrainCommand(command);
+    }
+  }
+
+  timers.subscribe(DRAIN_TICK_MS, () => runDrain({ kind: 'tick', inFlight: runner.count() }));
+  timers.subscribe(DEMAND_PERIOD_MS, () => {
+    const shares = limiter.takeReport(timers.clock.monotonicMs());
+    if (shares !== undefined) fleet.setDemand(shares);
+  });
+
+  return {
+    runner,
+    authenticator,
+    limiter,
+    getDeclarations: () => declarations,
+    getPeerDemand: () => fleet.getPeerDemand(),
+    getStage: () => drain.getStage(),
+    getStatus: () => ({
+      name: self.name,
+      dataCentre: self.dataCentre,
+      stage: drain.getStage(),
+      configurationVersion: configuration.getVersion(),
+      requestsInFlight: runner.count(),
+      ticketsWaiting: broker.countPending(),
+      slotsHeld: broker.countHeld(),
+      members: fleet.listStatus(),
+      leavingEndpoints: fleet.listLeavingEndpoints(),
+      shards: broker.list(),
+      leases: control.listLeased(),
+      invariantBreaches: invariants.count(),
+      breaches: invariants.list(),
+    }),
+    leave: () => runDrain({ kind: 'leave' }),
+    recordUnreachable: (address) => fleet.recordUnreachable(address),
+    handleBodies(from, bodies) {
+      for (const body of bodies) if (body.case !== undefined) handleBody(from, body);
+    },
+    buildConfigurationResponse: (hashes) => configuration.buildResponse(hashes),
+    getAttemptVerdict: (attemptId) => claims.getVerdict(attemptId),
+  };
+}
--- /dev/null
+++ b/src/peers/peer-links.ts
@@ -0,0 +1,16 @@
+/** What an instance needs of its links to peers; the outbox is one way, a test's fake another. */
+import type { AttemptVerdict } from '../claims/claim.js';
+import type { FetchConfigurationResponse, PeerMessage } from '../gen/peer_pb.js';
+
+/** Links to peers, by address. */
+export interface PeerLinks {
+  /** Hands a message over some time; it may be lost. */
+  send(address: string, body: PeerMessage['body']): void;
+  /** Rejects when the peer does not answer. */
+  fetchConfiguration(
+    address: string,
+    hashes: readonly string[],
+  ): Promise<FetchConfigurationResponse>;
+  /** Rejects when the peer does not answer. */
+  queryAttempt(address: string, attemptId: string): Promise<AttemptVerdict>;
+}
--- a/src/peers/peer-outbox.ts
+++ b/src/peers/peer-outbox.ts
@@ -10,11 +10,15 @@
 import type { PeerMessage } from '../gen/peer_pb.js';
 import { METRIC } from '../runtime/metrics.js';
 import type { Metrics } from '../runtime/metrics.js';
+import { parseVerdict } from './attempt-verdict.js';
+import type { PeerLinks } from './peer-links.js';
 
 const QUEUE_MAX = 4096;
 const BATCH_MAX = 256;
 /** A call without an answer after this long is given up, in milliseconds. */
 const CALL_TIMEOUT_MS = 1000;
+/** Texts of a configuration may take longer, in milliseconds. */
+const FETCH_TIMEOUT_MS = 3000;
 /** Guards against connections gone silent: a ping without an answer closes them. */
 const PING_INTERVAL_MS = 1000;
 const PING_TIMEOUT_MS = 800;
@@ -23,8 +27,6 @@
 /** Header that carries the secret peers share. */
 export const PEER_SECRET_HEADER = 'authorization';
 
-export type PeerClient = Client<typeof PeerService>;
-
 /** Settings of an outbox. */
 export interface PeerOutboxOptions {
   readonly self: string;
@@ -41,16 +43,14 @@
 }
 
 interface PeerLink {
-  readonly client: PeerClient;
+  readonly client: Client<typeof PeerService>;
   readonly sessions: Http2SessionManager;
   queue: PeerMessage['body'][];
   isSending: boolean;
 }
 
-/** Links to peers, by address. */
-export interface PeerOutbox {
-  send(address: string, body: PeerMessage['body']): void;
-  getClient(address: string): PeerClient;
+/** Links to peers over connections of their own. */
+export interface PeerOutbox extends PeerLinks {
   close(): void;
 }
 
@@ -130,7 +130,15 @@
         sendQueue(link, address).catch(() => undefined);
       });
     },
-    getClient: (address) => getLink(address).client,
+    fetchConfiguration: (address, hashes) =>
+      getLink(address).client.fetchConfiguration(
+        { hashes: [...hashes] },
+        { timeoutMs: FETCH_TIMEOUT_MS },
+      ),
+    async queryAttempt(address, attemptId) {
+      const { verdict } = await getLink(address).client.queryAttempt({ attemptId });
+      return parseVerdict(verdict);
+    },
     close() {
       isClosed = true;
       for (const link of links.values()) link.sessions.abort();
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -5,9 +5,11 @@
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { Interceptor } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
-import { AttemptVerdict, PeerService } from '../gen/peer_pb.js';
+import type { AttemptVerdict } from '../claims/claim.js';
+import { PeerService } from '../gen/peer_pb.js';
 import type { FetchConfigurationResponse, PeerMessage } from '../gen/peer_pb.js';
 import { hashText, isSameDigest } from '../utils/hash.js';
+import { encodeVerdict } from './attempt-verdict.js';
 import { PEER_SECRET_HEADER } from './peer-outbox.js';
 
 const MESSAGE_BYTES_MAX = 16 * 1024 * 1024;
@@ -56,7 +58,9 @@
           return {};
         },
         fetchConfiguration: (request) => handlers.onFetchConfiguration(request.hashes),
-        queryAttempt: (request) => ({ verdict: handlers.onQueryAttempt(request.attemptId) }),
+        queryAttempt: (request) => ({
+          verdict: encodeVerdict(handlers.onQueryAttempt(request.attemptId)),
+        }),
       });
     },
   });
--- a/src/requests/request-life.ts
+++ b/src/requests/request-life.ts
@@ -42,6 +42,8 @@
   | { readonly kind: 'start' }
   | { readonly kind: 'claimed' }
   | { readonly kind: 'claim_refused'; readonly failure: RequestFailure }
+  /** The request ran before; its kept answer is the final one. */
+  | { readonly kind: 'replayed' }
   | { readonly kind: 'granted'; readonly ticketId: string; readonly endpoint: string }
   | {
       readonly kind: 'refused';
@@ -95,6 +97,8 @@
   | { readonly kind: 'deliver'; readonly text: string }
   | { readonly kind: 'drop_frame'; readonly reason: 'foreign' | 'repeated' | 'gap' }
   | { readonly kind: 'complete'; readonly frames: number }
+  /** The kept answer goes to the caller. */
+  | { readonly kind: 'replay' }
   | { readonly kind: 'fail'; readonly failure: RequestFailure };
 
 /** Settings of a request. */
@@ -423,6 +427,12 @@
         checkFinal();
         commands.push({ kind: 'fail', failure: message.failure });
         break;
+      case 'replayed':
+        if (phase !== 'claiming') break;
+        phase = 'ended';
+        checkFinal();
+        commands.push({ kind: 'replay' });
+        break;
       case 'granted':
         handleGranted(message.ticketId, message.endpoint, nowMs);
         break;
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -39,29 +39,30 @@
 
 /** Builds metrics; without a host the totals are kept but nothing is sent. */
 export function createMetrics(host: string | undefined, port: number): Metrics {
-  const client = new StatsD({
-    host: host ?? '127.0.0.1',
-    port,
-    prefix: 'hyssoptally.',
-    mock: host === undefined,
-    maxBufferSize: 1400,
-    errorHandler: () => undefined,
-  });
-  const isSending = host !== undefined;
+  const client =
+    host === undefined
+      ? undefined
+      : new StatsD({
+          host,
+          port,
+          prefix: 'hyssoptally.',
+          maxBufferSize: 1400,
+          errorHandler: () => undefined,
+        });
   const totals = new Map<string, number>();
   return {
     count(metric, value = 1, tags = {}) {
       totals.set(metric, (totals.get(metric) ?? 0) + value);
-      if (isSending) client.increment(metric, value, { ...tags });
+      client?.increment(metric, value, { ...tags });
     },
     set(metric, value) {
       totals.set(metric, value);
-      if (isSending) client.gauge(metric, value);
+      client?.gauge(metric, value);
     },
     record(metric, milliseconds, tags = {}) {
-      if (isSending) client.timing(metric, milliseconds, { ...tags });
+      client?.timing(metric, milliseconds, { ...tags });
     },
     list: () => Object.fromEntries(totals),
-    close: () => client.close(() => undefined),
+    close: () => client?.close(() => undefined),
   };
 }
--- /dev/null
+++ b/src/soak/soak-world.ts
@@ -0,0 +1,277 @@
+/** A randomised run: a few real routers on fakes, faults drawn from a seed, promises checked. */
+import { stringify } from 'yaml';
+import type { EndpointDeclaration } from '../types/declarations.js';
+import { hashText } from '../utils/hash.js';
+import { createRandom } from '../utils/random.js';
+import type { Random } from '../utils/random.js';
+import { createFakeEndpoints } from './fake-endpoints.js';
+import type { FakeEndpoints } from './fake-endpoints.js';
+import { createFakeNetwork } from './fake-network.js';
+import type { FakeNetwork } from './fake-network.js';
+import { createFakePlatform } from './fake-platform.js';
+import type { FakePlatform } from './fake-platform.js';
+import { startFault } from './faults.js';
+import type { Fault } from './faults.js';
+import { createSoakCallers } from './soak-callers.js';
+import { createSoakEntry } from './soak-entry.js';
+import type { SoakEntry } from './soak-entry.js';
+import { createSoakOperators } from './soak-operators.js';
+import { createVirtualTime } from './virtual-time.js';
+import type { VirtualTime } from './virtual-time.js';
+
+/** What faults may touch. */
+export interface SoakWorld {
+  readonly time: VirtualTime;
+  readonly platform: FakePlatform;
+  readonly network: FakeNetwork;
+  readonly endpoints: FakeEndpoints;
+  readonly dataCentres: readonly string[];
+  /** Multiplies the load. */
+  setLoad(factor: number): void;
+  /** Ends an entry at once; its name. */
+  crashEntry(): string;
+  /** Asks an entry to leave; its name. */
+  drainEntry(): string;
+  /** Starts an entry anew under an earlier name, if none of that name runs. */
+  startEntry(name: string): void;
+  pauseEntry(): () => void;
+  /** Operators publish at the same moments until stopped. */
+  startRace(): () => void;
+}
+
+/** What to run. */
+export interface SoakRequest {
+  readonly seed: number;
+  readonly faults: readonly Fault[];
+  /** Virtual time in which faults and traffic happen, in milliseconds. */
+  readonly durationMs: number;
+}
+
+/** What a run came to. */
+export interface SoakResult {
+  readonly steps: number;
+  readonly sent: number;
+  readonly answered: number;
+  readonly breaches: readonly string[];
+  /** What was done to the system, in order. */
+  readonly story: readonly string[];
+}
+
+const DATA_CENTRES = ['one', 'two', 'three'] as const;
+const ENTRIES = 4;
+const START_MS = 3000;
+/** After the last fault: enough for every deadline, every lease and every version to settle. */
+const SETTLE_MS = 25_000;
+const ARRIVAL_MS = 25;
+const RACE_PERIOD_MS = 700;
+/** A version must be in force everywhere this long after the last fault, in milliseconds. */
+const IN_FORCE_MS = 6000;
+
+const ENGINES: readonly EndpointDeclaration[] = Array.from({ length: 4 }, (_, index) => ({
+  name: `engine-${index + 1}`,
+  pool: 'language-model',
+  url: `http://engine-${index + 1}`,
+  dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] as string,
+  slots: 3,
+}));
+const SERVICES: readonly EndpointDeclaration[] = Array.from({ length: 2 }, (_, index) => ({
+  name: `service-${index + 1}`,
+  pool: 'stores',
+  url: `http://service-${index + 1}`,
+  dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] as string,
+  slots: 4,
+}));
+
+function buildPool(kind: string, models: readonly string[], list: readonly EndpointDeclaration[]) {
+  const endpoints = Object.fromEntries(
+    list.map(({ name, url, dataCentre, slots }) => [name, { url, dataCentre, slots }]),
+  );
+  return { kind, models, endpoints };
+}
+
+function buildBaseFiles(): Map<string, string> {
+  const classes = {
+    counter: { tier: 0, firstTokenMs: 400, betweenTokensMs: 60, deadlineMs: 3000, floor: 0.1 },
+    reorder: { tier: 1, firstTokenMs: 2000, betweenTokensMs: 100, deadlineMs: 8000, floor: 0.1 },
+    history: { tier: 2, firstTokenMs: 5000, betweenTokensMs: 200, deadlineMs: 15_000, floor: 0.1 },
+  };
+  const pools = {
+    'language-model': buildPool('engine', ['assistant'], ENGINES),
+    stores: buildPool('service', [], SERVICES),
+  };
+  return new Map([['00-base.yaml', stringify({ classes, pools })]]);
+}
+
+function buildTeamFile(team: string, revision: number): string {
+  const organisation = {
+    keys: [`sha256:${hashText(team)}`],
+    classes: ['counter', 'reorder', 'history'],
+    defaultClass: 'counter',
+    pools: ['language-model', 'stores'],
+    weight: 1 + (revision % 5),
+  };
+  return stringify({ organisations: { [`${team}-organisation`]: organisation } });
+}
+
+/** Runs one seed. */
+export async function runSoak(request: SoakRequest): Promise<SoakResult> {
+  const random: Random = createRandom(request.seed);
+  const time = createVirtualTime();
+  const platform = createFakePlatform(time, random);
+  const network = createFakeNetwork(time, random);
+  const endpoints = createFakeEndpoints(time, random, network, [...ENGINES, ...SERVICES]);
+  const story: string[] = [];
+  const breaches: string[] = [];
+  const onBreach = (text: string): void => {
+    breaches.push(`${time.getNow().toFixed(0)} ms: ${text}`);
+  };
+  const recordStory = (text: string): void => {
+    story.push(`${time.getNow().toFixed(0)} ms: ${text}`);
+  };
+  const operators = createSoakOperators(platform, onBreach);
+  const callers = createSoakCallers(time, random, endpoints.log, onBreach);
+  const entries = new Map<string, SoakEntry>();
+  const names = Array.from({ length: ENTRIES }, (_, index) => `entry-${index + 1}`);
+  let load = 1;
+  let isSending = true;
+  let revision = 0;
+
+  function startEntry(name: string): void {
+    const running = entries.get(name);
+    if (running !== undefined && !running.actor.isDead) return;
+    recordStory(`${name} starts`);
+    const entry = createSoakEntry({
+      name,
+      dataCentre: DATA_CENTRES[names.indexOf(name) % DATA_CENTRES.length] as string,
+      seed: request.seed,
+      time,
+      platform,
+      network,
+      endpoints,
+      seeds: names.map((other) => `${other}:1`),
+      onBreach,
+    });
+    entries.set(name, entry);
+  }
+
+  function listRunning(): SoakEntry[] {
+    return [...entries.values()].filter((entry) => !entry.actor.isDead);
+  }
+
+  function chooseEntry(): SoakEntry {
+    const running = listRunning();
+    return running[random.nextIndex(running.length)] as SoakEntry;
+  }
+
+  function publish(team: string): void {
+    revision += 1;
+    const files = new Map([...buildBaseFiles(), [`${team}.yaml`, buildTeamFile(team, revision)]]);
+    operators.publish(team, revision, files).catch((error: unknown) => onBreach(String(error)));
+  }
+
+  const world: SoakWorld = {
+    time,
+    platform,
+    network,
+    endpoints,
+    dataCentres: DATA_CENTRES,
+    setLoad(factor) {
+      load = factor;
+    },
+    crashEntry() {
+      const entry = chooseEntry();
+      entry.actor.isDead = true;
+      recordStory(`${entry.name} crashes`);
+      return entry.name;
+    },
+    drainEntry() {
+      const entry = chooseEntry();
+      entry.core.leave();
+      recordStory(`${entry.name} is told to leave`);
+      return entry.name;
+    },
+    startEntry,
+    pauseEntry() {
+      const entry = chooseEntry();
+      entry.actor.isPaused = true;
+      recordStory(`${entry.name} is paused`);
+      return () => {
+        recordStory(`${entry.name} wakes`);
+        time.resume(entry.actor);
+      };
+    },
+    startRace() {
+      let isRacing = true;
+      function runRace(): void {
+        if (!isRacing) return;
+        publish('team-a');
+        publish('team-b');
+        time.add(undefined, RACE_PERIOD_MS, runRace);
+      }
+      runRace();
+      return () => {
+        isRacing = false;
+      };
+    },
+  };
+
+  function addFault(fault: Fault): void {
+    const startsMs = START_MS + random.next() * request.durationMs * 0.4;
+    const lastsMs = request.durationMs * (0.1 + random.next() * 0.4);
+    time.add(undefined, startsMs, () => {
+      recordStory(`${fault} begins`);
+      const stop = startFault(fault, world, random);
+      time.add(undefined, lastsMs, () => {
+        recordStory(`${fault} ends`);
+        stop();
+      });
+    });
+  }
+
+  function sendNext(): void {
+    if (!isSending) return;
+    const open = listRunning().filter(
+      (entry) => entry.core.getStage() === 'ready' && !entry.actor.isPaused,
+    );
+    const entry = open[random.nextIndex(open.length)];
+    if (entry !== undefined) callers.send(entry);
+    time.add(undefined, (random.next() * 2 * ARRIVAL_MS) / load, sendNext);
+  }
+
+  function checkSettled(): void {
+    const highest = operators.getHighest();
+    for (const entry of listRunning()) {
+      const status = entry.core.getStatus();
+      if (status.configurationVersion < highest) {
+        onBreach(`${entry.name} has version ${status.configurationVersion}, not ${highest}`);
+      }
+      if (status.requestsInFlight > 0) {
+        onBreach(`${entry.name} still has ${status.requestsInFlight} requests`);
+      }
+    }
+  }
+
+  const first = new Map([...buildBaseFiles(), ['team-a.yaml', buildTeamFile('team-a', 0)]]);
+  operators.publish('team-a', 0, first).catch((error: unknown) => onBreach(String(error)));
+  for (const name of names) startEntry(name);
+  for (const fault of request.faults) addFault(fault);
+  time.add(undefined, START_MS, sendNext);
+  const faultsEndMs = START_MS + request.durationMs;
+  let steps = await time.runUntil(faultsEndMs);
+  isSending = false;
+  steps += await time.runUntil(faultsEndMs + IN_FORCE_MS);
+  const versions = listRunning().map((entry) => entry.core.getStatus().configurationVersion);
+  if (versions.some((version) => version < operators.getHighest())) {
+    onBreach(`versions ${versions.join(', ')} six seconds after the last fault`);
+  }
+  steps += await time.runUntil(faultsEndMs + SETTLE_MS);
+  checkSettled();
+  breaches.push(...callers.listBreaches(), ...endpoints.log.breaches);
+  return {
+    steps,
+    sent: callers.countSent(),
+    answered: callers.countAnswered(),
+    breaches,
+    story,
+  };
+}
