--- a/src/admission/class-queue.ts
+++ b/src/admission/class-queue.ts
@@ -26,6 +26,8 @@
   record(organisation: string, tokens: number): void;
   count(): number;
   countOf(organisation: string): number;
+  /** Organisations with something waiting. */
+  countOrganisations(): number;
   list(): Ticket[];
 }
 
@@ -97,6 +99,7 @@
     },
     count: () => organisationOf.size,
     countOf: (organisation) => waiting.get(organisation)?.tickets.length ?? 0,
+    countOrganisations: () => waiting.size,
     list: () => [...waiting.values()].flatMap((queue) => queue.tickets),
   };
 }
--- a/src/admission/shard-owner.ts
+++ b/src/admission/shard-owner.ts
@@ -272,12 +272,20 @@
     return startsMs + holdMs > ticket.expiresMs;
   }
 
+  /**
+   * Tickets of its class that go before an organisation's next one by fair turns: for each of its own
+   * that waits, one of every other organisation; not the whole queue of whoever floods it.
+   */
+  function countAhead(organisation: string, state: ClassState): number {
+    const own = state.queue.countOf(organisation);
+    const turns = own * Math.max(1, state.queue.countOrganisations()) + 1;
+    return Math.min(state.queue.count(), turns);
+  }
+
   function isUnreachable(ticket: Ticket, state: ClassState, nowMs: number): boolean {
     const aheadAndMe = countWaitingAtOrAbove(ticket.tier) + 1;
     if (countPreemptibleBelow(ticket.tier) >= aheadAndMe) return false;
-    // Fair shares: an organisation waits behind its own tickets and an equal part of the others'.
-    const own = state.queue.countOf(ticket.organisation);
-    const ahead = ticket.isResumed ? 0 : Math.min(state.queue.count(), own === 0 ? 1 : Infinity);
+    const ahead = ticket.isResumed ? 0 : countAhead(ticket.organisation, state);
     // Where nobody waits a try costs nobody anything, and shows whether the estimate still holds.
     if (ahead === 0) return false;
     return isTooLate(ticket, state, nowMs + predictWait(state, ahead, nowMs));
--- a/src/bench/run-scenario.ts
+++ b/src/bench/run-scenario.ts
@@ -29,7 +29,7 @@
 const WARM_UP_MS = 1500;
 /** Goodput is measured where the burst is, once it has filled the engines. */
 const BUSY = { from: 0.3, to: 0.8 } as const;
-const LIMITS = { concurrency: 100_000, requestsPerSecond: 100_000 } as const;
+const UNBOUNDED = 100_000;
 
 function buildKey(organisation: string): string {
   return `key-of-${organisation}`;
@@ -50,7 +50,10 @@
       name,
       key: buildKey(name),
       classes: classNames,
-      limits: LIMITS,
+      limits: {
+        concurrency: scenario.concurrency ?? UNBOUNDED,
+        requestsPerSecond: UNBOUNDED,
+      },
     })),
     internals: { policy: POLICIES[policy], getPeerDelayMs: () => deployment.peerDelayMs },
     ...(scenario.reportLagMs === undefined ? {} : { reportLagMs: scenario.reportLagMs }),
--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -12,6 +12,8 @@
   readonly startFaults?: (fleet: EmbeddedFleet, windowMs: number) => () => void;
   /** Extra demand of one organisation, as a share of capacity. */
   readonly flood?: number;
+  /** Requests an organisation may have in flight, waiting ones included; unbounded unless given. */
+  readonly concurrency?: number;
   /** Share of callers that give up early. */
   readonly givingUp?: number;
   /** Prompts that share their beginning. */
@@ -25,6 +27,8 @@
 const BURST_TOP_CLASS = 0.55;
 const STRAGGLER_SLOWDOWN = 10;
 const GIVING_UP_SHARE = 0.3;
+/** Half of Kelaniya's slots: what an organisation may well be allowed. */
+const FLOOD_CONCURRENCY = 24;
 
 function findShare(deployment: Deployment, className: string): number {
   const found = deployment.classes.find((entry) => entry.declaration.name === className);
@@ -97,6 +101,7 @@
     description: 'one organisation asks for twice the capacity beside a calm load',
     getDemand: createSteadyDemand(CALM_LOAD),
     flood: 2,
+    concurrency: FLOOD_CONCURRENCY,
   },
   {
     name: 'straggler',
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -137,8 +137,10 @@
         const [choice] = choices;
         const text = choice?.delta.content ?? '';
         if (text !== '') {
-          listener.onFrame(id, index ?? count, text);
-          if (id === attempt.attemptId) count += 1;
+          const position = index ?? count;
+          listener.onFrame(id, position, text);
+          // By position, not by number: a frame that came twice must not make the answer longer.
+          if (id === attempt.attemptId) count = Math.max(count, position + 1);
         }
         const reason = choice?.finish_reason;
         if (typeof reason === 'string' && id === attempt.attemptId) finish = { id, reason };
--- a/src/standin/batch-engine.ts
+++ b/src/standin/batch-engine.ts
@@ -136,6 +136,11 @@
       storePrefix(request.prompt.slice(0, PREFIX_LENGTH), request.promptTokens);
     }
     const index = request.offset + sequence.produced;
+    if (index >= request.answerTokens) {
+      // Asked to go on after the last token: the engine sees the end at once.
+      running.delete(request.id);
+      return { id: request.id, index, text: '', isLast: true };
+    }
     sequence.produced += 1;
     const isLast = index + 1 >= request.answerTokens;
     if (isLast) running.delete(request.id);
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -181,10 +181,10 @@
   }
 
   function handleStepEvent(event: StepEvent): void {
-    counts.tokens += 1;
+    if (event.text !== '') counts.tokens += 1;
     const exchange = exchanges.get(event.id);
     if (exchange === undefined) return;
-    sendFrame(exchange, event);
+    if (event.text !== '') sendFrame(exchange, event);
     exchange.sent += 1;
     if (exchange.sent >= exchange.breakAfter && !event.isLast) {
       closeExchange(exchange);
@@ -199,7 +199,7 @@
       id: exchange.id,
       object: 'chat.completion.chunk',
       model: exchange.model,
-      index: event.index + 1,
+      index: event.text === '' ? event.index : event.index + 1,
       choices: [{ index: 0, delta: {}, finish_reason: 'stop' }],
     };
     exchange.response.end(`data: ${JSON.stringify(end)}\n\ndata: [DONE]\n\n`);
@@ -254,7 +254,7 @@
       prompt,
       priority,
       promptTokens: Math.ceil(prompt.length / 4),
-      answerTokens: Math.max(total, offset + 1),
+      answerTokens: total,
       offset,
     });
     response.on('close', () => {
