--- a/src/admission/shard-owner.test.ts
+++ b/src/admission/shard-owner.test.ts
@@ -279,6 +279,21 @@
     t.deepEqual(listGranted(shard.post('next', 'counter', 200_000)), ['next']);
   });
 
+  it('refuses what a free slot cannot save without calling it shed for a lower tier', (t) => {
+    // An invariant is reported broken on a machine too busy to tick. Three clerks waited almost to
+    // their deadlines while contracts ran; a slot frees, and not even with it can they be in time.
+    const shard = createOwner(1, 4);
+    for (let index = 0; index < 16; index += 1) {
+      shard.post(`learn-${index}`, 'counter', index * 4000);
+      shard.release(`learn-${index}`, index * 4000 + 3000);
+    }
+    for (let index = 0; index < 4; index += 1) shard.post(`low-${index}`, 'history', 70_000);
+    shard.post('high-1', 'counter', 70_001);
+    shard.post('high-2', 'counter', 70_002);
+    const late = shard.release('low-0', 79_000);
+    t.deepEqual(listRefused(late), ['high-1']);
+  });
+
   it('never breaks its invariants, whatever entries do', (t) => {
     const stepArbitrary = fc.record({
       action: fc.constantFrom(
--- a/src/admission/shard-owner.ts
+++ b/src/admission/shard-owner.ts
@@ -5,7 +5,8 @@
  * How the two promises fit. A grant is either *contest* (strictly by tier) or *floor* (paid from a
  * class's credit). Whenever a ticket of tier h is shed here, (1) if the queue was full, no
  * ticket of a lower tier is queued beyond its class's floor of places, and (2) contest slots of lower tiers, open to preemption and not asked back yet, are no
- * more than the tickets waiting at tier h or above: all of them are already spoken for. Floor slots are
+ * more than the tickets waiting at tier h or above: all of them are already spoken for; or (3) a slot was
+ * free and h could not have been in time even with it. Floor slots are
  * outside the contest and never count against h. Both are asserted at each shed.
  *
  * It owns nothing that lasts: when it dies its successor learns of waiting tickets and held slots
@@ -221,10 +222,17 @@
     });
   }
 
-  function checkShedOrder(tier: number, reason: Refusal): void {
+  function checkShedOrder(tier: number, reason: Refusal, nowMs: number): void {
+    // Too late with a free slot at hand: lower tiers hold nothing that could have helped.
+    invariants.check(
+      'slot_at_hand_when_too_late',
+      reason !== REFUSAL.TooLate || table.countUsable(nowMs) > 0,
+      () => `${shard}: tier ${tier} refused as too late without a free slot`,
+    );
     invariants.check(
       'tier_order_at_shed',
-      countPreemptibleBelow(tier) <= Math.max(1, countWaitingAtOrAbove(tier)),
+      reason === REFUSAL.TooLate ||
+        countPreemptibleBelow(tier) <= Math.max(1, countWaitingAtOrAbove(tier)),
       () => `${shard}: tier ${tier} shed while lower tiers hold contest slots nobody waits for`,
     );
     invariants.check(
@@ -250,7 +258,7 @@
     const retryAfterMs = state === undefined ? RETRY_AFTER_MIN_MS : computeRetryAfter(state, nowMs);
     removeTicket(ticket.ticketId);
     totals.shed += 1;
-    checkShedOrder(ticket.tier, reason);
+    checkShedOrder(ticket.tier, reason, nowMs);
     postRefusal(ticket.from, ticket.ticketId, reason, retryAfterMs);
   }
 
@@ -356,7 +364,7 @@
     if (state.queue.count() > 1 && isTooLate(ticket, state, nowMs)) {
       // Others of its class wait who can still be in time: the slot is theirs, and this caller
       // hears at once instead of being cut off half way.
-      refuseWaiting(ticket, REFUSAL.DeadlineUnreachable, nowMs);
+      refuseWaiting(ticket, REFUSAL.TooLate, nowMs);
       return true;
     }
     if (due === undefined) {
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -27,6 +27,8 @@
   QueueFull: 'queue_full',
   Shed: 'shed',
   DeadlineUnreachable: 'deadline_unreachable',
+  /** A slot was free, and even with it the answer would have ended too late. */
+  TooLate: 'too_late',
   Expired: 'expired',
   UnknownClass: 'unknown_class',
   NoEndpoint: 'no_endpoint',
--- a/src/configuration/parse-file.ts
+++ b/src/configuration/parse-file.ts
@@ -36,6 +36,14 @@
   return document.contents ?? undefined;
 }
 
+/** Parses once more: lines are asked for only in errors, and a kept document takes ten times its text. */
+function findLine(text: string, path: Path): number {
+  const lineCounter = new LineCounter();
+  const document = parseDocument(text, { lineCounter });
+  const offset = findNode(document, path)?.range?.[0] ?? 0;
+  return lineCounter.linePos(offset).line;
+}
+
 function formatIssue(issue: z.core.$ZodIssue): string {
   const where = issue.path.map(String).join('.');
   const unknown = issue.code === 'unrecognized_keys' ? '; remove it or correct its name' : '';
@@ -47,12 +55,8 @@
   name: string,
   text: string,
 ): Result<ParsedFile, readonly DeclarationError[]> {
-  const lineCounter = new LineCounter();
-  const document = parseDocument(text, { lineCounter, uniqueKeys: true });
-  const getLine = (path: Path): number => {
-    const offset = findNode(document, path)?.range?.[0] ?? 0;
-    return lineCounter.linePos(offset).line;
-  };
+  const document = parseDocument(text, { uniqueKeys: true });
+  const getLine = (path: Path): number => findLine(text, path);
   if (document.errors.length > 0) {
     return Err(
       document.errors.map((error) => ({
