A slot goes first to who will end in time, and to nobody only when a usual answer could not

Change: of a class's tickets the next is, by fair turns and oldest first, one that nearly every answer's length lets end in time; where there is none, the one with most time left, refused only if not even a usual answer would be in time. Owners are split into state, prediction, preemption and replies; a settled charge is divided by the organisation's weight like the charge itself (it was not).

--- a/src/admission/class-queue.ts
+++ b/src/admission/class-queue.ts
@@ -9,20 +9,18 @@
 
 const COUNTERS_KEPT = 4096;
 
-interface OrganisationQueue {
-  readonly tickets: Ticket[];
-  weight: number;
-}
-
 /** The queue of one class in one shard. */
 export interface ClassQueue {
   add(ticket: Ticket): void;
   remove(ticketId: string): Ticket | undefined;
-  /** The ticket that is next by fair share, left in place. */
-  find(): Ticket | undefined;
+  /**
+   * The ticket that is next, left in place: by fair share among organisations, oldest first, of those
+   * that `isPromising` holds for; where it holds for none, the one with most time left.
+   */
+  find(isPromising: (ticket: Ticket) => boolean): Ticket | undefined;
   /** The newest ticket of the organisation with most waiting: what a full queue sheds. */
   findMostQueued(): Ticket | undefined;
-  /** Adds tokens to an organisation's counter; negative to settle an over-estimate. */
+  /** Adds tokens, divided by weight, to an organisation's counter; negative to settle. */
   record(organisation: string, tokens: number): void;
   count(): number;
   countOf(organisation: string): number;
@@ -33,7 +31,7 @@
 
 /** Builds an empty queue. */
 export function createClassQueue(): ClassQueue {
-  const waiting = new Map<string, OrganisationQueue>();
+  const waiting = new Map<string, Ticket[]>();
   /** Waiting tickets of broken answers, oldest first. */
   const broken = new Map<string, Ticket>();
   const organisationOf = new Map<string, string>();
@@ -47,17 +45,24 @@
     return lowest === Infinity ? 0 : lowest;
   }
 
+  function findLatestExpiry(): Ticket | undefined {
+    let best: Ticket | undefined;
+    for (const ticket of [...waiting.values()].flat()) {
+      if (best === undefined || ticket.expiresMs > best.expiresMs) best = ticket;
+    }
+    return best;
+  }
+
   return {
     add(ticket) {
       let queue = waiting.get(ticket.organisation);
       if (queue === undefined) {
         const lowest = computeLowestCounter();
         counters.set(ticket.organisation, Math.max(counters.get(ticket.organisation) ?? 0, lowest));
-        queue = { tickets: [], weight: ticket.weight };
+        queue = [];
         waiting.set(ticket.organisation, queue);
       }
-      queue.weight = ticket.weight;
-      queue.tickets.push(ticket);
+      queue.push(ticket);
       if (ticket.isResumed) broken.set(ticket.ticketId, ticket);
       organisationOf.set(ticket.ticketId, ticket.organisation);
     },
@@ -67,39 +72,36 @@
       if (organisation === undefined || queue === undefined) return undefined;
       organisationOf.delete(ticketId);
       broken.delete(ticketId);
-      const index = queue.tickets.findIndex((ticket) => ticket.ticketId === ticketId);
-      const [ticket] = queue.tickets.splice(index, 1);
-      if (queue.tickets.length === 0) waiting.delete(organisation);
+      const index = queue.findIndex((ticket) => ticket.ticketId === ticketId);
+      const [ticket] = queue.splice(index, 1);
+      if (queue.length === 0) waiting.delete(organisation);
       return ticket;
     },
-    find() {
+    find(isPromising) {
       const [resumed] = broken.values();
       if (resumed !== undefined) return resumed;
-      let best: Ticket | undefined;
-      let bestCounter = Infinity;
-      for (const [organisation, queue] of waiting) {
-        const counter = counters.get(organisation) ?? 0;
-        if (counter < bestCounter) {
-          bestCounter = counter;
-          [best] = queue.tickets;
-        }
+      const byShare = [...waiting.keys()].sort(
+        (a, b) => (counters.get(a) ?? 0) - (counters.get(b) ?? 0),
+      );
+      for (const organisation of byShare) {
+        const found = waiting.get(organisation)?.find(isPromising);
+        if (found !== undefined) return found;
       }
-      return best;
+      return findLatestExpiry();
     },
     findMostQueued() {
       let longest: Ticket[] = [];
       for (const queue of waiting.values()) {
-        if (queue.tickets.length > longest.length) longest = queue.tickets;
+        if (queue.length > longest.length) longest = queue;
       }
       return longest.at(-1);
     },
     record(organisation, tokens) {
-      const weight = waiting.get(organisation)?.weight ?? 1;
-      counters.set(organisation, (counters.get(organisation) ?? 0) + tokens / weight);
+      counters.set(organisation, (counters.get(organisation) ?? 0) + tokens);
     },
     count: () => organisationOf.size,
-    countOf: (organisation) => waiting.get(organisation)?.tickets.length ?? 0,
+    countOf: (organisation) => waiting.get(organisation)?.length ?? 0,
     countOrganisations: () => waiting.size,
-    list: () => [...waiting.values()].flatMap((queue) => queue.tickets),
+    list: () => [...waiting.values()].flat(),
   };
 }
--- a/src/admission/shard-owner.ts
+++ b/src/admission/shard-owner.ts
@@ -13,130 +13,42 @@
  * from the entries. Two owners at once grant too much for a moment; the engines queue the excess by
  * priority. That costs time, never safety.
  */
-import type { AddressedMessage } from '../types/peer-messages.js';
-import type { ClassDeclaration, EndpointDeclaration } from '../types/declarations.js';
 import type { HeldSlot, PostTicket, ReleaseSlot } from '../gen/peer_pb.js';
 import { SlotEnding } from '../gen/peer_pb.js';
 import { createEndpointTable } from '../routing/endpoint-table.js';
-import type { EndpointView } from '../routing/endpoint-table.js';
 import { createPrefixIndex } from '../routing/prefix-index.js';
-import type { Invariants } from '../runtime/invariants.js';
+import type { AddressedMessage } from '../types/peer-messages.js';
 import { assertNever } from '../utils/assert-never.js';
-import type { Random } from '../utils/random.js';
-import { createClassQueue } from './class-queue.js';
-import type { ClassQueue } from './class-queue.js';
-import { createDepartureRate } from './departure-rate.js';
-import type { DepartureRate } from './departure-rate.js';
-import { createFloorCredit } from './floor-credit.js';
-import type { FloorCredit } from './floor-credit.js';
+import type { OwnerMessage, ShardOwner, ShardOwnerOptions } from './owner-messages.js';
+import { buildGrant, buildPreemption, buildRefusal } from './owner-replies.js';
+import { chooseVictims } from './preemption.js';
+import { createShardState } from './shard-state.js';
+import type { ClassState, Grant } from './shard-state.js';
 import { REFUSAL } from './ticket.js';
 import type { Refusal, Ticket } from './ticket.js';
+import {
+  RETRY_AFTER_MIN_MS,
+  computeRetryAfter,
+  countAhead,
+  isPromising,
+  isTooLate,
+  predictWait,
+} from './wait-prediction.js';
 
 /** Tickets one shard queues for each of its slots. */
 const QUEUE_PER_SLOT = 8;
 const QUEUE_MIN = 32;
-/** Part of its first-token target a ticket waits before it may preempt. */
-const PREEMPT_PATIENCE = 0.12;
-/** A ticket that asked another shard first waits this many times longer: that owner goes first. */
-const PREEMPT_LATER_FACTOR = 2.5;
 /** A held slot that its entry no longer reports is taken back after this long, in milliseconds. */
 const HOLD_GRACE_MS = 2500;
-/** A preempted slot that was not given back after this long may be preempted again. */
-const PREEMPT_RETRY_MS = 1000;
-/** Part of a usual hold that an answer broken off in the middle still needs. */
-const RESUMED_HOLD_SHARE = 0.5;
-/** Long holds that must be left for a preempted answer to wait, resume and end in time. */
-const RESUMABLE_HOLDS = 1.5;
-const RETRY_AFTER_MIN_MS = 250;
-const RETRY_AFTER_MAX_MS = 30_000;
 /** Slot endings that say the endpoint failed. */
 const FAILED_ENDINGS: readonly SlotEnding[] = [SlotEnding.FAILED, SlotEnding.STALLED];
 
-/** Everything a shard owner is told. */
-export type OwnerMessage =
-  | {
-      readonly kind: 'configure';
-      readonly classes: ReadonlyMap<string, ClassDeclaration>;
-      readonly weights: (organisation: string) => number;
-      readonly endpoints: readonly EndpointDeclaration[];
-    }
-  | { readonly kind: 'post'; readonly from: string; readonly ticket: PostTicket }
-  | { readonly kind: 'withdraw'; readonly from: string; readonly ticketId: string }
-  | { readonly kind: 'release'; readonly from: string; readonly release: ReleaseSlot }
-  | { readonly kind: 'holdings'; readonly from: string; readonly held: readonly HeldSlot[] }
-  | { readonly kind: 'member_gone'; readonly member: string }
-  | { readonly kind: 'endpoint_leaving'; readonly endpoint: string; readonly isLeaving: boolean }
-  /** What looking at an endpoint brought, apart from requests. */
-  | { readonly kind: 'endpoint_seen'; readonly endpoint: string; readonly isReachable: boolean }
-  /** Data centres without a live entry in sight: their endpoints may be behind a cut. */
-  | { readonly kind: 'cut_off'; readonly dataCentres: ReadonlySet<string> }
-  | { readonly kind: 'tick' };
-
-/** What operators see of a shard. */
-export interface ShardView {
-  readonly shard: string;
-  readonly endpoints: readonly EndpointView[];
-  readonly waiting: Readonly<Record<string, number>>;
-  readonly granted: number;
-  readonly floorGranted: number;
-  readonly shed: number;
-  readonly preempted: number;
-  readonly longestUnservedMs: number;
-}
-
-/** Settings of an owner; the switches exist for the bench's baselines. */
-export interface ShardOwnerOptions {
-  readonly shard: string;
-  readonly random: Random;
-  readonly invariants: Invariants;
-  /** No grants before this moment: time for entries to report what they hold. @default 0 */
-  readonly grantsFromMs?: number;
-  /** @default true */
-  readonly hasFloors?: boolean;
-  /** @default true */
-  readonly hasPreemption?: boolean;
-}
-
-interface Grant {
-  readonly ticketId: string;
-  readonly from: string;
-  readonly endpoint: string;
-  readonly className: string;
-  readonly tier: number;
-  readonly organisation: string;
-  readonly isFloor: boolean;
-  readonly preemptible: boolean;
-  readonly chargedTokens: number;
-  readonly grantedMs: number;
-  readonly expiresMs: number;
-  readonly isResumed: boolean;
-  seenMs: number;
-  preemptedMs: number | undefined;
-}
-
-interface ClassState {
-  declaration: ClassDeclaration;
-  readonly queue: ClassQueue;
-  readonly credit: FloorCredit;
-  readonly departures: DepartureRate;
-  contestHeld: number;
-  /** Since when the class has had waiting work without a grant. */
-  unservedSinceMs: number | undefined;
-}
-
-/** The owner of one shard. */
-export interface ShardOwner {
-  handle(message: OwnerMessage, nowMs: number): AddressedMessage[];
-  list(): ShardView;
-}
-
 /** Builds an owner with an empty queue. */
 export function createShardOwner(options: ShardOwnerOptions): ShardOwner {
   const { shard, random, invariants } = options;
   const { grantsFromMs = 0, hasFloors = true, hasPreemption = true } = options;
-  const classes = new Map<string, ClassState>();
-  const grants = new Map<string, Grant>();
-  const classOfTicket = new Map<string, string>();
+  const state = createShardState();
+  const { classes, grants } = state;
   const table = createEndpointTable(random);
   const prefixes = createPrefixIndex();
   let resolveWeight: (organisation: string) => number = () => 1;
@@ -144,30 +56,8 @@
   const totals = { granted: 0, floorGranted: 0, shed: 0, preempted: 0, longestUnservedMs: 0 };
   let outbox: AddressedMessage[] = [];
 
-  function listByTier(): ClassState[] {
-    return [...classes.values()].sort((a, b) => a.declaration.tier - b.declaration.tier);
-  }
-
-  function countWaiting(): number {
-    return classOfTicket.size;
-  }
-
-  function countWaitingAtOrAbove(tier: number): number {
-    let waiting = 0;
-    for (const state of classes.values()) {
-      if (state.declaration.tier <= tier) waiting += state.queue.count();
-    }
-    return waiting;
-  }
-
   function countPreemptibleBelow(tier: number): number {
-    if (!hasPreemption) return 0;
-    let open = 0;
-    for (const grant of grants.values()) {
-      const isOpen = !grant.isFloor && grant.preemptible && grant.preemptedMs === undefined;
-      if (grant.tier > tier && isOpen) open += 1;
-    }
-    return open;
+    return hasPreemption ? state.countPreemptibleBelow(tier) : 0;
   }
 
   function computeQueueCapacity(): number {
@@ -175,53 +65,20 @@
   }
 
   /** Places in the queue that are the class's by its floor, outside the contest. */
-  function countReserved(state: ClassState): number {
-    return hasFloors ? Math.ceil(state.declaration.floor * computeQueueCapacity()) : 0;
+  function countReserved(entry: ClassState): number {
+    return hasFloors ? Math.ceil(entry.declaration.floor * computeQueueCapacity()) : 0;
   }
 
   /** Tickets of lower tiers that wait in places of the contest. */
   function countContestWaitingBelow(tier: number): number {
     let waiting = 0;
-    for (const state of classes.values()) {
-      const isBelow = state.declaration.tier > tier;
-      if (isBelow) waiting += Math.max(0, state.queue.count() - countReserved(state));
+    for (const entry of classes.values()) {
+      const isBelow = entry.declaration.tier > tier;
+      if (isBelow) waiting += Math.max(0, entry.queue.count() - countReserved(entry));
     }
     return waiting;
   }
 
-  /** Expected wait of a ticket behind `ahead` others of its class, in milliseconds. */
-  function predictWait(state: ClassState, ahead: number, nowMs: number): number {
-    if (ahead === 0) return 0;
-    const slots = Math.max(1, table.countSlots());
-    // Never below what the floor alone would give: a bad second must not shut a class out.
-    const floorRate = (state.declaration.floor * slots) / state.credit.getQuantum();
-    const rate = state.departures.compute(nowMs);
-    if (rate === undefined) return 0;
-    return ahead / Math.max(rate, floorRate, Number.EPSILON);
-  }
-
-  function computeRetryAfter(state: ClassState, nowMs: number): number {
-    const wait = predictWait(state, state.queue.count(), nowMs);
-    const jittered = Math.max(RETRY_AFTER_MIN_MS, wait) * (0.75 + random.next() / 2);
-    return Math.round(Math.min(RETRY_AFTER_MAX_MS, jittered));
-  }
-
-  function postRefusal(to: string, ticketId: string, reason: Refusal, retryAfterMs: number): void {
-    outbox.push({
-      to,
-      body: {
-        case: 'refuseTicket',
-        value: {
-          $typeName: 'hyssoptally.peer.v1.RefuseTicket',
-          ticketId,
-          shard,
-          reason,
-          retryAfterMs,
-        },
-      },
-    });
-  }
-
   function checkShedOrder(tier: number, reason: Refusal, nowMs: number): void {
     // Too late with a free slot at hand: lower tiers hold nothing that could have helped.
     invariants.check(
@@ -232,7 +89,7 @@
     invariants.check(
       'tier_order_at_shed',
       reason === REFUSAL.TooLate ||
-        countPreemptibleBelow(tier) <= Math.max(1, countWaitingAtOrAbove(tier)),
+        countPreemptibleBelow(tier) <= Math.max(1, state.countWaitingAtOrAbove(tier)),
       () => `${shard}: tier ${tier} shed while lower tiers hold contest slots nobody waits for`,
     );
     invariants.check(
@@ -243,23 +100,16 @@
     );
   }
 
-  function removeTicket(ticketId: string): Ticket | undefined {
-    const className = classOfTicket.get(ticketId);
-    const state = className === undefined ? undefined : classes.get(className);
-    if (state === undefined) return undefined;
-    classOfTicket.delete(ticketId);
-    const ticket = state.queue.remove(ticketId);
-    if (state.queue.count() === 0) state.unservedSinceMs = undefined;
-    return ticket;
-  }
-
   function refuseWaiting(ticket: Ticket, reason: Refusal, nowMs: number): void {
-    const state = classes.get(ticket.className);
-    const retryAfterMs = state === undefined ? RETRY_AFTER_MIN_MS : computeRetryAfter(state, nowMs);
-    removeTicket(ticket.ticketId);
+    const entry = state.findClassOf(ticket.ticketId);
+    const retryAfterMs =
+      entry === undefined
+        ? RETRY_AFTER_MIN_MS
+        : computeRetryAfter(entry, table.countSlots(), random, nowMs);
+    state.removeTicket(ticket.ticketId);
     totals.shed += 1;
     checkShedOrder(ticket.tier, reason, nowMs);
-    postRefusal(ticket.from, ticket.ticketId, reason, retryAfterMs);
+    outbox.push(buildRefusal(ticket.from, shard, ticket.ticketId, reason, retryAfterMs));
   }
 
   /**
@@ -268,63 +118,50 @@
    * out before its floor's slot comes: the class would starve with its floor intact.
    */
   function findVictim(): Ticket | undefined {
-    const lowest = listByTier()
+    const lowest = state
+      .listByTier()
       .reverse()
-      .find((state) => state.queue.count() > countReserved(state));
+      .find((entry) => entry.queue.count() > countReserved(entry));
     return lowest?.queue.findMostQueued();
   }
 
-  /** Whether an answer that starts now may well not be whole before its deadline. */
-  function isTooLate(ticket: Ticket, state: ClassState, startsMs: number): boolean {
-    const holdMs = state.credit.getLongHold() * (ticket.isResumed ? RESUMED_HOLD_SHARE : 1);
-    return startsMs + holdMs > ticket.expiresMs;
-  }
-
-  /**
-   * Tickets of its class that go before an organisation's next one by fair turns: for each of its own
-   * that waits, one of every other organisation; not the whole queue of whoever floods it.
-   */
-  function countAhead(organisation: string, state: ClassState): number {
-    const own = state.queue.countOf(organisation);
-    const turns = own * Math.max(1, state.queue.countOrganisations()) + 1;
-    return Math.min(state.queue.count(), turns);
-  }
-
-  function isUnreachable(ticket: Ticket, state: ClassState, nowMs: number): boolean {
-    const aheadAndMe = countWaitingAtOrAbove(ticket.tier) + 1;
+  function isUnreachable(ticket: Ticket, entry: ClassState, nowMs: number): boolean {
+    const aheadAndMe = state.countWaitingAtOrAbove(ticket.tier) + 1;
     if (countPreemptibleBelow(ticket.tier) >= aheadAndMe) return false;
-    const ahead = ticket.isResumed ? 0 : countAhead(ticket.organisation, state);
+    const ahead = countAhead(ticket, entry);
     // Where nobody waits a try costs nobody anything, and shows whether the estimate still holds.
     if (ahead === 0) return false;
-    return isTooLate(ticket, state, nowMs + predictWait(state, ahead, nowMs));
+    return isTooLate(ticket, entry, nowMs + predictWait(entry, ahead, table.countSlots(), nowMs));
   }
 
   function grantTicket(
-    state: ClassState,
+    entry: ClassState,
     ticket: Ticket,
     isFloor: boolean,
     nowMs: number,
   ): boolean {
-    const cached = prefixes.find(ticket.organisation, ticket.prefixHash);
+    const { ticketId, from, className, tier, organisation, weight, preemptible } = ticket;
+    const cached = prefixes.find(organisation, ticket.prefixHash);
     const endpoint = table.choose(ticket, cached, nowMs);
     if (endpoint === undefined) return false;
-    removeTicket(ticket.ticketId);
-    state.unservedSinceMs = state.queue.count() > 0 ? nowMs : undefined;
-    state.departures.record(nowMs);
-    state.queue.record(ticket.organisation, ticket.expectedTokens);
-    prefixes.record(ticket.organisation, ticket.prefixHash, endpoint);
+    state.removeTicket(ticketId);
+    entry.unservedSinceMs = entry.queue.count() > 0 ? nowMs : undefined;
+    entry.departures.record(nowMs);
+    entry.queue.record(organisation, ticket.expectedTokens / weight);
+    prefixes.record(organisation, ticket.prefixHash, endpoint);
     table.take(endpoint);
-    if (isFloor) state.credit.take();
-    else state.contestHeld += 1;
-    grants.set(ticket.ticketId, {
-      ticketId: ticket.ticketId,
-      from: ticket.from,
+    if (isFloor) entry.credit.take();
+    else entry.contestHeld += 1;
+    grants.set(ticketId, {
+      ticketId,
+      from,
       endpoint,
-      className: ticket.className,
-      tier: ticket.tier,
-      organisation: ticket.organisation,
+      className,
+      tier,
+      organisation,
+      weight,
       isFloor,
-      preemptible: ticket.preemptible,
+      preemptible,
       chargedTokens: ticket.expectedTokens,
       grantedMs: nowMs,
       expiresMs: ticket.expiresMs,
@@ -334,111 +171,53 @@
     });
     totals.granted += 1;
     if (isFloor) totals.floorGranted += 1;
-    outbox.push({
-      to: ticket.from,
-      body: {
-        case: 'grantSlot',
-        value: {
-          $typeName: 'hyssoptally.peer.v1.GrantSlot',
-          ticketId: ticket.ticketId,
-          shard,
-          endpoint,
-          floor: isFloor,
-        },
-      },
-    });
+    outbox.push(buildGrant(from, shard, ticketId, endpoint, isFloor));
     return true;
   }
 
   function findDueFloor(ordered: readonly ClassState[]): ClassState | undefined {
     if (!hasFloors) return undefined;
-    return ordered.find((state) => state.queue.count() > 0 && state.credit.isDue());
+    return ordered.find((entry) => entry.queue.count() > 0 && entry.credit.isDue());
   }
 
   function grantNext(nowMs: number): boolean {
-    const ordered = listByTier();
+    const ordered = state.listByTier();
     const due = findDueFloor(ordered);
-    const state = due ?? ordered.find((candidate) => candidate.queue.count() > 0);
-    const ticket = state?.queue.find();
-    if (state === undefined || ticket === undefined) return false;
-    if (state.queue.count() > 1 && isTooLate(ticket, state, nowMs)) {
-      // Others of its class wait who can still be in time: the slot is theirs, and this caller
-      // hears at once instead of being cut off half way.
+    const entry = due ?? ordered.find((candidate) => candidate.queue.count() > 0);
+    const ticket = entry?.queue.find((waiting) => isPromising(waiting, entry, nowMs));
+    if (entry === undefined || ticket === undefined) return false;
+    if (entry.queue.count() > 1 && isTooLate(ticket, entry, nowMs)) {
+      // Of all that wait it has most time left, and not even a usual answer would be in time: this
+      // caller hears at once instead of being cut off half way.
       refuseWaiting(ticket, REFUSAL.TooLate, nowMs);
       return true;
     }
     if (due === undefined) {
       invariants.check(
         'contest_by_tier',
-        countWaitingAtOrAbove(ticket.tier - 1) === 0,
+        state.countWaitingAtOrAbove(ticket.tier - 1) === 0,
         () => `${shard}: contest slot for tier ${ticket.tier} while a higher tier waits`,
       );
     }
-    return grantTicket(state, ticket, due !== undefined, nowMs);
+    return grantTicket(entry, ticket, due !== undefined, nowMs);
   }
 
   function grantFreeSlots(nowMs: number): void {
     if (nowMs < grantsFromMs) return;
-    while (countWaiting() > 0 && table.countUsable(nowMs) > 0 && grantNext(nowMs));
-  }
-
-  /** Whether an answer taken back now still has time to wait, resume and end. */
-  function isResumable(grant: Grant, nowMs: number): boolean {
-    const holdMs = classes.get(grant.className)?.credit.getLongHold() ?? 0;
-    return grant.expiresMs - nowMs > holdMs * RESUMABLE_HOLDS;
-  }
-
-  /** Lowest tier first, then whoever can still end in time after a break, then who began last. */
-  function compareVictims(a: Grant, b: Grant, nowMs: number): number {
-    const resumable = Number(isResumable(b, nowMs)) - Number(isResumable(a, nowMs));
-    return b.tier - a.tier || resumable || b.grantedMs - a.grantedMs;
-  }
-
-  function countImpatient(state: ClassState, nowMs: number): number {
-    const patienceMs = state.declaration.firstTokenMs * PREEMPT_PATIENCE;
-    return state.queue.list().filter((ticket) => {
-      const waitedMs = nowMs - ticket.postedMs + ticket.waitedMs;
-      const isPatient = waitedMs < patienceMs * (ticket.isFirst ? 1 : PREEMPT_LATER_FACTOR);
-      return !isPatient || nowMs >= ticket.expiresMs;
-    }).length;
+    while (state.countWaiting() > 0 && table.countUsable(nowMs) > 0 && grantNext(nowMs));
   }
 
   function preemptForWaiting(nowMs: number): void {
-    if (!hasPreemption || nowMs < grantsFromMs || countWaiting() === 0) return;
-    const isPending = (grant: Grant): boolean =>
-      grant.preemptedMs !== undefined && nowMs - grant.preemptedMs < PREEMPT_RETRY_MS;
-    let pending = [...grants.values()].filter(isPending).length;
-    for (const state of listByTier()) {
-      const { tier } = state.declaration;
-      const wanted = countImpatient(state, nowMs) - pending;
-      const victims = [...grants.values()]
-        .filter(
-          (grant) => grant.tier > tier && !grant.isFloor && grant.preemptible && !isPending(grant),
-        )
-        .sort((a, b) => compareVictims(a, b, nowMs))
-        .slice(0, Math.max(0, wanted));
-      for (const victim of victims) {
-        victim.preemptedMs = nowMs;
-        totals.preempted += 1;
-        outbox.push({
-          to: victim.from,
-          body: {
-            case: 'preemptSlot',
-            value: {
-              $typeName: 'hyssoptally.peer.v1.PreemptSlot',
-              ticketId: victim.ticketId,
-              shard,
-            },
-          },
-        });
-      }
-      pending = Math.max(0, pending + victims.length - state.queue.count());
+    if (!hasPreemption || nowMs < grantsFromMs) return;
+    for (const victim of chooseVictims(state, nowMs)) {
+      totals.preempted += 1;
+      outbox.push(buildPreemption(victim.from, shard, victim.ticketId));
     }
   }
 
   function refuseExpired(nowMs: number): void {
-    for (const state of classes.values()) {
-      for (const ticket of state.queue.list()) {
+    for (const entry of classes.values()) {
+      for (const ticket of entry.queue.list()) {
         if (nowMs >= ticket.expiresMs) refuseWaiting(ticket, REFUSAL.Expired, nowMs);
       }
     }
@@ -448,28 +227,21 @@
     const elapsedMs = nowMs - (advancedMs ?? nowMs);
     advancedMs = nowMs;
     const slots = table.countSlots();
-    for (const state of classes.values()) {
-      if (state.queue.count() > 0) {
-        const floorSlots = state.declaration.floor * slots;
-        state.credit.advance(elapsedMs, floorSlots, state.contestHeld);
-        const unservedMs = nowMs - (state.unservedSinceMs ?? nowMs);
+    for (const entry of classes.values()) {
+      if (entry.queue.count() > 0) {
+        entry.credit.advance(elapsedMs, entry.declaration.floor * slots, entry.contestHeld);
+        const unservedMs = nowMs - (entry.unservedSinceMs ?? nowMs);
         totals.longestUnservedMs = Math.max(totals.longestUnservedMs, unservedMs);
       }
     }
   }
 
-  function handlePost(from: string, post: PostTicket, nowMs: number): void {
-    const state = classes.get(post.className);
-    if (state === undefined) {
-      postRefusal(from, post.ticketId, REFUSAL.UnknownClass, RETRY_AFTER_MIN_MS);
-      return;
-    }
-    if (classOfTicket.has(post.ticketId) || grants.has(post.ticketId)) return;
-    const ticket: Ticket = {
+  function buildTicket(from: string, post: PostTicket, entry: ClassState, nowMs: number): Ticket {
+    return {
       ticketId: post.ticketId,
       from,
       className: post.className,
-      tier: state.declaration.tier,
+      tier: entry.declaration.tier,
       organisation: post.organisation,
       weight: resolveWeight(post.organisation),
       expectedTokens: post.expectedTokens,
@@ -482,31 +254,43 @@
       isResumed: post.resumed,
       isFirst: post.first,
     };
-    const isUnreachableNow = isUnreachable(ticket, state, nowMs);
-    state.unservedSinceMs ??= nowMs;
-    state.queue.add(ticket);
-    classOfTicket.set(ticket.ticketId, ticket.className);
+  }
+
+  function handlePost(from: string, post: PostTicket, nowMs: number): void {
+    const entry = classes.get(post.className);
+    if (entry === undefined) {
+      const { ticketId } = post;
+      outbox.push(buildRefusal(from, shard, ticketId, REFUSAL.UnknownClass, RETRY_AFTER_MIN_MS));
+      return;
+    }
+    // Posted again because an answer was lost, or because the owner seemed to have changed.
+    if (state.hasTicket(post.ticketId) || grants.has(post.ticketId)) return;
+    const ticket = buildTicket(from, post, entry, nowMs);
+    const isUnreachableNow = isUnreachable(ticket, entry, nowMs);
+    state.addTicket(ticket, entry, nowMs);
     if (isUnreachableNow) refuseWaiting(ticket, REFUSAL.DeadlineUnreachable, nowMs);
-    const victim = countWaiting() > computeQueueCapacity() ? findVictim() : undefined;
+    const victim = state.countWaiting() > computeQueueCapacity() ? findVictim() : undefined;
     if (victim !== undefined) refuseWaiting(victim, REFUSAL.Shed, nowMs);
   }
 
+  function recordHold(grant: Grant, release: ReleaseSlot, nowMs: number): void {
+    const entry = classes.get(grant.className);
+    if (entry === undefined) return;
+    if (!grant.isFloor) entry.contestHeld = Math.max(0, entry.contestHeld - 1);
+    entry.queue.record(grant.organisation, (release.tokens - grant.chargedTokens) / grant.weight);
+    const isUnused = release.ending === SlotEnding.UNUSED;
+    const isWhole = release.ending === SlotEnding.COMPLETED && !grant.isResumed;
+    // A slot that was not used costs its floor nothing and teaches nothing.
+    if (!isUnused) entry.credit.record(nowMs - grant.grantedMs, grant.isFloor, isWhole);
+    else if (grant.isFloor) entry.credit.record(0, true, false);
+  }
+
   function handleRelease(release: ReleaseSlot, nowMs: number): void {
     const grant = grants.get(release.ticketId);
     if (grant === undefined) return;
     grants.delete(release.ticketId);
     table.release(grant.endpoint);
-    const state = classes.get(grant.className);
-    if (state !== undefined) {
-      if (!grant.isFloor) state.contestHeld = Math.max(0, state.contestHeld - 1);
-      if (release.ending === SlotEnding.UNUSED) {
-        if (grant.isFloor) state.credit.record(0, true, false);
-      } else {
-        const isWhole = release.ending === SlotEnding.COMPLETED && !grant.isResumed;
-        state.credit.record(nowMs - grant.grantedMs, grant.isFloor, isWhole);
-      }
-      state.queue.record(grant.organisation, release.tokens - grant.chargedTokens);
-    }
+    recordHold(grant, release, nowMs);
     if (release.stepMs > 0) table.recordStep(grant.endpoint, release.stepMs, nowMs);
     if (release.ending === SlotEnding.COMPLETED) table.recordSuccess(grant.endpoint);
     if (FAILED_ENDINGS.includes(release.ending)) table.recordFailure(grant.endpoint, nowMs);
@@ -529,37 +313,39 @@
     );
   }
 
+  /** Counts a slot granted by an earlier owner of this shard, or it would be granted twice. */
+  function addHeld(from: string, slot: HeldSlot, entry: ClassState, nowMs: number): void {
+    table.take(slot.endpoint);
+    if (!slot.floor) entry.contestHeld += 1;
+    grants.set(slot.ticketId, {
+      ticketId: slot.ticketId,
+      from,
+      endpoint: slot.endpoint,
+      className: slot.className,
+      tier: entry.declaration.tier,
+      organisation: slot.organisation,
+      weight: resolveWeight(slot.organisation),
+      isFloor: slot.floor,
+      preemptible: slot.preemptible,
+      chargedTokens: 0,
+      grantedMs: nowMs,
+      expiresMs: Infinity,
+      // When it began is not known here, so its length must teach nothing.
+      isResumed: true,
+      seenMs: nowMs,
+      preemptedMs: undefined,
+    });
+  }
+
   function handleHoldings(from: string, held: readonly HeldSlot[], nowMs: number): void {
     const reported = new Set<string>();
     for (const slot of held) {
       reported.add(slot.ticketId);
       table.recordStep(slot.endpoint, slot.stepMs, nowMs);
       const grant = grants.get(slot.ticketId);
-      const state = classes.get(slot.className);
-      if (grant !== undefined) {
-        grant.seenMs = nowMs;
-      } else if (state !== undefined) {
-        // Granted by an earlier owner of this shard: counted, or the slot would be granted twice.
-        table.take(slot.endpoint);
-        if (!slot.floor) state.contestHeld += 1;
-        grants.set(slot.ticketId, {
-          ticketId: slot.ticketId,
-          from,
-          endpoint: slot.endpoint,
-          className: slot.className,
-          tier: state.declaration.tier,
-          organisation: slot.organisation,
-          isFloor: slot.floor,
-          preemptible: slot.preemptible,
-          chargedTokens: 0,
-          grantedMs: nowMs,
-          expiresMs: Infinity,
-          // When it began is not known here, so its length must teach nothing.
-          isResumed: true,
-          seenMs: nowMs,
-          preemptedMs: undefined,
-        });
-      }
+      const entry = classes.get(slot.className);
+      if (grant !== undefined) grant.seenMs = nowMs;
+      else if (entry !== undefined) addHeld(from, slot, entry, nowMs);
     }
     for (const grant of grants.values()) {
       const isLost = grant.from === from && !reported.has(grant.ticketId);
@@ -569,9 +355,9 @@
   }
 
   function handleMemberGone(member: string, nowMs: number): void {
-    for (const state of classes.values()) {
-      for (const ticket of state.queue.list()) {
-        if (ticket.from === member) removeTicket(ticket.ticketId);
+    for (const entry of classes.values()) {
+      for (const ticket of entry.queue.list()) {
+        if (ticket.from === member) state.removeTicket(ticket.ticketId);
       }
     }
     for (const grant of grants.values()) {
@@ -579,40 +365,21 @@
     }
   }
 
-  function handleConfigure(message: Extract<OwnerMessage, { kind: 'configure' }>, nowMs: number) {
+  function handleConfigure(
+    message: Extract<OwnerMessage, { kind: 'configure' }>,
+    nowMs: number,
+  ): void {
     resolveWeight = message.weights;
     table.set(message.endpoints, nowMs);
-    for (const [name, declaration] of message.classes) {
-      const known = classes.get(name);
-      if (known === undefined) {
-        classes.set(name, {
-          declaration,
-          queue: createClassQueue(),
-          credit: createFloorCredit(),
-          departures: createDepartureRate(),
-          contestHeld: 0,
-          unservedSinceMs: undefined,
-        });
-      } else {
-        known.declaration = declaration;
-      }
-    }
-    for (const [name, state] of classes) {
-      if (!message.classes.has(name)) {
-        for (const ticket of state.queue.list()) {
-          removeTicket(ticket.ticketId);
-          postRefusal(ticket.from, ticket.ticketId, REFUSAL.UnknownClass, RETRY_AFTER_MIN_MS);
-        }
-        classes.delete(name);
-      }
+    for (const { from, ticketId } of state.setClasses(message.classes)) {
+      outbox.push(buildRefusal(from, shard, ticketId, REFUSAL.UnknownClass, RETRY_AFTER_MIN_MS));
     }
   }
 
   function handleWithdraw(ticketId: string, nowMs: number): void {
-    const className = classOfTicket.get(ticketId);
-    if (className === undefined) return;
-    removeTicket(ticketId);
-    classes.get(className)?.departures.record(nowMs);
+    // Granted elsewhere or given up: it left this queue, which is what predictions count.
+    state.findClassOf(ticketId)?.departures.record(nowMs);
+    state.removeTicket(ticketId);
   }
 
   function applyMessage(message: OwnerMessage, nowMs: number): void {
@@ -665,7 +432,7 @@
       shard,
       endpoints: table.list(),
       waiting: Object.fromEntries(
-        [...classes].map(([name, state]) => [name, state.queue.count()] as const),
+        [...classes].map(([name, entry]) => [name, entry.queue.count()] as const),
       ),
       ...totals,
     }),
--- /dev/null
+++ b/src/admission/shard-state.ts
@@ -0,0 +1,134 @@
+/** What a shard owner keeps: classes with their queues and credit, and the slots it has granted. */
+import type { ClassDeclaration } from '../types/declarations.js';
+import { createClassQueue } from './class-queue.js';
+import type { ClassQueue } from './class-queue.js';
+import { createDepartureRate } from './departure-rate.js';
+import type { DepartureRate } from './departure-rate.js';
+import { createFloorCredit } from './floor-credit.js';
+import type { FloorCredit } from './floor-credit.js';
+import type { Ticket } from './ticket.js';
+
+/** A slot in an entry's hands. */
+export interface Grant {
+  readonly ticketId: string;
+  readonly from: string;
+  readonly endpoint: string;
+  readonly className: string;
+  readonly tier: number;
+  readonly organisation: string;
+  readonly weight: number;
+  readonly isFloor: boolean;
+  readonly preemptible: boolean;
+  readonly chargedTokens: number;
+  readonly grantedMs: number;
+  readonly expiresMs: number;
+  readonly isResumed: boolean;
+  /** When the entry last said that it holds the slot. */
+  seenMs: number;
+  /** When the slot was asked back; undefined if never. */
+  preemptedMs: number | undefined;
+}
+
+/** One class in the shard. */
+export interface ClassState {
+  declaration: ClassDeclaration;
+  readonly queue: ClassQueue;
+  readonly credit: FloorCredit;
+  readonly departures: DepartureRate;
+  /** Contest slots the class holds. */
+  contestHeld: number;
+  /** Since when the class has had waiting work without a grant. */
+  unservedSinceMs: number | undefined;
+}
+
+/** The state of one shard. */
+export interface ShardState {
+  readonly classes: ReadonlyMap<string, ClassState>;
+  readonly grants: Map<string, Grant>;
+  /** Takes over classes; returns the tickets of classes that are gone. */
+  setClasses(declarations: ReadonlyMap<string, ClassDeclaration>): Ticket[];
+  listByTier(): ClassState[];
+  addTicket(ticket: Ticket, state: ClassState, nowMs: number): void;
+  removeTicket(ticketId: string): Ticket | undefined;
+  hasTicket(ticketId: string): boolean;
+  /** The class of a waiting ticket. */
+  findClassOf(ticketId: string): ClassState | undefined;
+  countWaiting(): number;
+  countWaitingAtOrAbove(tier: number): number;
+  /** Contest slots of lower tiers, open to preemption and not asked back yet. */
+  countPreemptibleBelow(tier: number): number;
+}
+
+/** Builds the state of a shard without classes. */
+export function createShardState(): ShardState {
+  const classes = new Map<string, ClassState>();
+  const grants = new Map<string, Grant>();
+  const classOfTicket = new Map<string, ClassState>();
+
+  function addClass(name: string, declaration: ClassDeclaration): void {
+    const known = classes.get(name);
+    if (known !== undefined) {
+      known.declaration = declaration;
+      return;
+    }
+    classes.set(name, {
+      declaration,
+      queue: createClassQueue(),
+      credit: createFloorCredit(),
+      departures: createDepartureRate(),
+      contestHeld: 0,
+      unservedSinceMs: undefined,
+    });
+  }
+
+  function removeTicket(ticketId: string): Ticket | undefined {
+    const state = classOfTicket.get(ticketId);
+    if (state === undefined) return undefined;
+    classOfTicket.delete(ticketId);
+    const ticket = state.queue.remove(ticketId);
+    if (state.queue.count() === 0) state.unservedSinceMs = undefined;
+    return ticket;
+  }
+
+  return {
+    classes,
+    grants,
+    setClasses(declarations) {
+      for (const [name, declaration] of declarations) addClass(name, declaration);
+      const orphans: Ticket[] = [];
+      for (const [name, state] of classes) {
+        if (!declarations.has(name)) {
+          orphans.push(...state.queue.list());
+          classes.delete(name);
+        }
+      }
+      for (const ticket of orphans) removeTicket(ticket.ticketId);
+      return orphans;
+    },
+    listByTier: () => [...classes.values()].sort((a, b) => a.declaration.tier - b.declaration.tier),
+    addTicket(ticket, state, nowMs) {
+      state.unservedSinceMs ??= nowMs;
+      state.queue.add(ticket);
+      classOfTicket.set(ticket.ticketId, state);
+    },
+    removeTicket,
+    hasTicket: (ticketId) => classOfTicket.has(ticketId),
+    findClassOf: (ticketId) => classOfTicket.get(ticketId),
+    countWaiting: () => classOfTicket.size,
+    countWaitingAtOrAbove(tier) {
+      let waiting = 0;
+      for (const state of classes.values()) {
+        if (state.declaration.tier <= tier) waiting += state.queue.count();
+      }
+      return waiting;
+    },
+    countPreemptibleBelow(tier) {
+      let open = 0;
+      for (const grant of grants.values()) {
+        const isOpen = !grant.isFloor && grant.preemptible && grant.preemptedMs === undefined;
+        if (grant.tier > tier && isOpen) open += 1;
+      }
+      return open;
+    },
+  };
+}
--- a/src/configuration/merge-files.ts
+++ b/src/configuration/merge-files.ts
@@ -146,12 +146,26 @@
   return pools;
 }
 
+/** Organisations of files that did not change are shared between versions: nearly all of them. */
+const organisationsOfFile = new WeakMap<ParsedFile, readonly OrganisationDeclaration[]>();
+
+function listOrganisations(file: ParsedFile): readonly OrganisationDeclaration[] {
+  const known = organisationsOfFile.get(file);
+  if (known !== undefined) return known;
+  const list = Object.entries(file.content.organisations).map(([name, { keys, ...rest }]) => ({
+    name,
+    keyHashes: keys.map((key) => key.slice(KEY_PREFIX.length)),
+    ...rest,
+  }));
+  organisationsOfFile.set(file, list);
+  return list;
+}
+
 function buildOrganisations(files: readonly ParsedFile[]): Map<string, OrganisationDeclaration> {
   const organisations = new Map<string, OrganisationDeclaration>();
   for (const file of files) {
-    for (const [name, { keys, ...rest }] of Object.entries(file.content.organisations)) {
-      const keyHashes = keys.map((key) => key.slice(KEY_PREFIX.length));
-      organisations.set(name, { name, keyHashes, ...rest });
+    for (const organisation of listOrganisations(file)) {
+      organisations.set(organisation.name, organisation);
     }
   }
   return organisations;
--- a/src/embedded/embedded-fleet.ts
+++ b/src/embedded/embedded-fleet.ts
@@ -34,6 +34,8 @@
   readonly dataCentres: readonly string[];
   readonly entries: number;
   readonly engines: number;
+  /** Engines that run elsewhere, besides those started here. */
+  readonly engineUrls?: readonly string[];
   readonly services: number;
   readonly slots: number;
   readonly stepMs: number;
@@ -127,7 +129,11 @@
             kind: 'engine',
             models: [options.model],
             fencing: 'checked',
-            endpoints: buildEndpoints(engines, 'engine', options.slots),
+            endpoints: buildEndpoints(
+              [...engines, ...(options.engineUrls ?? []).map((url) => ({ url }))],
+              'engine',
+              options.slots,
+            ),
           },
           [SERVICE_POOL]: { kind: 'service', endpoints: buildEndpoints(services, 'service', 16) },
         },
--- a/src/node/slot-broker-types.ts
+++ b/src/node/slot-broker-types.ts
@@ -1,6 +1,6 @@
 /** What any way of finding slots for an entry's requests offers. */
 import type { LiveEntry, Shard } from '../admission/shard-map.js';
-import type { ShardView } from '../admission/shard-owner.js';
+import type { ShardView } from '../admission/owner-messages.js';
 import type { HeldGrant, SlotRequest, SlotUse } from '../admission/ticket-desk.js';
 import type { Refusal } from '../admission/ticket.js';
 import type { Declarations } from '../types/declarations.js';
--- a/src/node/slot-broker.ts
+++ b/src/node/slot-broker.ts
@@ -5,7 +5,7 @@
 import { buildRoutes, buildShards } from '../admission/shard-map.js';
 import type { LiveEntry, Shard } from '../admission/shard-map.js';
 import { createShardOwner } from '../admission/shard-owner.js';
-import type { OwnerMessage, ShardOwner } from '../admission/shard-owner.js';
+import type { OwnerMessage, ShardOwner } from '../admission/owner-messages.js';
 import { createTicketDesk } from '../admission/ticket-desk.js';
 import type { DeskCommand, DeskMessage } from '../admission/ticket-desk.js';
 import { METRIC } from '../runtime/metrics.js';
--- a/src/types/router-status.ts
+++ b/src/types/router-status.ts
@@ -1,5 +1,5 @@
 /** What a router tells its operators. */
-import type { ShardView } from '../admission/shard-owner.js';
+import type { ShardView } from '../admission/owner-messages.js';
 import type { Stage } from '../lifecycle/drain.js';
 import type { InvariantBreach } from '../runtime/invariants.js';
 
