--- a/src/admission/floor-credit.ts
+++ b/src/admission/floor-credit.ts
@@ -16,8 +16,6 @@
 
 /** Nearly every answer of the class holds a slot no longer than this quantile of the last ones. */
 const LONG_HOLD_QUANTILE = 0.98;
-/** Most answers of the class hold a slot no longer than this quantile. */
-const LIKELY_HOLD_QUANTILE = 0.85;
 const HOLDS_KEPT = 128;
 
 /** Credit of one class. */
@@ -37,15 +35,12 @@
   getQuantum(): number;
   /** How long a slot may well be held, in milliseconds; 0 while unknown. */
   getLongHold(): number;
-  /** How long a slot is held by most answers, in milliseconds; 0 while unknown. */
-  getLikelyHold(): number;
 }
 
 /** Builds a class's credit, at nothing. */
 export function createFloorCredit(): FloorCredit {
   const hold = createMovingAverage(HOLD_ALPHA);
   const longHold = createRecentQuantile(LONG_HOLD_QUANTILE, HOLDS_KEPT);
-  const likelyHold = createRecentQuantile(LIKELY_HOLD_QUANTILE, HOLDS_KEPT);
   let credit = 0;
   const getQuantum = (): number => Math.max(1, hold.get(HOLD_UNKNOWN_MS));
   return {
@@ -61,13 +56,9 @@
       if (wasFloor) credit += getQuantum() - heldMs;
       hold.add(heldMs);
       // A piece longer than what is thought long for a whole answer says that much at least.
-      if (isWhole || heldMs > longHold.get(Infinity)) {
-        longHold.add(heldMs);
-        likelyHold.add(heldMs);
-      }
+      if (isWhole || heldMs > longHold.get(Infinity)) longHold.add(heldMs);
     },
     getQuantum,
     getLongHold: () => longHold.get(0),
-    getLikelyHold: () => likelyHold.get(0),
   };
 }
--- a/src/admission/wait-prediction.ts
+++ b/src/admission/wait-prediction.ts
@@ -46,9 +46,9 @@
   return startsMs + holdMs <= ticket.expiresMs;
 }
 
-/** Whether an answer of the class that starts at a moment is likely to end too late. */
+/** Whether even a usual answer of the class that starts at a moment would end too late. */
 export function isTooLate(ticket: Ticket, state: ClassState, startsMs: number): boolean {
-  const holdMs = state.credit.getLikelyHold() * (ticket.isResumed ? RESUMED_HOLD_SHARE : 1);
+  const holdMs = state.credit.getQuantum() * (ticket.isResumed ? RESUMED_HOLD_SHARE : 1);
   return startsMs + holdMs > ticket.expiresMs;
 }
 
