--- a/src/test/failures.test.ts
+++ b/src/test/failures.test.ts
@@ -14,6 +14,8 @@
 import { startRouterProcess, stopProcesses } from './processes.js';
 
 const ANSWER_MAX = 400;
+const LONG_PROMPT = 'a long history [length:60]';
+const SIGNAL_AFTER_TOKENS = 10;
 const fleets: ProcessFleet[] = [];
 const client = createCompletionClient();
 
@@ -97,22 +99,26 @@
   });
 }
 
+/** Asks for a long answer and, after some tokens of it, sends a signal to the engine it comes from. */
+function sendAndSignal(fleet: ProcessFleet, signal: NodeJS.Signals) {
+  let tokens = 0;
+  return sendQuestion(fleet, 0, LONG_PROMPT, () => {
+    tokens += 1;
+    if (tokens !== SIGNAL_AFTER_TOKENS) return;
+    findBusyEngine(fleet)
+      .then((index) => fleet.engines[index]?.send(signal))
+      .catch(() => undefined);
+  });
+}
+
 describe('failures between processes', ({ itSerial: it }) => {
   it('an engine killed in mid-answer', async (t) => {
     // A clerk's answer stops half way. The engine's process dies; its connections break; the answer
     // goes on at the other engine from the next token.
     const fleet = await startFleet({ stepMs: 20 });
-    let tokens = 0;
-    const prompt = 'a long history [length:60]';
-    const result = await sendQuestion(fleet, 0, prompt, () => {
-      tokens += 1;
-      if (tokens !== 10) return;
-      findBusyEngine(fleet)
-        .then((index) => fleet.engines[index]?.send('SIGKILL'))
-        .catch(() => undefined);
-    });
+    const result = await sendAndSignal(fleet, 'SIGKILL');
     t.true(result.isWhole);
-    t.is(result.text, buildAnswer(prompt, ANSWER_MAX));
+    t.is(result.text, buildAnswer(LONG_PROMPT, ANSWER_MAX));
     t.is(await countBreaches(fleet, [0, 1]), 0);
   });
 
@@ -123,17 +129,9 @@
     await Promise.all(
       Array.from({ length: 12 }, (_, index) => sendQuestion(fleet, 0, `warm ${index} [length:4]`)),
     );
-    let tokens = 0;
-    const prompt = 'a long history [length:60]';
-    const result = await sendQuestion(fleet, 0, prompt, () => {
-      tokens += 1;
-      if (tokens !== 10) return;
-      findBusyEngine(fleet)
-        .then((index) => fleet.engines[index]?.send('SIGSTOP'))
-        .catch(() => undefined);
-    });
+    const result = await sendAndSignal(fleet, 'SIGSTOP');
     t.true(result.isWhole);
-    t.is(result.text, buildAnswer(prompt, ANSWER_MAX));
+    t.is(result.text, buildAnswer(LONG_PROMPT, ANSWER_MAX));
   });
 
   it('frames that are crossed, repeated and reordered', async (t) => {
