A test for connections that something in between lost track of

The relay meant for it stood unused.

Ruled out: nothing; the mechanism (a bound learned from the pool's pace) was there.

Before: no such test. After: every connection open through two relays goes silent in mid-answer, idle ones too; the answer is whole, and so is the next through the other entry.

--- a/src/test/failures.test.ts
+++ b/src/test/failures.test.ts
@@ -15,7 +15,7 @@
 
 const ANSWER_MAX = 400;
 const LONG_PROMPT = 'a long history [length:60]';
-const SIGNAL_AFTER_TOKENS = 10;
+const ACT_AFTER_TOKENS = 10;
 const fleets: ProcessFleet[] = [];
 const client = createCompletionClient();
 
@@ -99,18 +99,31 @@
   });
 }
 
-/** Asks for a long answer and, after some tokens of it, sends a signal to the engine it comes from. */
-function sendAndSignal(fleet: ProcessFleet, signal: NodeJS.Signals) {
+/** Asks for a long answer and does something after some tokens of it. */
+function sendAndDo(fleet: ProcessFleet, act: () => void) {
   let tokens = 0;
   return sendQuestion(fleet, 0, LONG_PROMPT, () => {
     tokens += 1;
-    if (tokens !== SIGNAL_AFTER_TOKENS) return;
+    if (tokens === ACT_AFTER_TOKENS) act();
+  });
+}
+
+/** Asks for a long answer and, after some tokens of it, sends a signal to the engine it comes from. */
+function sendAndSignal(fleet: ProcessFleet, signal: NodeJS.Signals) {
+  return sendAndDo(fleet, () => {
     findBusyEngine(fleet)
       .then((index) => fleet.engines[index]?.send(signal))
       .catch(() => undefined);
   });
 }
 
+/** Enough short answers for the routers to know the engines' pace. */
+async function sendWarmUp(fleet: ProcessFleet): Promise<void> {
+  await Promise.all(
+    Array.from({ length: 12 }, (_, index) => sendQuestion(fleet, 0, `warm ${index} [length:4]`)),
+  );
+}
+
 describe('failures between processes', ({ itSerial: it }) => {
   it('an engine killed in mid-answer', async (t) => {
     // A clerk's answer stops half way. The engine's process dies; its connections break; the answer
@@ -126,14 +139,27 @@
     // A clerk's answer stops half way and no error comes. The engine's process is stopped: its
     // connections stay open and carry nothing more. The learned pace tells silence from slowness.
     const fleet = await startFleet({ stepMs: 20 });
-    await Promise.all(
-      Array.from({ length: 12 }, (_, index) => sendQuestion(fleet, 0, `warm ${index} [length:4]`)),
-    );
+    await sendWarmUp(fleet);
     const result = await sendAndSignal(fleet, 'SIGSTOP');
     t.true(result.isWhole);
     t.is(result.text, buildAnswer(LONG_PROMPT, ANSWER_MAX));
   });
 
+  it('connections that something in between lost track of', async (t) => {
+    // A clerk's answer stops half way, and the next questions hang too. Every connection that was
+    // open carries nothing any more, idle ones included, and none is closed; new ones work.
+    const fleet = await startFleet({ stepMs: 20, hasRelays: true });
+    await sendWarmUp(fleet);
+    const result = await sendAndDo(fleet, () => {
+      for (const relay of fleet.relays) relay.silenceOpen();
+    });
+    t.true(result.isWhole, result.errorType);
+    t.is(result.text, buildAnswer(LONG_PROMPT, ANSWER_MAX));
+    const prompt = 'after that [length:5]';
+    const next = await sendQuestion(fleet, 1, prompt);
+    t.is(next.text, buildAnswer(prompt, ANSWER_MAX));
+  });
+
   it('frames that are crossed, repeated and reordered', async (t) => {
     // A clerk reads another caller's words. The engine mixes frames up: another request's frame,
     // the same frame twice, two frames in the wrong order.
--- a/src/test/process-fleet.ts
+++ b/src/test/process-fleet.ts
@@ -13,6 +13,8 @@
   stopProcesses,
 } from './processes.js';
 import type { TestProcess } from './processes.js';
+import { startRelay } from './relay.js';
+import type { Relay } from './relay.js';
 
 export const TEST_MODEL = 'assistant';
 export const TEST_KEY = 'key-of-the-depots';
@@ -25,6 +27,8 @@
   readonly engines: readonly TestProcess[];
   readonly service: TestProcess;
   readonly routers: readonly TestProcess[];
+  /** Relays before the engines, where the fleet was asked for them. */
+  readonly relays: readonly Relay[];
   readonly folder: string;
   /** Publishes the folder with the operators' tool. */
   publish(): Promise<{ code: number; out: string; err: string }>;
@@ -39,6 +43,8 @@
   readonly engines?: number;
   /** @default 10 */
   readonly stepMs?: number;
+  /** Puts a relay before each engine. @default false */
+  readonly hasRelays?: boolean;
   readonly engineFlags?: readonly string[];
   readonly routerFlags?: readonly string[];
 }
@@ -54,13 +60,13 @@
 
 async function writeFolder(
   folder: string,
-  engines: readonly TestProcess[],
+  engineUrls: readonly string[],
   service: TestProcess,
 ): Promise<void> {
   const endpoints = Object.fromEntries(
-    engines.map((engine, index) => [
+    engineUrls.map((url, index) => [
       `engine-${index + 1}`,
-      { url: engine.listening.url, dataCentre: getDataCentre(index), slots: 4 },
+      { url, dataCentre: getDataCentre(index), slots: 4 },
     ]),
   );
   const pools = {
@@ -102,7 +108,12 @@
     ),
   );
   const service = await startProcess('standin', ['service', '--name', 'service-1']);
-  await writeFolder(folder, engines, service);
+  const urls = engines.map((engine) => engine.listening.url ?? '');
+  const relays =
+    options.hasRelays === true
+      ? await Promise.all(urls.map((url) => startRelay(Number(new URL(url).port))))
+      : [];
+  await writeFolder(folder, relays.length > 0 ? relays.map(({ url }) => url) : urls, service);
   const publish = () =>
     runCtl(['apply', folder, '--who', 'tests', ...listPlatformFlags(platformUrl)]);
   const published = await publish();
@@ -130,10 +141,12 @@
     engines,
     service,
     routers,
+    relays,
     folder,
     publish,
     async stop() {
       stopProcesses();
+      await Promise.all(relays.map((relay) => relay.close()));
       await rm(folder, { recursive: true, force: true });
     },
   };
