--- /dev/null
+++ b/src/attempts/shared-retry-budget.ts
@@ -0,0 +1,54 @@
+/**
+ * This instance's part of the second tries that all instances together may send to a pool in any
+ * window. The part that follows demand needs no talk between instances: each spends a share of the
+ * calls it took itself. The constant part is divided by the most instances ever seen, so that a cut
+ * that hides some of them never makes the parts add up to more than the whole.
+ */
+
+/** Bounds of all instances together. */
+export interface RetryBounds {
+  readonly windowMs: number;
+  /** Second tries for each call, 0 to 1. */
+  readonly ratio: number;
+  /** Second tries that are always allowed in a window. */
+  readonly slack: number;
+}
+
+/** Part of the bounds that is spent: arrivals bunch up on their way, and instances are added. */
+const SPENT_SHARE = 0.8;
+
+/** The budget of one pool at one instance. */
+export interface SharedRetryBudget {
+  /** A call for the pool came in. */
+  recordCall(nowMs: number): void;
+  /** Spends one second try; false where none is left. */
+  take(instances: number, nowMs: number): boolean;
+}
+
+function removeOlder(times: number[], beforeMs: number): void {
+  let count = 0;
+  while (count < times.length && (times[count] as number) < beforeMs) count += 1;
+  if (count > 0) times.splice(0, count);
+}
+
+/** Builds a budget of which nothing is spent. */
+export function createSharedRetryBudget(bounds: RetryBounds): SharedRetryBudget {
+  const calls: number[] = [];
+  const tries: number[] = [];
+  let instancesMax = 1;
+  return {
+    recordCall(nowMs) {
+      removeOlder(calls, nowMs - bounds.windowMs);
+      calls.push(nowMs);
+    },
+    take(instances, nowMs) {
+      instancesMax = Math.max(instancesMax, instances);
+      removeOlder(calls, nowMs - bounds.windowMs);
+      removeOlder(tries, nowMs - bounds.windowMs);
+      const allowed = bounds.ratio * calls.length + bounds.slack / instancesMax;
+      if (tries.length + 1 > allowed * SPENT_SHARE) return false;
+      tries.push(nowMs);
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/src/calls/call-life.ts
@@ -0,0 +1,242 @@
+/**
+ * The life of one routed call, free of I/O: which attempt may follow which, what of an answer may be
+ * delivered, and what a caller is told at the end. "Not run" is only said where no endpoint can have
+ * run the call.
+ */
+import { CALL_KIND } from '../types/traffic.js';
+import type { CallKind } from '../types/traffic.js';
+import { FAILURE, OUTCOME } from '../types/outcomes.js';
+import type { Failure, RequestFailure } from '../types/outcomes.js';
+import { assertNever } from '../utils/assert-never.js';
+import type { AnswerHead, AttemptEnd, CallCommand, CallMessage } from './call-messages.js';
+
+/** A caller turned away because the endpoints are full comes back after this long, in milliseconds. */
+const FULL_RETRY_MS = 500;
+const SERVER_ERROR_MIN = 500;
+/** Connections that fail before a byte is sent are tried anew at other endpoints this often. */
+const UNSENT_MAX = 3;
+
+/** What a call's life depends on. */
+export interface CallLifeOptions {
+  readonly kind: CallKind;
+  readonly attemptsMax: number;
+  readonly deadlineMs: number;
+  /** Last event of an earlier answer, where the caller itself resumes. */
+  readonly lastEventId: string | undefined;
+  /** An attempt without its first answer is given up after this long, in milliseconds, if another may follow. */
+  readonly stallMs: number;
+  /** Spends one second try of the shared budget. */
+  readonly takeRetry: () => boolean;
+}
+
+/** The life of one call. */
+export interface CallLife {
+  handle(message: CallMessage, nowMs: number): CallCommand[];
+  isEnded(): boolean;
+  /** Attempts that were sent. */
+  countAttempts(): number;
+}
+
+interface Answer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
+/** Builds the life of a call that has not started. */
+export function createCallLife(options: CallLifeOptions): CallLife {
+  const { kind, attemptsMax, deadlineMs } = options;
+  const isRepeatable = kind === CALL_KIND.Idempotent || kind === CALL_KIND.ResumableStream;
+  let attempt = 0;
+  let sent = 0;
+  let unsent = 0;
+  let isWaiting = false;
+  let attemptSinceMs = 0;
+  let mayHaveRun = false;
+  let hasHead = false;
+  let isEnded = false;
+  let { lastEventId } = options;
+  /** An endpoint's own error, kept while a second endpoint is tried. */
+  let kept: Answer | undefined;
+  let commands: CallCommand[] = [];
+
+  function closeFailed(type: Failure, message: string, retryAfterMs?: number): void {
+    isEnded = true;
+    if (hasHead) {
+      commands.push({ kind: 'break_answer', reason: message });
+      return;
+    }
+    if (kept !== undefined) {
+      commands.push({ kind: 'deliver_answer', ...kept });
+      return;
+    }
+    const failure: RequestFailure = {
+      type,
+      message,
+      outcome: mayHaveRun ? OUTCOME.MayHaveRun : OUTCOME.NotRun,
+      ...(retryAfterMs === undefined || mayHaveRun ? {} : { retryAfterMs }),
+    };
+    commands.push({ kind: 'fail', failure });
+  }
+
+  function startAttempt(isRepeat: boolean, nowMs: number): void {
+    attempt += 1;
+    sent += 1;
+    isWaiting = true;
+    attemptSinceMs = nowMs;
+    commands.push({ kind: 'attempt', attempt, lastEventId, isRepeat });
+  }
+
+  /** Ends a call that no endpoint answered and that may not be sent again. */
+  function closeUnanswered(message: string): void {
+    if (mayHaveRun) closeFailed(FAILURE.EndpointFailed, message);
+    else closeFailed(FAILURE.Overloaded, message, FULL_RETRY_MS);
+  }
+
+  /** Sends the call to another endpoint if that is allowed, else ends it. */
+  function handleLost(isProvedUnrun: boolean, message: string, nowMs: number): void {
+    const isAllowed = (isProvedUnrun || isRepeatable) && sent < attemptsMax;
+    if (isAllowed && options.takeRetry()) startAttempt(true, nowMs);
+    else closeUnanswered(message);
+  }
+
+  function handleUnsent(nowMs: number): void {
+    sent -= 1;
+    unsent += 1;
+    if (unsent > UNSENT_MAX) closeUnanswered('no endpoint could be reached; come back later');
+    else startAttempt(true, nowMs);
+  }
+
+  function handleAnswered(answer: Answer, nowMs: number): void {
+    mayHaveRun = true;
+    const isError = answer.head.status >= SERVER_ERROR_MIN;
+    if (hasHead) {
+      // A continuation was refused; the first answer stays without its end.
+      closeFailed(FAILURE.EndpointFailed, 'the endpoint refused to continue the answer');
+      return;
+    }
+    if (isError && isRepeatable && sent < attemptsMax && options.takeRetry()) {
+      kept = answer;
+      startAttempt(true, nowMs);
+      return;
+    }
+    isEnded = true;
+    commands.push({ kind: 'deliver_answer', ...answer });
+  }
+
+  function handleEnd(end: AttemptEnd, nowMs: number): void {
+    isWaiting = false;
+    switch (end.kind) {
+      case 'unsent':
+        handleUnsent(nowMs);
+        break;
+      case 'rejected':
+        handleLost(true, 'the endpoints are full; come back after the time given', nowMs);
+        break;
+      case 'broken':
+        mayHaveRun = true;
+        handleLost(false, 'the endpoint failed before its answer was whole', nowMs);
+        break;
+      case 'answered':
+        handleAnswered({ head: end.head, body: end.body }, nowMs);
+        break;
+      case 'stream_ended':
+        isEnded = true;
+        commands.push({ kind: 'deliver_end' });
+        break;
+      default:
+        assertNever(end);
+    }
+  }
+
+  function handleStreamStarted(head: AnswerHead): void {
+    mayHaveRun = true;
+    // Later endpoints continue the answer under the head of the first.
+    if (hasHead) return;
+    hasHead = true;
+    commands.push({ kind: 'deliver_head', head });
+  }
+
+  function cancelAttempt(reason: string): void {
+    if (!isWaiting) return;
+    isWaiting = false;
+    commands.push({ kind: 'cancel', attempt, reason });
+  }
+
+  function handleDeadline(): void {
+    // What is under way may have run, or may yet run until its endpoint hears of the end.
+    if (isWaiting) mayHaveRun = true;
+    cancelAttempt('deadline');
+    if (mayHaveRun) {
+      closeFailed(FAILURE.DeadlinePassed, 'the time allowed passed before the answer was whole');
+    } else {
+      closeFailed(FAILURE.Overloaded, 'no endpoint was free in time', FULL_RETRY_MS);
+    }
+  }
+
+  /** Guards against answers that were lost on the way: they show as silence after the call was sent. */
+  function checkStall(nowMs: number): void {
+    const isStalled = isWaiting && !hasHead && nowMs - attemptSinceMs >= options.stallMs;
+    if (!isStalled || !isRepeatable || sent >= attemptsMax) return;
+    if (!options.takeRetry()) return;
+    mayHaveRun = true;
+    cancelAttempt('stalled');
+    startAttempt(true, nowMs);
+  }
+
+  function handleCallerLeft(): void {
+    isEnded = true;
+    // What may not be repeated is seen through: stopping it halfway helps nobody.
+    if (kind === CALL_KIND.NonIdempotent) return;
+    cancelAttempt('caller left');
+  }
+
+  function isCurrent(message: CallMessage): boolean {
+    return !('attempt' in message) || (isWaiting && message.attempt === attempt);
+  }
+
+  function applyMessage(message: CallMessage, nowMs: number): void {
+    switch (message.kind) {
+      case 'start':
+        startAttempt(false, nowMs);
+        break;
+      case 'unplaced':
+        isWaiting = false;
+        sent -= 1;
+        closeFailed(
+          mayHaveRun ? FAILURE.EndpointFailed : message.failure.type,
+          message.failure.message,
+          message.failure.retryAfterMs,
+        );
+        break;
+      case 'stream_started':
+        handleStreamStarted(message.head);
+        break;
+      case 'event':
+        if (message.id !== undefined) lastEventId = message.id;
+        commands.push({ kind: 'deliver_event', bytes: message.bytes });
+        break;
+      case 'ended':
+        handleEnd(message.end, nowMs);
+        break;
+      case 'caller_left':
+        handleCallerLeft();
+        break;
+      case 'tick':
+        if (nowMs >= deadlineMs) handleDeadline();
+        else checkStall(nowMs);
+        break;
+      default:
+        assertNever(message);
+    }
+  }
+
+  return {
+    handle(message, nowMs) {
+      commands = [];
+      if (!isEnded && isCurrent(message)) applyMessage(message, nowMs);
+      return commands;
+    },
+    isEnded: () => isEnded,
+    countAttempts: () => sent,
+  };
+}
--- /dev/null
+++ b/src/calls/call-runner.ts
@@ -0,0 +1,303 @@
+/** Carries out what calls' lives ask for: choosing endpoints, exchanges with them, answers. */
+import { createSharedRetryBudget } from '../attempts/shared-retry-budget.js';
+import type { RetryBounds, SharedRetryBudget } from '../attempts/shared-retry-budget.js';
+import { chooseEndpoint } from '../placement/choose-endpoint.js';
+import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import { CALL_KIND } from '../types/traffic.js';
+import type { CallKind, RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
+import { FAILURE, OUTCOME } from '../types/outcomes.js';
+import type { RequestFailure } from '../types/outcomes.js';
+import { assertNever } from '../utils/assert-never.js';
+import type { Random } from '../utils/random.js';
+import { createAttemptReader } from './attempt-reader.js';
+import type { DecodedHead } from './attempt-reader.js';
+import { createCallLife } from './call-life.js';
+import type { CallLife } from './call-life.js';
+import type {
+  AttemptEnd,
+  CallCommand,
+  CallMessage,
+  CallSink,
+  HeaderField,
+  RoutedCall,
+} from './call-messages.js';
+import type { EndpointConnections, EndpointExchange } from './endpoint-connections.js';
+
+/** Calls' deadlines and stalls are looked at this often, in milliseconds: an eighth of the shortest slack a deadline has. */
+const TICK_MS = 25;
+/** With no endpoint in sight a caller comes back after this long, in milliseconds: a registry's change takes less to arrive. */
+const NO_ENDPOINT_RETRY_MS = 1000;
+/** An attempt counts as stalled after this many times the route's target. */
+const STALL_FACTOR = 3;
+/** Prompts are read before a stream's first event; below this time, in milliseconds, silence says nothing. */
+const STREAM_STALL_MIN_MS = 1500;
+/** Connections to one endpoint where its pool states no bound. */
+const CONNECTIONS_UNSTATED = 64;
+/** Part of an endpoint's connections that one instance may take, over the number of instances. */
+const CONNECTIONS_SHARE = 0.8;
+
+/** How endpoints are spoken to. */
+export interface EndpointProtocol {
+  encode(call: RoutedCall, attempt: EncodedAttempt): EndpointExchange;
+  decode(status: number, headers: readonly HeaderField[]): DecodedHead;
+}
+
+/** What differs from attempt to attempt. */
+export interface EncodedAttempt {
+  readonly endpointId: string;
+  /** Time the endpoint may take, in milliseconds. */
+  readonly remainingMs: number;
+  readonly lastEventId: string | undefined;
+}
+
+/** One attempt for the record. */
+export interface AttemptRecord {
+  readonly call: RoutedCall;
+  readonly attempt: number;
+  readonly endpoint: RegisteredEndpoint;
+}
+
+/** Decisions that are told, for logs and metrics. */
+export interface CallObserver {
+  onAttempt(record: AttemptRecord): void;
+  onAttemptEnded(record: AttemptRecord, end: string, tookMs: number): void;
+  onEnded(call: RoutedCall, end: string, attempts: number, tookMs: number): void;
+}
+
+/** What a runner is built on. */
+export interface CallRunnerOptions {
+  readonly connections: EndpointConnections;
+  readonly protocol: EndpointProtocol;
+  readonly loads: EndpointLoads;
+  readonly retryBounds: RetryBounds;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly observer: CallObserver;
+  readonly listOpen: (pool: string) => readonly RegisteredEndpoint[];
+  readonly findPool: (name: string) => TrafficPool | undefined;
+  /** Instances that share the endpoints, this one included. */
+  readonly countInstances: () => number;
+  /** Why the call must not be sent now, if it must not. */
+  readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
+}
+
+/** A call that runs. */
+export interface RunningCall {
+  /** The caller closed its connection. */
+  close(): void;
+}
+
+/** Runs calls. */
+export interface CallRunner {
+  run(call: RoutedCall, sink: CallSink): RunningCall;
+  /** Calls without a final answer. */
+  count(): number;
+}
+
+interface Run {
+  readonly call: RoutedCall;
+  readonly sink: CallSink;
+  readonly life: CallLife;
+  readonly tried: string[];
+  closeExchange: (() => void) | undefined;
+  ticket: LoadTicket | undefined;
+}
+
+const NO_ENDPOINT: RequestFailure = {
+  type: FAILURE.NoEndpoint,
+  message: 'no endpoint of the pool is in sight; come back after the time given',
+  outcome: OUTCOME.NotRun,
+  retryAfterMs: NO_ENDPOINT_RETRY_MS,
+};
+
+function isStream(kind: CallKind): boolean {
+  return kind === CALL_KIND.Stream || kind === CALL_KIND.ResumableStream;
+}
+
+function computeStallMs({ route }: RoutedCall): number {
+  const stallMs = route.targetMs * STALL_FACTOR;
+  return isStream(route.kind) ? Math.max(STREAM_STALL_MIN_MS, stallMs) : stallMs;
+}
+
+/** Whether an attempt's end says something against its endpoint. */
+function isEndpointFailure(end: AttemptEnd): boolean {
+  return end.kind === 'broken' || end.kind === 'unsent';
+}
+
+/** Builds a runner with nothing running. */
+export function createCallRunner(options: CallRunnerOptions): CallRunner {
+  const { connections, protocol, loads, timers, observer } = options;
+  const runs = new Set<Run>();
+  const budgets = new Map<string, SharedRetryBudget>();
+  const getNow = (): number => timers.clock.monotonicMs();
+
+  function getBudget(pool: string): SharedRetryBudget {
+    const known = budgets.get(pool);
+    if (known !== undefined) return known;
+    const budget = createSharedRetryBudget(options.retryBounds);
+    budgets.set(pool, budget);
+    return budget;
+  }
+
+  function computeConnectionsMax(pool: string): number {
+    const declared = options.findPool(pool)?.connectionsMax;
+    if (declared === undefined) return CONNECTIONS_UNSTATED;
+    return Math.max(1, Math.floor((declared * CONNECTIONS_SHARE) / options.countInstances()));
+  }
+
+  function startExchange(
+    run: Run,
+    attempt: number,
+    endpoint: RegisteredEndpoint,
+    lastEventId: string | undefined,
+  ): void {
+    const { call } = run;
+    const startedMs = getNow();
+    const record: AttemptRecord = { call, attempt, endpoint };
+    const ticket = loads.start(endpoint.id, call.prompt?.inputTokens ?? 0);
+    run.ticket = ticket;
+    const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
+      onStreamStarted(head) {
+        advanceRun(run, { kind: 'stream_started', attempt, head });
+      },
+      onEvent({ id, bytes }) {
+        ticket.recordFirst();
+        advanceRun(run, { kind: 'event', attempt, id, bytes });
+      },
+      onEnded(end) {
+        ticket.recordEnd(isEndpointFailure(end), getNow());
+        observer.onAttemptEnded(record, describeEnd(end), getNow() - startedMs);
+        advanceRun(run, { kind: 'ended', attempt, end });
+      },
+    });
+    observer.onAttempt(record);
+    run.closeExchange = connections.open(
+      endpoint.address,
+      computeConnectionsMax(call.pool),
+      protocol.encode(call, {
+        endpointId: endpoint.id,
+        remainingMs: call.deadlineMs - startedMs,
+        lastEventId,
+      }),
+      {
+        onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
+        onData: (bytes) => reader.readData(bytes),
+        onEnd: () => reader.readEnd(),
+        onError: (isSent, reason) => reader.readError(isSent, reason),
+      },
+    );
+  }
+
+  function describeEnd(end: AttemptEnd): string {
+    if (end.kind === 'broken') return `broken: ${end.reason}`;
+    return end.kind === 'answered' ? `answered ${end.head.status}` : end.kind;
+  }
+
+  function startAttempt(run: Run, command: Extract<CallCommand, { kind: 'attempt' }>): void {
+    const { call } = run;
+    const nowMs = getNow();
+    const failure = options.checkSendable(call);
+    if (failure !== undefined) {
+      advanceRun(run, { kind: 'unplaced', failure });
+      return;
+    }
+    const endpoint = chooseEndpoint({
+      endpoints: options.listOpen(call.pool),
+      prompt: call.prompt,
+      excluded: run.tried,
+      loads,
+      random: options.random,
+      nowMs,
+    });
+    if (endpoint === undefined) {
+      advanceRun(run, { kind: 'unplaced', failure: NO_ENDPOINT });
+      return;
+    }
+    run.tried.push(endpoint.id);
+    startExchange(run, command.attempt, endpoint, command.lastEventId);
+  }
+
+  function cancelAttempt(run: Run): void {
+    run.closeExchange?.();
+    run.ticket?.recordEnd(false, getNow());
+  }
+
+  function runCommand(run: Run, command: CallCommand): void {
+    switch (command.kind) {
+      case 'attempt':
+        startAttempt(run, command);
+        break;
+      case 'cancel':
+        cancelAttempt(run);
+        break;
+      case 'deliver_head':
+        run.sink.onHead(command.head);
+        break;
+      case 'deliver_event':
+        run.sink.onEvent(command.bytes);
+        break;
+      case 'deliver_end':
+        run.sink.onEnd();
+        break;
+      case 'deliver_answer':
+        run.sink.onAnswer(command.head, command.body);
+        break;
+      case 'break_answer':
+        run.sink.onBroken();
+        break;
+      case 'fail':
+        run.sink.onFailure(command.failure);
+        break;
+      default:
+        assertNever(command);
+    }
+  }
+
+  function describeCommand(command: CallCommand): string {
+    if (command.kind === 'fail') return `${command.failure.type} (${command.failure.outcome})`;
+    if (command.kind === 'break_answer') return `broken: ${command.reason}`;
+    return command.kind === 'deliver_answer' ? `answered ${command.head.status}` : command.kind;
+  }
+
+  function advanceRun(run: Run, message: CallMessage): void {
+    const commands = run.life.handle(message, getNow());
+    const isOver = run.life.isEnded() && runs.delete(run);
+    for (const command of commands) runCommand(run, command);
+    if (!isOver) return;
+    const last = commands.at(-1);
+    const end = last === undefined ? message.kind : describeCommand(last);
+    observer.onEnded(run.call, end, run.life.countAttempts(), getNow() - run.call.receivedMs);
+  }
+
+  timers.subscribe(TICK_MS, () => {
+    for (const run of [...runs]) advanceRun(run, { kind: 'tick' });
+  });
+
+  return {
+    run(call, sink) {
+      const budget = getBudget(call.pool);
+      budget.recordCall(getNow());
+      const life = createCallLife({
+        kind: call.route.kind,
+        attemptsMax: call.route.attemptsMax,
+        deadlineMs: call.deadlineMs,
+        lastEventId: call.lastEventId,
+        stallMs: computeStallMs(call),
+        takeRetry: () => budget.take(options.countInstances(), getNow()),
+      });
+      const run: Run = {
+        call,
+        sink,
+        life,
+        tried: [],
+        closeExchange: undefined,
+        ticket: undefined,
+      };
+      runs.add(run);
+      advanceRun(run, { kind: 'start' });
+      return { close: () => advanceRun(run, { kind: 'caller_left' }) };
+    },
+    count: () => runs.size,
+  };
+}
--- /dev/null
+++ b/src/calls/event-splitter.ts
@@ -0,0 +1,57 @@
+/**
+ * Cuts a stream of server-sent events at event boundaries, byte for byte. Only whole events come
+ * out: what an endpoint left unfinished is dropped, or a continuation would be joined to half an
+ * event.
+ */
+import { CALL_EVENT_BYTES_MAX } from './call-limits.js';
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_LINE = /(?:^|\n)id:[ ]?([^\r\n]*)/;
+
+/** One whole event, its closing blank line included. */
+export interface StreamEvent {
+  readonly id: string | undefined;
+  readonly bytes: Buffer;
+}
+
+/** A splitter for one stream. */
+export interface EventSplitter {
+  /** Events completed by these bytes; undefined where an event grew beyond all bounds. */
+  add(bytes: Buffer): StreamEvent[] | undefined;
+  /** Whether bytes of an unfinished event are left. */
+  hasRest(): boolean;
+}
+
+/** The position behind the blank line that closes the event, or -1. */
+function findEventEnd(buffer: Buffer, from: number): number {
+  let at = buffer.indexOf(LINE_FEED, from);
+  while (at !== -1) {
+    if (buffer[at + 1] === LINE_FEED) return at + 2;
+    if (buffer[at + 1] === CARRIAGE_RETURN && buffer[at + 2] === LINE_FEED) return at + 3;
+    at = buffer.indexOf(LINE_FEED, at + 1);
+  }
+  return -1;
+}
+
+/** Builds a splitter at the beginning of a stream. */
+export function createEventSplitter(): EventSplitter {
+  let rest: Buffer = Buffer.alloc(0);
+  return {
+    add(bytes) {
+      const buffer = rest.length === 0 ? bytes : Buffer.concat([rest, bytes]);
+      const events: StreamEvent[] = [];
+      let start = 0;
+      let end = findEventEnd(buffer, start);
+      while (end !== -1) {
+        const event = buffer.subarray(start, end);
+        events.push({ id: ID_LINE.exec(event.toString('latin1'))?.[1], bytes: event });
+        start = end;
+        end = findEventEnd(buffer, start);
+      }
+      rest = buffer.subarray(start);
+      return rest.length > CALL_EVENT_BYTES_MAX ? undefined : events;
+    },
+    hasRest: () => rest.length > 0,
+  };
+}
--- a/src/claims/claim-document.ts
+++ b/src/claims/claim-document.ts
@@ -1,5 +1,5 @@
 /** What the platform's table keeps for one request that may run at most once. */
-import type { ItemKey } from '../platform/table-client.js';
+import type { ItemKey } from '../storage/table-client.js';
 import { hashText } from '../utils/hash.js';
 
 /** How far a claimed request got, as far as the table knows. */
--- a/src/cli/platform-flags.ts
+++ b/src/cli/platform-flags.ts
@@ -1,9 +1,9 @@
 /** Flags that say where the platform is and how to talk to it. */
 import { createConfigurationStore } from '../configuration/store.js';
 import type { ConfigurationStore } from '../configuration/store.js';
-import { createObjectClient } from '../platform/object-client.js';
-import { createSignedClient } from '../platform/signed-client.js';
-import { createTableClient } from '../platform/table-client.js';
+import { createObjectClient } from '../storage/object-client.js';
+import { createSignedClient } from '../storage/signed-client.js';
+import { createTableClient } from '../storage/table-client.js';
 
 export const PLATFORM_FLAGS = {
   'platform-table': {
--- a/src/configuration/configuration.test.ts
+++ b/src/configuration/configuration.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { PLATFORM_FAILURE, createPlatformError } from '../platform/platform-error.js';
+import { PLATFORM_FAILURE, createPlatformError } from '../storage/platform-error.js';
 import { createInvariants } from '../runtime/invariants.js';
 import { describe } from '../test/describe.js';
 import { hashText } from '../utils/hash.js';
--- a/src/configuration/publish.ts
+++ b/src/configuration/publish.ts
@@ -2,8 +2,8 @@
  * Publishes a folder: uploads texts, then moves the head by compare-and-set together with an audit
  * record. Operators who race merge file by file; the same file changed by both is a conflict.
  */
-import { PLATFORM_FAILURE } from '../platform/platform-error.js';
-import type { PlatformError } from '../platform/platform-error.js';
+import { PLATFORM_FAILURE } from '../storage/platform-error.js';
+import type { PlatformError } from '../storage/platform-error.js';
 import type { Declarations } from '../types/declarations.js';
 import { hashText } from '../utils/hash.js';
 import { Err, Ok } from '../utils/result.js';
--- a/src/configuration/store.ts
+++ b/src/configuration/store.ts
@@ -1,8 +1,8 @@
 /** Where published configurations live: a head and an audit trail in the table, texts as objects. */
-import type { ObjectClient } from '../platform/object-client.js';
-import { PLATFORM_FAILURE, createPlatformError } from '../platform/platform-error.js';
-import type { PlatformError } from '../platform/platform-error.js';
-import type { ItemKey, TableClient, TableItem } from '../platform/table-client.js';
+import type { ObjectClient } from '../storage/object-client.js';
+import { PLATFORM_FAILURE, createPlatformError } from '../storage/platform-error.js';
+import type { PlatformError } from '../storage/platform-error.js';
+import type { ItemKey, TableClient, TableItem } from '../storage/table-client.js';
 import { hashText } from '../utils/hash.js';
 import { Err, Ok } from '../utils/result.js';
 import type { Result } from '../utils/result.js';
--- /dev/null
+++ b/src/directory/endpoint-directory.ts
@@ -0,0 +1,138 @@
+/**
+ * The endpoints that may get new calls, free of I/O, from what a registry says of them. An endpoint
+ * that is leaving or whose entry was removed gets no new call. Entries that lapse while the registry
+ * is away are kept until it has been back for a moment: the endpoints renew them then.
+ */
+import type { RegisteredEndpoint } from '../types/traffic.js';
+
+/** An endpoint that lives has renewed its entry this long after the registry's return, in milliseconds: the platform's promise. */
+export const RENEWAL_MS = 2000;
+
+/** What the directory is told. */
+export type DirectoryMessage =
+  | { readonly kind: 'registered'; readonly endpoint: RegisteredEndpoint }
+  | { readonly kind: 'removed'; readonly id: string }
+  /** Everything that is registered; what is not in it was removed. */
+  | { readonly kind: 'listed'; readonly endpoints: readonly RegisteredEndpoint[] }
+  | { readonly kind: 'source_lost' }
+  | { readonly kind: 'source_back' }
+  | { readonly kind: 'tick' };
+
+/** What changed for whom. */
+export interface DirectoryChange {
+  readonly id: string;
+  readonly pool: string;
+  readonly change: 'added' | 'leaving' | 'lapsed' | 'renewed' | 'removed';
+}
+
+/** The directory of one process. */
+export interface EndpointDirectory {
+  handle(message: DirectoryMessage, nowMs: number): DirectoryChange[];
+  /** Endpoints of a pool that may get new calls. */
+  listOpen(pool: string): readonly RegisteredEndpoint[];
+  find(id: string): RegisteredEndpoint | undefined;
+  listAll(): readonly RegisteredEndpoint[];
+}
+
+interface Entry {
+  endpoint: RegisteredEndpoint;
+  /** Its registration lapsed while the registry was away. */
+  isLapsed: boolean;
+}
+
+/** Builds an empty directory. */
+export function createEndpointDirectory(): EndpointDirectory {
+  const entries = new Map<string, Entry>();
+  let openOfPool = new Map<string, RegisteredEndpoint[]>();
+  let isSourceLost = false;
+  let sourceBackMs = -Infinity;
+  let changes: DirectoryChange[] = [];
+
+  function recordChange(endpoint: RegisteredEndpoint, change: DirectoryChange['change']): void {
+    changes.push({ id: endpoint.id, pool: endpoint.pool, change });
+  }
+
+  function handleRegistered(endpoint: RegisteredEndpoint): void {
+    const known = entries.get(endpoint.id);
+    if (known === undefined) recordChange(endpoint, 'added');
+    else if (known.isLapsed) recordChange(endpoint, 'renewed');
+    if (endpoint.isLeaving && known?.endpoint.isLeaving !== true) recordChange(endpoint, 'leaving');
+    entries.set(endpoint.id, { endpoint, isLapsed: false });
+  }
+
+  function removeEntry(entry: Entry): void {
+    entries.delete(entry.endpoint.id);
+    recordChange(entry.endpoint, 'removed');
+  }
+
+  function handleRemoved(id: string, nowMs: number): void {
+    const entry = entries.get(id);
+    if (entry === undefined || entry.isLapsed) return;
+    const isRenewalDue = isSourceLost || nowMs - sourceBackMs < RENEWAL_MS;
+    // Guards against emptying a pool whose entries lapsed with the registry: it shows as every
+    // endpoint vanishing at the registry's return although all of them answer.
+    if (isRenewalDue && !entry.endpoint.isLeaving) {
+      entry.isLapsed = true;
+      recordChange(entry.endpoint, 'lapsed');
+      return;
+    }
+    removeEntry(entry);
+  }
+
+  function handleListed(endpoints: readonly RegisteredEndpoint[], nowMs: number): void {
+    const listed = new Set(endpoints.map(({ id }) => id));
+    for (const endpoint of endpoints) handleRegistered(endpoint);
+    for (const id of [...entries.keys()]) if (!listed.has(id)) handleRemoved(id, nowMs);
+  }
+
+  function handleTick(nowMs: number): void {
+    if (isSourceLost || nowMs - sourceBackMs < RENEWAL_MS) return;
+    for (const entry of [...entries.values()]) if (entry.isLapsed) removeEntry(entry);
+  }
+
+  function applyMessage(message: DirectoryMessage, nowMs: number): void {
+    switch (message.kind) {
+      case 'registered':
+        handleRegistered(message.endpoint);
+        break;
+      case 'removed':
+        handleRemoved(message.id, nowMs);
+        break;
+      case 'listed':
+        handleListed(message.endpoints, nowMs);
+        break;
+      case 'source_lost':
+        isSourceLost = true;
+        break;
+      case 'source_back':
+        if (isSourceLost) sourceBackMs = nowMs;
+        isSourceLost = false;
+        break;
+      default:
+        handleTick(nowMs);
+    }
+  }
+
+  function updateOpen(): void {
+    openOfPool = new Map();
+    for (const { endpoint } of entries.values()) {
+      if (!endpoint.isLeaving) {
+        const open = openOfPool.get(endpoint.pool) ?? [];
+        open.push(endpoint);
+        openOfPool.set(endpoint.pool, open);
+      }
+    }
+  }
+
+  return {
+    handle(message, nowMs) {
+      changes = [];
+      applyMessage(message, nowMs);
+      if (message.kind !== 'tick' || changes.length > 0) updateOpen();
+      return changes;
+    },
+    listOpen: (pool) => openOfPool.get(pool) ?? [],
+    find: (id) => entries.get(id)?.endpoint,
+    listAll: () => [...entries.values()].map(({ endpoint }) => endpoint),
+  };
+}
--- /dev/null
+++ b/src/gateway/admit-call.ts
@@ -0,0 +1,98 @@
+/** Checks what a caller asks for against the configuration in hand, and makes a routed call of it. */
+import type { CallPayload, PromptShape, RoutedCall } from '../calls/call-messages.js';
+import { choosePool } from '../routes/route-table.js';
+import type { RouteTable } from '../routes/route-table.js';
+import { FAILURE, OUTCOME } from '../types/outcomes.js';
+import type { Failure, RequestFailure } from '../types/outcomes.js';
+import { Err, Ok } from '../utils/result.js';
+import type { Result } from '../utils/result.js';
+
+/** An instance without knowledge asks callers to come back after this long, in milliseconds: a reconnect takes less. */
+const NOT_READY_RETRY_MS = 500;
+
+/** What a caller sent, as far as the product needs to understand it. */
+export interface CallerRequest {
+  readonly callId: string | undefined;
+  readonly host: string;
+  /** Path without query. */
+  readonly path: string;
+  readonly key: string | undefined;
+  /** How long the caller will wait, in milliseconds; undefined where it does not say. */
+  readonly waitsMs: number | undefined;
+  readonly lastEventId: string | undefined;
+  readonly prompt: PromptShape | undefined;
+  readonly payload: CallPayload;
+  readonly receivedMs: number;
+}
+
+/** What is known when a call comes in. */
+export interface AdmissionKnowledge {
+  readonly table: RouteTable | undefined;
+  /** Whether the table is surely recent enough to say that something does not exist. */
+  readonly isRecent: boolean;
+  /** Whether keys in the table are surely still valid. */
+  readonly areKeysValid: boolean;
+}
+
+function createNotRun(type: Failure, message: string, retryAfterMs?: number): RequestFailure {
+  const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
+  return { type, message, outcome: OUTCOME.NotRun, ...retry };
+}
+
+/** The refusal of an instance whose knowledge is missing or too old for this call. */
+export function createNotReady(message: string): RequestFailure {
+  return createNotRun(FAILURE.NotReady, message, NOT_READY_RETRY_MS);
+}
+
+/** Makes a call of a request, or says why not. */
+export function resolveCall(
+  request: CallerRequest,
+  knowledge: AdmissionKnowledge,
+): Result<RoutedCall, RequestFailure> {
+  const { table } = knowledge;
+  if (table === undefined) {
+    return Err(createNotReady('this instance has no configuration yet; come back or try another'));
+  }
+  const { callId } = request;
+  if (callId === undefined || callId === '') {
+    return Err(createNotRun(FAILURE.BadRequest, 'the request bears no id; send one'));
+  }
+  const route = table.findRoute(request.host, request.path);
+  if (route === undefined) {
+    // A route that is missing in old knowledge may have been added since.
+    if (!knowledge.isRecent) {
+      return Err(createNotReady('this instance cannot tell whether the route exists; try another'));
+    }
+    return Err(createNotRun(FAILURE.UnknownPath, 'no route has this host and path; correct them'));
+  }
+  const isKeyed = table.hasOrganisations && !route.isPublic;
+  const organisation =
+    request.key === undefined || !isKeyed ? undefined : table.findOrganisation(request.key);
+  if (isKeyed && !knowledge.areKeysValid) {
+    return Err(createNotReady('this instance cannot tell whether the key is valid; try another'));
+  }
+  if (isKeyed && organisation === undefined) {
+    if (!knowledge.isRecent) {
+      return Err(createNotReady('this instance cannot tell whether the key exists; try another'));
+    }
+    return Err(createNotRun(FAILURE.Unauthenticated, 'the key is missing or unknown; send one'));
+  }
+  const pool = choosePool(route, callId);
+  if (pool === undefined) {
+    return Err(createNotReady('the route has no pool yet; come back'));
+  }
+  const waitsMs = Math.min(request.waitsMs ?? route.timeoutMs, route.timeoutMs);
+  return Ok({
+    callId,
+    route,
+    pool,
+    organisation: organisation?.name,
+    isKeyed,
+    priority: organisation?.priority ?? route.priority,
+    prompt: request.prompt,
+    payload: request.payload,
+    lastEventId: request.lastEventId,
+    receivedMs: request.receivedMs,
+    deadlineMs: request.receivedMs + waitsMs,
+  });
+}
--- /dev/null
+++ b/src/knowledge/feed-watcher.ts
@@ -0,0 +1,122 @@
+/**
+ * Follows one feed: lists once, then watches for changes, and starts over whenever it cannot be sure
+ * to have missed nothing. Failed calls are repeated on a new connection after a growing pause.
+ */
+import type { TimerService } from '../runtime/timer-service.js';
+import type { Random } from '../utils/random.js';
+import type { FeedAnswer, FeedReader, FeedRow } from './feed.js';
+
+/** The first pause after a failed call, in milliseconds, and the longest: the source answers in 4 ms, and an outage lasts seconds. */
+const RETRY_MIN_MS = 100;
+const RETRY_MAX_MS = 800;
+
+/** What a watcher reports. */
+export interface FeedListener {
+  /** Every row there is; what is missing does not exist. */
+  onListed(rows: readonly FeedRow[], answer: AnswerTimes): void;
+  /** Rows that changed; none where a call only confirmed that nothing did. */
+  onChanged(rows: readonly FeedRow[], answer: AnswerTimes): void;
+  onLost(reason: string): void;
+}
+
+/** When an answer was asked for and given. */
+export interface AnswerTimes {
+  readonly sourceNowMs: number;
+  readonly sentMs: number;
+}
+
+/** Settings of a watcher. */
+export interface FeedWatcherOptions {
+  readonly reader: FeedReader;
+  readonly listener: FeedListener;
+  readonly timers: TimerService;
+  readonly random: Random;
+  /** How long a call waits for a change, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** A feed that is followed. */
+export interface FeedWatcher {
+  /** Doubts the connection: the call under way is given up and made anew. */
+  restart(): void;
+  stop(): void;
+}
+
+/** Starts following a feed. */
+export function startFeedWatcher(options: FeedWatcherOptions): FeedWatcher {
+  const { reader, listener, timers, random } = options;
+  let revision: number | undefined;
+  /** The highest revision ever seen: an answer below it is a read that lags behind. */
+  let highest = 0;
+  let failures = 0;
+  let isStopped = false;
+  let round = 0;
+
+  function computePauseMs(): number {
+    const pauseMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** Math.max(0, failures - 1));
+    return pauseMs * (0.5 + random.next() / 2);
+  }
+
+  function handleRows(answer: Extract<FeedAnswer, { kind: 'rows' }>): void {
+    failures = 0;
+    // Guards against lists that are seconds behind: it shows as a row that comes back after removal.
+    if (answer.revision < highest) return;
+    highest = answer.revision;
+    const isList = revision === undefined;
+    revision = answer.revision;
+    if (isList) listener.onListed(answer.rows, answer);
+    else listener.onChanged(answer.rows, answer);
+  }
+
+  function handleAnswer(answer: FeedAnswer): number {
+    switch (answer.kind) {
+      case 'rows':
+        handleRows(answer);
+        return revision === undefined ? RETRY_MIN_MS : 0;
+      case 'compacted':
+        revision = undefined;
+        return 0;
+      default:
+        failures += 1;
+        reader.reset();
+        listener.onLost(answer.reason);
+        return computePauseMs();
+    }
+  }
+
+  async function fetchNext(): Promise<FeedAnswer> {
+    if (revision === undefined) return reader.list();
+    // After a doubt the first call does not wait: whether the source answers must be known at once.
+    return reader.watch(revision, failures > 0 ? 0 : options.waitMs);
+  }
+
+  async function runRound(current: number): Promise<void> {
+    const answer = await fetchNext();
+    if (isStopped || current !== round) return;
+    const pauseMs = handleAnswer(answer);
+    if (pauseMs > 0) timers.subscribeOnce(pauseMs, () => startRound(current));
+    else setImmediate(() => startRound(current));
+  }
+
+  function startRound(current: number): void {
+    if (isStopped || current !== round) return;
+    runRound(current).catch((error: unknown) => {
+      listener.onLost(`the feed could not be read: ${String(error)}`);
+      timers.subscribeOnce(RETRY_MAX_MS, () => startRound(current));
+    });
+  }
+
+  startRound(round);
+  return {
+    restart() {
+      round += 1;
+      failures = Math.max(1, failures);
+      reader.reset();
+      startRound(round);
+    },
+    stop() {
+      isStopped = true;
+      reader.reset();
+    },
+  };
+}
--- a/src/node/claim-desk.ts
+++ b/src/node/claim-desk.ts
@@ -10,9 +10,9 @@
 } from '../claims/claim.js';
 import { STORED_ANSWER_MAX, buildClaimKey } from '../claims/claim-document.js';
 import type { ClaimDocument, ClaimState, StoredAnswer } from '../claims/claim-document.js';
-import { PLATFORM_FAILURE } from '../platform/platform-error.js';
-import type { PlatformError } from '../platform/platform-error.js';
-import type { ItemKey, TableClient } from '../platform/table-client.js';
+import { PLATFORM_FAILURE } from '../storage/platform-error.js';
+import type { PlatformError } from '../storage/platform-error.js';
+import type { ItemKey, TableClient } from '../storage/table-client.js';
 import { METRIC } from '../runtime/metrics.js';
 import type { Metrics } from '../runtime/metrics.js';
 import type { TimerService } from '../runtime/timer-service.js';
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -10,8 +10,8 @@
   MembershipCommand,
   MembershipMessage,
 } from '../membership/membership-messages.js';
-import type { InstanceListClient } from '../platform/instance-list-client.js';
-import { LISTED_STATE } from '../platform/instance-list-client.js';
+import type { InstanceListClient } from '../storage/instance-list-client.js';
+import { LISTED_STATE } from '../storage/instance-list-client.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import type { MemberStatus } from '../types/router-status.js';
 import { assertNever } from '../utils/assert-never.js';
--- a/src/node/router-core.ts
+++ b/src/node/router-core.ts
@@ -15,8 +15,8 @@
 import { FactKind, FactState, isPresent } from '../membership/facts.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { PeerLinks } from '../peers/peer-links.js';
-import type { InstanceListClient } from '../platform/instance-list-client.js';
-import type { TableClient } from '../platform/table-client.js';
+import type { InstanceListClient } from '../storage/instance-list-client.js';
+import type { TableClient } from '../storage/table-client.js';
 import type { Invariants } from '../runtime/invariants.js';
 import type { Logger } from '../runtime/logger.js';
 import { METRIC } from '../runtime/metrics.js';
--- a/src/soak/fake-platform.ts
+++ b/src/soak/fake-platform.ts
@@ -1,9 +1,9 @@
 /** The platform's services for randomised runs: a table and objects in memory, with its faults. */
-import type { InstanceListClient, ListedInstance } from '../platform/instance-list-client.js';
-import type { ObjectClient } from '../platform/object-client.js';
-import { PLATFORM_FAILURE, createPlatformError } from '../platform/platform-error.js';
-import type { PlatformError, PlatformFailure } from '../platform/platform-error.js';
-import type { ItemKey, TableClient, TableItem, TableWrite } from '../platform/table-client.js';
+import type { InstanceListClient, ListedInstance } from '../storage/instance-list-client.js';
+import type { ObjectClient } from '../storage/object-client.js';
+import { PLATFORM_FAILURE, createPlatformError } from '../storage/platform-error.js';
+import type { PlatformError, PlatformFailure } from '../storage/platform-error.js';
+import type { ItemKey, TableClient, TableItem, TableWrite } from '../storage/table-client.js';
 import { Err, Ok } from '../utils/result.js';
 import type { Result } from '../utils/result.js';
 import type { Random } from '../utils/random.js';
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -6,7 +6,7 @@
 import aws4 from 'aws4';
 import express from 'express';
 import type { Request, Response } from 'express';
-import type { ListedInstance } from '../platform/instance-list-client.js';
+import type { ListedInstance } from '../storage/instance-list-client.js';
 import { startHttpServer } from './http-server.js';
 import { NO_FAULTS, createRateGate, platformFaultsSchema } from './platform-faults.js';
 import type { PlatformFaults } from './platform-faults.js';
--- /dev/null
+++ b/src/types/traffic.ts
@@ -0,0 +1,92 @@
+/** The declared traffic of a deployment: routes, pools, organisations and what callers may send. */
+
+/** How often a call may run, and what its answer looks like. */
+export const CALL_KIND = {
+  Idempotent: 'idempotent',
+  /** At most once for each attempt of the caller. */
+  NonIdempotent: 'non_idempotent',
+  /** An event stream that may run once only. */
+  Stream: 'stream',
+  /** An event stream that another endpoint may continue after the last event delivered. */
+  ResumableStream: 'resumable_stream',
+} as const;
+export type CallKind = (typeof CALL_KIND)[keyof typeof CALL_KIND];
+
+/** A pool and its share of a route's calls, relative to the other weights. */
+export interface WeightedPool {
+  readonly pool: string;
+  readonly weight: number;
+}
+
+/** Calls of one host below one path. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  readonly pathPrefix: string;
+  readonly kind: CallKind;
+  /** The longest a call may be kept waiting, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Time to the answer, or to the first event of a stream, in milliseconds. */
+  readonly targetMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Endpoints one call may be sent to. */
+  readonly attemptsMax: number;
+  /** Whether calls need no key. */
+  readonly isPublic: boolean;
+  readonly pools: readonly WeightedPool[];
+}
+
+/** What a pool's model engines can hold. */
+export interface EngineShape {
+  /** Requests in one batch. */
+  readonly slots: number;
+  /** Tokens of running requests and cached prompts. */
+  readonly cacheTokens: number;
+}
+
+/** A pool of equal endpoints. */
+export interface TrafficPool {
+  readonly name: string;
+  /** Connections an endpoint accepts from all instances together. */
+  readonly connectionsMax: number;
+  /** Undefined for plain services. */
+  readonly engine: EngineShape | undefined;
+}
+
+/** An organisation that sends calls. */
+export interface CallingOrganisation {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Replaces the route's priority. */
+  readonly priority: number | undefined;
+}
+
+/** What a caller may send. */
+export interface CallerLimits {
+  readonly headerBytesMax: number;
+  readonly bodyBytesMax: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** One version of the declared traffic. */
+export interface TrafficConfiguration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly pools: readonly TrafficPool[];
+  readonly organisations: readonly CallingOrganisation[];
+  readonly limits: CallerLimits;
+}
+
+/** One endpoint as it registered itself. */
+export interface RegisteredEndpoint {
+  /** Names one start of the endpoint; a restart has another. */
+  readonly id: string;
+  readonly pool: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  /** Calls it runs at once. */
+  readonly slots: number;
+  readonly isLeaving: boolean;
+}
