--- /dev/null
+++ b/src/calls/call-life.test.ts
@@ -0,0 +1,207 @@
+import fc from 'fast-check';
+import { describe } from '../test/describe.js';
+import { CALL_KIND } from '../types/traffic.js';
+import type { CallKind } from '../types/traffic.js';
+import { OUTCOME } from '../types/outcomes.js';
+import { createCallLife } from './call-life.js';
+import type { CallLife } from './call-life.js';
+import type { AnswerHead, AttemptEnd, CallCommand, CallMessage } from './call-messages.js';
+
+const HEAD: AnswerHead = { status: 200, headers: [] };
+const DEADLINE_MS = 5000;
+const STALL_MS = 600;
+
+interface Harness {
+  readonly life: CallLife;
+  readonly commands: CallCommand[];
+  send(message: CallMessage, nowMs?: number): CallCommand[];
+}
+
+function createHarness(kind: CallKind, attemptsMax = 2, retries = 10): Harness {
+  let left = retries;
+  const commands: CallCommand[] = [];
+  const life = createCallLife({
+    kind,
+    attemptsMax,
+    deadlineMs: DEADLINE_MS,
+    lastEventId: undefined,
+    stallMs: STALL_MS,
+    takeRetry() {
+      left -= 1;
+      return left >= 0;
+    },
+  });
+  return {
+    life,
+    commands,
+    send(message, nowMs = 0) {
+      const sent = life.handle(message, nowMs);
+      commands.push(...sent);
+      return sent;
+    },
+  };
+}
+
+function findFailure(commands: readonly CallCommand[]) {
+  return commands.find((command) => command.kind === 'fail')?.failure;
+}
+
+const BROKEN: AttemptEnd = { kind: 'broken', reason: 'reset' };
+const REJECTED: AttemptEnd = { kind: 'rejected', isWrongEndpoint: false };
+
+describe('call life', ({ describe: block }) => {
+  block('calls that may run once', ({ it }) => {
+    // A clerk posts an order; the connection to its endpoint breaks after the order was written.
+    // Sending it again could ship twice, and "not run" could be false: the answer is 502.
+    it('are not sent again once they may have run, and are not said to be unrun', (t) => {
+      const { send } = createHarness(CALL_KIND.NonIdempotent);
+      send({ kind: 'start' });
+      const ended = send({ kind: 'ended', attempt: 1, end: BROKEN });
+      t.false(ended.some((command) => command.kind === 'attempt'));
+      t.is(findFailure(ended)?.outcome, OUTCOME.MayHaveRun);
+      t.is(findFailure(ended)?.retryAfterMs, undefined);
+    });
+
+    // The first endpoint is full and says so; a second may have the order without danger.
+    it('go to another endpoint when the first proves that it ran nothing', (t) => {
+      const { send } = createHarness(CALL_KIND.NonIdempotent);
+      send({ kind: 'start' });
+      const next = send({ kind: 'ended', attempt: 1, end: REJECTED });
+      t.like(next[0], { kind: 'attempt', attempt: 2, isRepeat: true });
+      const last = send({ kind: 'ended', attempt: 2, end: REJECTED });
+      t.is(findFailure(last)?.outcome, OUTCOME.NotRun);
+      t.truthy(findFailure(last)?.retryAfterMs);
+    });
+
+    // The caller leaves while its order runs: stopping it halfway helps nobody.
+    it('are seen through when their caller leaves', (t) => {
+      const { send } = createHarness(CALL_KIND.NonIdempotent);
+      send({ kind: 'start' });
+      t.deepEqual(send({ kind: 'caller_left' }), []);
+    });
+  });
+
+  block('repeatable calls', ({ it }) => {
+    // An endpoint answers 500 of its own; a second one may do better, and where it does not, the
+    // caller gets the first endpoint's answer rather than one we make up.
+    it('keep the first error while a second endpoint is tried', (t) => {
+      const { send } = createHarness(CALL_KIND.Idempotent);
+      const answer = { head: { status: 500, headers: [] }, body: Buffer.from('sorry') };
+      send({ kind: 'start' });
+      const next = send({ kind: 'ended', attempt: 1, end: { kind: 'answered', ...answer } });
+      t.is(next[0]?.kind, 'attempt');
+      const last = send({ kind: 'ended', attempt: 2, end: BROKEN });
+      t.deepEqual(last, [{ kind: 'deliver_answer', ...answer }]);
+    });
+
+    // An endpoint runs a stock query and its answer is lost: silence until the time limit. After
+    // three times the usual time the query goes to another endpoint, and the first is let go.
+    it('move on when their answer was lost on the way', (t) => {
+      const { send } = createHarness(CALL_KIND.Idempotent);
+      send({ kind: 'start' });
+      t.deepEqual(send({ kind: 'tick' }, STALL_MS - 1), []);
+      const moved = send({ kind: 'tick' }, STALL_MS);
+      t.deepEqual(
+        moved.map(({ kind }) => kind),
+        ['cancel', 'attempt'],
+      );
+    });
+
+    it('are not repeated beyond the shared budget', (t) => {
+      const { send } = createHarness(CALL_KIND.Idempotent, 2, 0);
+      send({ kind: 'start' });
+      const ended = send({ kind: 'ended', attempt: 1, end: BROKEN });
+      t.is(findFailure(ended)?.outcome, OUTCOME.MayHaveRun);
+    });
+  });
+
+  block('streams', ({ it }) => {
+    // An engine dies in the middle of a draft. Another engine goes on after the last whole event;
+    // the caller sees one answer under the first head.
+    it('that may be resumed go on at the last event delivered', (t) => {
+      const { send } = createHarness(CALL_KIND.ResumableStream);
+      send({ kind: 'start' });
+      send({ kind: 'stream_started', attempt: 1, head: HEAD });
+      send({ kind: 'event', attempt: 1, id: '7', bytes: Buffer.from('id: 7\n\n') });
+      const next = send({ kind: 'ended', attempt: 1, end: BROKEN });
+      t.like(next[0], { kind: 'attempt', attempt: 2, lastEventId: '7' });
+      t.deepEqual(send({ kind: 'stream_started', attempt: 2, head: HEAD }), []);
+      const late = send({ kind: 'event', attempt: 1, id: '8', bytes: Buffer.from('id: 8\n\n') });
+      t.deepEqual(late, []);
+    });
+
+    // A stream that may not run twice loses its engine: what the caller has must not look whole.
+    it('that may not be resumed end visibly broken', (t) => {
+      const { send } = createHarness(CALL_KIND.Stream);
+      send({ kind: 'start' });
+      send({ kind: 'stream_started', attempt: 1, head: HEAD });
+      const ended = send({ kind: 'ended', attempt: 1, end: BROKEN });
+      t.is(ended[0]?.kind, 'break_answer');
+    });
+
+    it('are cancelled at the endpoint when their caller leaves', (t) => {
+      const { send } = createHarness(CALL_KIND.Stream);
+      send({ kind: 'start' });
+      t.like(send({ kind: 'caller_left' })[0], { kind: 'cancel', attempt: 1 });
+    });
+  });
+
+  block('the deadline', ({ it }) => {
+    it('ends a call that is under way, as one that may have run', (t) => {
+      const { send } = createHarness(CALL_KIND.NonIdempotent);
+      send({ kind: 'start' });
+      const ended = send({ kind: 'tick' }, DEADLINE_MS);
+      t.is(ended[0]?.kind, 'cancel');
+      t.is(findFailure(ended)?.outcome, OUTCOME.MayHaveRun);
+    });
+  });
+
+  block('for any order of events', ({ it }) => {
+    const ends: AttemptEnd[] = [
+      { kind: 'unsent' },
+      REJECTED,
+      BROKEN,
+      { kind: 'answered', head: { status: 500, headers: [] }, body: Buffer.alloc(0) },
+      { kind: 'answered', head: HEAD, body: Buffer.alloc(0) },
+      { kind: 'stream_ended' },
+    ];
+    const messages = fc.oneof(
+      fc.record({ kind: fc.constant('ended' as const), end: fc.constantFrom(...ends) }),
+      fc.record({ kind: fc.constant('stream_started' as const), head: fc.constant(HEAD) }),
+      fc.record({ kind: fc.constant('tick' as const) }),
+      fc.record({ kind: fc.constant('caller_left' as const) }),
+    );
+
+    it('a call ends once, and what may run once is sent again only with proof', (t) => {
+      fc.assert(
+        fc.property(
+          fc.constantFrom(...Object.values(CALL_KIND)),
+          fc.array(messages, { maxLength: 12 }),
+          (kind, script) => {
+            const { life, commands, send } = createHarness(kind);
+            send({ kind: 'start' });
+            let nowMs = 0;
+            let mayHaveRun = false;
+            for (const step of script) {
+              nowMs += 200;
+              const attempt = commands.filter((command) => command.kind === 'attempt').length;
+              const wasEnded = life.isEnded();
+              const sent = send({ ...step, attempt } as CallMessage, nowMs);
+              const hasProof =
+                step.kind === 'ended' && ['unsent', 'rejected'].includes(step.end.kind);
+              if (!wasEnded && !hasProof && step.kind !== 'caller_left') mayHaveRun = true;
+              const isOnce = kind === CALL_KIND.NonIdempotent || kind === CALL_KIND.Stream;
+              const isSentAgain = sent.some((command) => command.kind === 'attempt');
+              if (isOnce && isSentAgain && mayHaveRun) return false;
+            }
+            const finals = commands.filter(({ kind: end }) =>
+              ['deliver_end', 'deliver_answer', 'break_answer', 'fail'].includes(end),
+            );
+            return finals.length <= 1;
+          },
+        ),
+      );
+      t.pass();
+    });
+  });
+});
--- a/src/calls/call-life.ts
+++ b/src/calls/call-life.ts
@@ -53,6 +53,8 @@
   let attemptSinceMs = 0;
   let mayHaveRun = false;
   let hasHead = false;
+  /** The attempt under way has begun to answer: nothing proves any more that it ran nothing. */
+  let hasBegun = false;
   let isEnded = false;
   let { lastEventId } = options;
   /** An endpoint's own error, kept while a second endpoint is tried. */
@@ -82,6 +84,7 @@
     attempt += 1;
     sent += 1;
     isWaiting = true;
+    hasBegun = false;
     attemptSinceMs = nowMs;
     commands.push({ kind: 'attempt', attempt, lastEventId, isRepeat });
   }
@@ -123,7 +126,10 @@
     commands.push({ kind: 'deliver_answer', ...answer });
   }
 
-  function handleEnd(end: AttemptEnd, nowMs: number): void {
+  function handleEnd(reported: AttemptEnd, nowMs: number): void {
+    const isProof = reported.kind === 'unsent' || reported.kind === 'rejected';
+    const end: AttemptEnd =
+      hasBegun && isProof ? { kind: 'broken', reason: `${reported.kind} after a head` } : reported;
     isWaiting = false;
     switch (end.kind) {
       case 'unsent':
@@ -150,6 +156,7 @@
 
   function handleStreamStarted(head: AnswerHead): void {
     mayHaveRun = true;
+    hasBegun = true;
     // Later endpoints continue the answer under the head of the first.
     if (hasHead) return;
     hasHead = true;
--- /dev/null
+++ b/src/calls/endpoint-connections.test.ts
@@ -0,0 +1,113 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { describe } from '../test/describe.js';
+import { createEndpointConnections } from './endpoint-connections.js';
+import type { EndpointConnections, EndpointExchange } from './endpoint-connections.js';
+
+const EXCHANGE: EndpointExchange = {
+  method: 'POST',
+  target: '/x',
+  headers: [{ name: 'host', value: 'h.example' }],
+  body: Buffer.from('order'),
+};
+
+interface Outcome {
+  readonly end: 'whole' | 'sent' | 'unsent';
+  readonly body: string;
+}
+
+async function startEndpoint(onRequest: (socket: Socket, count: number) => void): Promise<Server> {
+  let count = 0;
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      count += 1;
+      onRequest(socket, count);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return server;
+}
+
+function getAddress(server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function runExchange(connections: EndpointConnections, address: string): Promise<Outcome> {
+  return new Promise((resolve) => {
+    let body = '';
+    connections.open(address, 8, EXCHANGE, {
+      onHead: () => true,
+      onData(bytes) {
+        body += bytes.toString();
+        return true;
+      },
+      onEnd: () => resolve({ end: 'whole', body }),
+      onError: (isSent) => resolve({ end: isSent ? 'sent' : 'unsent', body }),
+    });
+  });
+}
+
+describe('endpoint connections', ({ it }) => {
+  // An endpoint answers without a length and its process dies in the middle: its last bytes and the
+  // reset arrive together, and the caller would see a short answer as whole.
+  it('tell a reset from the orderly end of an answer without a length', async (t) => {
+    const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal';
+    const server = await startEndpoint((socket, count) => {
+      if (count === 1) socket.end(`${head}lo`);
+      else socket.write(head, () => socket.resetAndDestroy());
+    });
+    const connections = createEndpointConnections();
+    t.deepEqual(await runExchange(connections, getAddress(server)), {
+      end: 'whole',
+      body: 'hallo',
+    });
+    const broken = await runExchange(connections, getAddress(server));
+    t.is(broken.end, 'sent');
+    await connections.close();
+    server.close();
+  });
+
+  it('say that nothing was sent where no connection was made', async (t) => {
+    const server = await startEndpoint(() => undefined);
+    const address = getAddress(server);
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+    const connections = createEndpointConnections();
+    t.is((await runExchange(connections, address)).end, 'unsent');
+    await connections.close();
+  });
+
+  // An endpoint sends bytes behind a complete answer; they belong to no request. The next call must
+  // not find them on its connection.
+  it('do not use a connection again on which more came than one answer', async (t) => {
+    const answer = (body: string): string => `HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n${body}`;
+    const server = await startEndpoint((socket, count) => {
+      socket.write(count === 1 ? `${answer('ok')}${answer('xx')}` : answer('ok'));
+    });
+    const connections = createEndpointConnections();
+    t.is((await runExchange(connections, getAddress(server))).body, 'ok');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+    t.is((await runExchange(connections, getAddress(server))).body, 'ok');
+    t.is(connections.countMade(), 2);
+    await connections.close();
+    server.close();
+  });
+
+  it('use a kept connection again', async (t) => {
+    const server = await startEndpoint((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok');
+    });
+    const connections = createEndpointConnections();
+    await runExchange(connections, getAddress(server));
+    await runExchange(connections, getAddress(server));
+    t.is(connections.countMade(), 1);
+    await connections.close();
+    server.close();
+  });
+});
--- /dev/null
+++ b/src/calls/event-splitter.test.ts
@@ -0,0 +1,41 @@
+import fc from 'fast-check';
+import { describe } from '../test/describe.js';
+import { CALL_EVENT_BYTES_MAX } from './call-limits.js';
+import { createEventSplitter } from './event-splitter.js';
+
+describe('event splitter', ({ it }) => {
+  // An engine stops in the middle of an event. Passing the half on would join it to the
+  // continuation's first event, and the caller would read a text nobody wrote.
+  it('gives only whole events, byte for byte, however the stream is cut', (t) => {
+    const stream = Buffer.from(
+      'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweights: 3\nid:3\ndata: c\n\n',
+    );
+    fc.assert(
+      fc.property(fc.array(fc.nat(stream.length)), (cuts) => {
+        const splitter = createEventSplitter();
+        const sorted = [0, ...[...cuts].sort((a, b) => a - b), stream.length];
+        const events = sorted.flatMap(
+          (cut, index) => splitter.add(stream.subarray(sorted[index - 1] ?? 0, cut)) ?? [],
+        );
+        const joined = Buffer.concat(events.map(({ bytes }) => bytes));
+        return (
+          joined.equals(stream) &&
+          !splitter.hasRest() &&
+          events.map(({ id }) => id).join() === '1,2,3'
+        );
+      }),
+    );
+    t.pass();
+  });
+
+  it('keeps an unfinished event to itself', (t) => {
+    const splitter = createEventSplitter();
+    t.is(splitter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))?.length, 1);
+    t.true(splitter.hasRest());
+  });
+
+  it('gives up an event without an end', (t) => {
+    const splitter = createEventSplitter();
+    t.is(splitter.add(Buffer.alloc(CALL_EVENT_BYTES_MAX + 1, 'x')), undefined);
+  });
+});
--- /dev/null
+++ b/src/routes/route-table.test.ts
@@ -0,0 +1,54 @@
+import { describe } from '../test/describe.js';
+import { CALL_KIND } from '../types/traffic.js';
+import type { Route, TrafficConfiguration, WeightedPool } from '../types/traffic.js';
+import { choosePool, createRouteTable } from './route-table.js';
+
+function buildRoute(pathPrefix: string, pools: readonly WeightedPool[] = []): Route {
+  return {
+    name: pathPrefix,
+    host: 'h.example',
+    pathPrefix,
+    kind: CALL_KIND.Idempotent,
+    timeoutMs: 1000,
+    targetMs: 100,
+    priority: 2,
+    attemptsMax: 2,
+    isPublic: false,
+    pools,
+  };
+}
+
+const CONFIGURATION: TrafficConfiguration = {
+  version: 3,
+  routes: [buildRoute('/a/'), buildRoute('/a/b/')],
+  pools: [],
+  organisations: [{ name: 'depots', keys: ['k1', 'k2'], priority: undefined }],
+  limits: { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+describe('route table', ({ it }) => {
+  it('finds the longest prefix of the host', (t) => {
+    const table = createRouteTable(CONFIGURATION);
+    t.is(table.findRoute('h.example', '/a/b/c')?.pathPrefix, '/a/b/');
+    t.is(table.findRoute('h.example', '/a/c')?.pathPrefix, '/a/');
+    t.is(table.findRoute('h.example', '/b/'), undefined);
+    t.is(table.findRoute('other.example', '/a/'), undefined);
+  });
+
+  it('finds the organisation of each of its keys', (t) => {
+    const table = createRouteTable(CONFIGURATION);
+    t.is(table.findOrganisation('k2')?.name, 'depots');
+    t.is(table.findOrganisation('__proto__'), undefined);
+  });
+
+  it('splits calls by weight, the same call always alike', (t) => {
+    const route = buildRoute('/a/', [
+      { pool: 'old', weight: 90 },
+      { pool: 'new', weight: 10 },
+    ]);
+    const ids = Array.from({ length: 2000 }, (_, index) => `call-${index}`);
+    const share = ids.filter((id) => choosePool(route, id) === 'new').length / ids.length;
+    t.true(share > 0.07 && share < 0.13, String(share));
+    t.is(choosePool(route, 'call-1'), choosePool(route, 'call-1'));
+  });
+});
