Instances tell loads in datagrams and lend each other knowledge; decision logs, metrics

Cause: knowledge of keys grows old on machines the store turns away, and each instance sees a seventh of the load.

--- a/src/calls/call-life.test.ts
+++ b/src/calls/call-life.test.ts
@@ -178,7 +178,7 @@
           fc.constantFrom(...Object.values(CALL_KIND)),
           fc.array(messages, { maxLength: 12 }),
           (kind, script) => {
-            const { life, commands, send } = createHarness(kind);
+            const { commands, send } = createHarness(kind);
             send({ kind: 'start' });
             let nowMs = 0;
             let hasBegun = false;
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -2,7 +2,7 @@
 import { createSharedRetryBudget } from '../attempts/shared-retry-budget.js';
 import type { RetryBounds, SharedRetryBudget } from '../attempts/shared-retry-budget.js';
 import { chooseEndpoint } from '../placement/choose-endpoint.js';
-import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
+import type { EndpointLoad, EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import { CALL_KIND } from '../types/traffic.js';
 import type { CallKind, RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
@@ -51,18 +51,34 @@
   readonly lastEventId: string | undefined;
 }
 
-/** One attempt for the record. */
+/** One attempt for the record, with what decided it. */
 export interface AttemptRecord {
   readonly call: RoutedCall;
   readonly attempt: number;
   readonly endpoint: RegisteredEndpoint;
+  /** What was known to be under way at the endpoint. */
+  readonly load: EndpointLoad;
+  /** Endpoints there were to choose from. */
+  readonly candidates: number;
+  readonly remainingMs: number;
+}
+
+/** The end of a call for the record. */
+export interface CallEnd {
+  readonly call: RoutedCall;
+  /** The last command of its life; undefined where the caller left. */
+  readonly final: CallCommand | undefined;
+  readonly attempts: number;
+  /** From the request to the first bytes of the answer, or to its end where there were none. */
+  readonly firstMs: number;
+  readonly tookMs: number;
 }
 
 /** Decisions that are told, for logs and metrics. */
 export interface CallObserver {
   onAttempt(record: AttemptRecord): void;
-  onAttemptEnded(record: AttemptRecord, end: string, tookMs: number): void;
-  onEnded(call: RoutedCall, end: string, attempts: number, tookMs: number): void;
+  onAttemptEnded(record: AttemptRecord, end: AttemptEnd, tookMs: number): void;
+  onEnded(end: CallEnd): void;
 }
 
 /** What a runner is built on. */
@@ -102,6 +118,7 @@
   readonly tried: string[];
   closeExchange: (() => void) | undefined;
   ticket: LoadTicket | undefined;
+  firstMs: number | undefined;
 }
 
 const NO_ENDPOINT: RequestFailure = {
@@ -154,7 +171,14 @@
   ): void {
     const { call } = run;
     const startedMs = getNow();
-    const record: AttemptRecord = { call, attempt, endpoint };
+    const record: AttemptRecord = {
+      call,
+      attempt,
+      endpoint,
+      load: loads.get(endpoint.id),
+      candidates: options.listOpen(call.pool).length,
+      remainingMs: call.deadlineMs - startedMs,
+    };
     const ticket = loads.start(endpoint.id, call.prompt?.inputTokens ?? 0);
     run.ticket = ticket;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
@@ -163,11 +187,12 @@
       },
       onEvent({ id, bytes }) {
         ticket.recordFirst();
+        run.firstMs ??= getNow() - call.receivedMs;
         advanceRun(run, { kind: 'event', attempt, id, bytes });
       },
       onEnded(end) {
         ticket.recordEnd(isEndpointFailure(end), getNow());
-        observer.onAttemptEnded(record, describeEnd(end), getNow() - startedMs);
+        observer.onAttemptEnded(record, end, getNow() - startedMs);
         advanceRun(run, { kind: 'ended', attempt, end });
       },
     });
@@ -177,7 +202,7 @@
       computeConnectionsMax(call.pool),
       protocol.encode(call, {
         endpointId: endpoint.id,
-        remainingMs: call.deadlineMs - startedMs,
+        remainingMs: record.remainingMs,
         lastEventId,
       }),
       {
@@ -189,11 +214,6 @@
     );
   }
 
-  function describeEnd(end: AttemptEnd): string {
-    if (end.kind === 'broken') return `broken: ${end.reason}`;
-    return end.kind === 'answered' ? `answered ${end.head.status}` : end.kind;
-  }
-
   function startAttempt(run: Run, command: Extract<CallCommand, { kind: 'attempt' }>): void {
     const { call } = run;
     const nowMs = getNow();
@@ -254,20 +274,19 @@
     }
   }
 
-  function describeCommand(command: CallCommand): string {
-    if (command.kind === 'fail') return `${command.failure.type} (${command.failure.outcome})`;
-    if (command.kind === 'break_answer') return `broken: ${command.reason}`;
-    return command.kind === 'deliver_answer' ? `answered ${command.head.status}` : command.kind;
-  }
-
   function advanceRun(run: Run, message: CallMessage): void {
     const commands = run.life.handle(message, getNow());
     const isOver = run.life.isEnded() && runs.delete(run);
     for (const command of commands) runCommand(run, command);
     if (!isOver) return;
-    const last = commands.at(-1);
-    const end = last === undefined ? message.kind : describeCommand(last);
-    observer.onEnded(run.call, end, run.life.countAttempts(), getNow() - run.call.receivedMs);
+    const tookMs = getNow() - run.call.receivedMs;
+    observer.onEnded({
+      call: run.call,
+      final: commands.at(-1),
+      attempts: run.life.countAttempts(),
+      firstMs: run.firstMs ?? tookMs,
+      tookMs,
+    });
   }
 
   timers.subscribe(TICK_MS, () => {
@@ -293,6 +312,7 @@
         tried: [],
         closeExchange: undefined,
         ticket: undefined,
+        firstMs: undefined,
       };
       runs.add(run);
       advanceRun(run, { kind: 'start' });
--- /dev/null
+++ b/src/gateway/knowledge-keeper.ts
@@ -0,0 +1,272 @@
+/**
+ * Keeps what the source's tables say in hand: follows both feeds, stands in with what peers know
+ * where the source is out of reach, and distrusts everything after a suspension.
+ */
+import { createEndpointDirectory } from '../directory/endpoint-directory.js';
+import type { DirectoryMessage, EndpointDirectory } from '../directory/endpoint-directory.js';
+import type { FetchKnowledgeRequest, FetchKnowledgeResponse } from '../gen/peer_pb.js';
+import { createConfigurationKnowledge } from '../knowledge/configuration-knowledge.js';
+import type { FeedReader, FeedRow } from '../knowledge/feed.js';
+import { startFeedWatcher } from '../knowledge/feed-watcher.js';
+import type { AnswerTimes } from '../knowledge/feed-watcher.js';
+import { createSourceClock } from '../knowledge/source-clock.js';
+import { createSuspensionDetector } from '../knowledge/suspension-detector.js';
+import { createTableMirror } from '../knowledge/table-mirror.js';
+import type { KnownRevisions } from '../peers/peer-links.js';
+import type { DecisionLog } from '../observability/decision-log.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
+import type { Random } from '../utils/random.js';
+
+const TICK_MS = 100;
+/** A call that waits for a change of the configuration returns after this long, in milliseconds, and so confirms that there is none. */
+export const CONFIGURATION_WAIT_MS = 1500;
+/** The same for endpoints; nothing depends on how old that knowledge is, and a doubt about the source restarts it. */
+const ENDPOINTS_WAIT_MS = 10_000;
+
+/** Reads rows of the source; undefined where a row says nothing the product understands. */
+export interface RowDecoder {
+  decodeConfiguration(row: FeedRow): TrafficConfiguration | undefined;
+  decodeEndpoint(row: FeedRow): RegisteredEndpoint | undefined;
+}
+
+/** What a keeper is built on. */
+export interface KnowledgeKeeperOptions {
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly log: DecisionLog;
+  readonly configurationFeed: FeedReader;
+  readonly endpointFeed: FeedReader;
+  readonly decoder: RowDecoder;
+  readonly onConfiguration: (configuration: TrafficConfiguration) => void;
+  readonly onEndpointRemoved: (id: string) => void;
+}
+
+/** Knowledge of one instance. */
+export interface KnowledgeKeeper {
+  readonly directory: Pick<EndpointDirectory, 'listOpen' | 'find' | 'listAll'>;
+  getConfiguration(): TrafficConfiguration | undefined;
+  /** Milliseconds since the configuration in hand was surely the newest. */
+  computeAge(): number;
+  getRevisions(): KnownRevisions;
+  /** What a peer asks for. */
+  buildResponse(request: FetchKnowledgeRequest): FetchKnowledgeResponse;
+  /** What a peer answered to a question sent at `sentMs`. */
+  applyResponse(peer: string, response: FetchKnowledgeResponse, sentMs: number): void;
+  stop(): void;
+}
+
+/** Builds a keeper; it starts following its feeds at once. */
+export function createKnowledgeKeeper(options: KnowledgeKeeperOptions): KnowledgeKeeper {
+  const { timers, log, decoder } = options;
+  const knowledge = createConfigurationKnowledge<TrafficConfiguration>();
+  const sourceClock = createSourceClock();
+  const suspension = createSuspensionDetector(timers.clock);
+  const directory = createEndpointDirectory();
+  const configurationRows = createTableMirror();
+  const endpointRows = createTableMirror();
+  let trustedSinceMs = -Infinity;
+  let isSourceLost = false;
+  const getNow = (): number => timers.clock.monotonicMs();
+
+  /** Distrusts what is known after a suspension: how long it lasted this process cannot know. */
+  function checkSuspension(): void {
+    if (!suspension.checkSuspended()) return;
+    trustedSinceMs = getNow();
+    sourceClock.reset();
+    knowledge.removeConfirmations();
+    log.write({ event: 'clocks_parted', configurationVersion: knowledge.getVersion() });
+    configurationWatcher.restart();
+    endpointWatcher.restart();
+  }
+
+  function computeAge(): number {
+    checkSuspension();
+    return knowledge.computeAge(getNow());
+  }
+
+  function applyDirectory(message: DirectoryMessage, source: string): void {
+    for (const { id, pool, change } of directory.handle(message, getNow())) {
+      if (change === 'removed') options.onEndpointRemoved(id);
+      log.write({ event: 'endpoint_changed', endpoint: id, pool, change, source });
+    }
+  }
+
+  function handleSourceLost(feed: string, reason: string): void {
+    if (isSourceLost) return;
+    isSourceLost = true;
+    log.write({ event: 'source_lost', feed, reason, knowledgeAgeMs: Math.round(computeAge()) });
+    applyDirectory({ kind: 'source_lost' }, 'source');
+    // One silent connection is reason to doubt the other.
+    if (feed === 'configuration') endpointWatcher.restart();
+  }
+
+  function handleSourceAnswer(feed: string): void {
+    if (!isSourceLost) return;
+    isSourceLost = false;
+    log.write({ event: 'source_back', feed });
+    applyDirectory({ kind: 'source_back' }, 'source');
+  }
+
+  /** Takes rows as the newest as of `knownAtMs`; undefined rows only confirm the version in hand. */
+  function recordConfiguration(rows: readonly FeedRow[], knownAtMs: number, source: string): void {
+    for (const row of rows) {
+      const configuration = decoder.decodeConfiguration(row);
+      if (configuration !== undefined) {
+        const { version } = configuration;
+        const outcome = knowledge.record({ version, configuration, knownAtMs });
+        if (outcome === 'applied') options.onConfiguration(configuration);
+        log.write({ event: 'configuration_reported', version, outcome, source });
+      }
+    }
+  }
+
+  function handleConfigurationAnswer(rows: readonly FeedRow[], times: AnswerTimes): void {
+    handleSourceAnswer('configuration');
+    // An answer asked for before a suspension says nothing of the time since.
+    if (times.sentMs < trustedSinceMs) return;
+    const knownAtMs = sourceClock.record(times);
+    recordConfiguration(rows, knownAtMs, 'source');
+    const version = knowledge.getVersion();
+    if (version > 0) knowledge.record({ version, configuration: undefined, knownAtMs });
+  }
+
+  function handleEndpointList(rows: readonly FeedRow[], source: string): void {
+    const endpoints = rows
+      .map((row) => decoder.decodeEndpoint(row))
+      .filter((endpoint) => endpoint !== undefined);
+    applyDirectory({ kind: 'listed', endpoints }, source);
+  }
+
+  function handleEndpointRows(rows: readonly FeedRow[]): void {
+    for (const row of rows) {
+      const endpoint = decoder.decodeEndpoint(row);
+      if (endpoint !== undefined) applyDirectory({ kind: 'registered', endpoint }, 'source');
+      else if (row.value === undefined) applyDirectory({ kind: 'removed', id: row.key }, 'source');
+    }
+  }
+
+  const configurationWatcher = startFeedWatcher({
+    reader: options.configurationFeed,
+    timers,
+    random: options.random,
+    waitMs: CONFIGURATION_WAIT_MS,
+    listener: {
+      onListed(rows, answer) {
+        configurationRows.setAll(rows, answer.revision);
+        handleConfigurationAnswer(rows, answer);
+      },
+      onChanged(rows, answer) {
+        configurationRows.apply(rows, answer.revision);
+        handleConfigurationAnswer(rows, answer);
+      },
+      onLost: (reason) => handleSourceLost('configuration', reason),
+    },
+  });
+  const endpointWatcher = startFeedWatcher({
+    reader: options.endpointFeed,
+    timers,
+    random: options.random,
+    waitMs: ENDPOINTS_WAIT_MS,
+    listener: {
+      onListed(rows, answer) {
+        endpointRows.setAll(rows, answer.revision);
+        handleSourceAnswer('endpoints');
+        handleEndpointList(rows, 'source');
+      },
+      onChanged(rows, answer) {
+        endpointRows.apply(rows, answer.revision);
+        handleSourceAnswer('endpoints');
+        handleEndpointRows(rows);
+      },
+      onLost: (reason) => handleSourceLost('endpoints', reason),
+    },
+  });
+
+  timers.subscribe(TICK_MS, () => {
+    checkSuspension();
+    applyDirectory({ kind: 'tick' }, 'renewal time');
+  });
+
+  function buildTable(
+    rows: readonly FeedRow[],
+    revision: number,
+    known: number,
+    ageMs: number,
+  ): FetchKnowledgeResponse['configuration'] {
+    if (revision === 0 || !Number.isFinite(ageMs)) return undefined;
+    const isNews = revision > known;
+    return {
+      $typeName: 'hyssoptally.peer.v1.TableKnowledge',
+      revision,
+      ageMs,
+      hasRows: isNews,
+      rows: !isNews
+        ? []
+        : rows.map(({ key, value }) => ({
+            $typeName: 'hyssoptally.peer.v1.TableRow',
+            key,
+            value: value ?? '',
+          })),
+    };
+  }
+
+  function applyConfigurationTable(
+    table: NonNullable<FetchKnowledgeResponse['configuration']>,
+    peer: string,
+    sentMs: number,
+  ): void {
+    // The answer was built after the question was sent, so the knowledge is at most this old.
+    const knownAtMs = sentMs - table.ageMs;
+    if (table.hasRows) {
+      configurationRows.setAll(table.rows, configurationRows.getRevision());
+      recordConfiguration(table.rows, knownAtMs, peer);
+    } else {
+      knowledge.record({ version: table.revision, configuration: undefined, knownAtMs });
+    }
+  }
+
+  return {
+    directory,
+    getConfiguration: () => knowledge.get(),
+    computeAge,
+    getRevisions: () => ({
+      configurationRevision: knowledge.getVersion(),
+      endpointsRevision: endpointRows.getRevision(),
+    }),
+    buildResponse(request) {
+      const ageMs = computeAge();
+      const configuration = buildTable(
+        configurationRows.list(),
+        knowledge.getVersion(),
+        request.configurationRevision,
+        ageMs,
+      );
+      const endpoints = buildTable(
+        endpointRows.list(),
+        endpointRows.getRevision(),
+        request.endpointsRevision,
+        isSourceLost ? Infinity : 0,
+      );
+      return {
+        $typeName: 'hyssoptally.peer.v1.FetchKnowledgeResponse',
+        ...(configuration === undefined ? {} : { configuration }),
+        ...(endpoints === undefined ? {} : { endpoints }),
+      };
+    },
+    applyResponse(peer, { configuration, endpoints }, sentMs) {
+      if (sentMs < trustedSinceMs) return;
+      if (configuration !== undefined) applyConfigurationTable(configuration, peer, sentMs);
+      // While the own feed answers, it is the better source.
+      const isNeeded = isSourceLost || endpointRows.getRevision() === 0;
+      if (isNeeded && endpoints?.hasRows === true) {
+        endpointRows.setAll(endpoints.rows, endpoints.revision);
+        handleEndpointList(endpoints.rows, peer);
+      }
+    },
+    stop() {
+      configurationWatcher.stop();
+      endpointWatcher.stop();
+    },
+  };
+}
--- a/src/knowledge/feed-watcher.ts
+++ b/src/knowledge/feed-watcher.ts
@@ -21,6 +21,7 @@
 
 /** When an answer was asked for and given. */
 export interface AnswerTimes {
+  readonly revision: number;
   readonly sourceNowMs: number;
   readonly sentMs: number;
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -48,6 +48,11 @@
   readonly incarnation: number;
   readonly random: Random;
   readonly invariants: Invariants;
+  /**
+   * A round of probes, in milliseconds. Longer where nothing waits on the verdict.
+   * @default PROBE_PERIOD_MS
+   */
+  readonly probePeriodMs?: number;
 }
 
 interface Probe {
@@ -75,7 +80,7 @@
 
 /** Builds the membership of an instance that knows only itself. */
 export function createMembership(options: MembershipOptions): Membership {
-  const { self, random, invariants } = options;
+  const { self, random, invariants, probePeriodMs = PROBE_PERIOD_MS } = options;
   const facts = new Map<string, Fact>();
   const rumours = new Map<string, Rumour>();
   const probes = new Map<number, Probe>();
@@ -450,7 +455,7 @@
         handleLeave(FactState.LEFT, nowMs);
         break;
       case 'tick':
-        if (nowMs - roundMs >= PROBE_PERIOD_MS) startRound(nowMs);
+        if (nowMs - roundMs >= probePeriodMs) startRound(nowMs);
         checkProbes(nowMs);
         checkSuspects(nowMs);
         break;
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -2,7 +2,9 @@
 import type { Server } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { create } from '@bufbuild/protobuf';
 import Emittery from 'emittery';
+import { FetchKnowledgeResponseSchema } from '../gen/peer_pb.js';
 import { createConfigurationStore } from '../configuration/store.js';
 import { STAGE } from '../lifecycle/drain.js';
 import { createPeerOutbox } from '../peers/peer-outbox.js';
@@ -144,6 +146,8 @@
     },
     onFetchConfiguration: (hashes) => core.buildConfigurationResponse(hashes),
     onQueryAttempt: (attemptId) => core.getAttemptVerdict(attemptId),
+    // This kind of router follows no source tables; an empty answer says so.
+    onFetchKnowledge: () => create(FetchKnowledgeResponseSchema),
   });
   const peersAddress = `${peersListen.host}:${peerServer.port}`;
   const core: RouterCore = createRouterCore({
--- /dev/null
+++ b/src/observability/call-metrics.ts
@@ -0,0 +1,115 @@
+/** Counters and latency histograms of routed calls, in the usual text format, by prom-client. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Upper bounds of latency buckets, in seconds: around the declared targets of 0.12 to 1.5 s and deadlines of 0.6 to 10 s. */
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10];
+
+/** How a call ended, as a label of few values. */
+export const CALL_RESULT = {
+  Served: 'served',
+  Failed: 'failed',
+  Refused: 'refused',
+  Broken: 'broken',
+  CallerLeft: 'caller_left',
+} as const;
+export type CallResult = (typeof CALL_RESULT)[keyof typeof CALL_RESULT];
+
+/** Values that are read when somebody asks. */
+export interface MetricSources {
+  readonly getConfigurationVersion: () => number;
+  readonly getKnowledgeAgeSeconds: () => number;
+  readonly countInstances: () => number;
+  readonly countCalls: () => number;
+  readonly countConnectionsMade: () => number;
+}
+
+/** Metrics of one instance. */
+export interface CallMetrics {
+  /** A call ended; labels by kind of route, whose number is small, never by organisation. */
+  recordCall(kind: string, result: CallResult, firstMs: number, tookMs: number): void;
+  recordAttempt(end: string): void;
+  /** A request was refused before a call was made of it. */
+  recordRefusal(failure: string): void;
+  format(): Promise<string>;
+}
+
+/** Builds metrics. */
+export function createCallMetrics(sources: MetricSources): CallMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const calls = new Counter({
+    name: 'hyssoptally_calls_total',
+    help: 'Calls that ended, by kind of route and result',
+    labelNames: ['kind', 'result'],
+    registers,
+  });
+  const attempts = new Counter({
+    name: 'hyssoptally_attempts_total',
+    help: 'Attempts at endpoints, by how they ended',
+    labelNames: ['end'],
+    registers,
+  });
+  const refusals = new Counter({
+    name: 'hyssoptally_refusals_total',
+    help: 'Requests refused before a call was made of them, by failure',
+    labelNames: ['failure'],
+    registers,
+  });
+  const first = new Histogram({
+    name: 'hyssoptally_call_first_seconds',
+    help: 'Time from a request to the first bytes of its answer',
+    labelNames: ['kind'],
+    buckets: LATENCY_BUCKETS_S,
+    registers,
+  });
+  const whole = new Histogram({
+    name: 'hyssoptally_call_seconds',
+    help: 'Time from a request to the end of its answer',
+    labelNames: ['kind'],
+    buckets: LATENCY_BUCKETS_S,
+    registers,
+  });
+
+  function addGauge(name: string, help: string, read: () => number): void {
+    registry.registerMetric(
+      new Gauge({
+        name,
+        help,
+        registers: [],
+        collect() {
+          this.set(read());
+        },
+      }),
+    );
+  }
+
+  addGauge(
+    'hyssoptally_configuration_version',
+    'Version in force',
+    sources.getConfigurationVersion,
+  );
+  addGauge(
+    'hyssoptally_knowledge_age_seconds',
+    'Time since the configuration in force was surely the newest',
+    sources.getKnowledgeAgeSeconds,
+  );
+  addGauge('hyssoptally_instances', 'Instances held for alive', sources.countInstances);
+  addGauge('hyssoptally_calls_in_flight', 'Calls without a final answer', sources.countCalls);
+  addGauge(
+    'hyssoptally_endpoint_connections_made',
+    'Connections made to endpoints since the start',
+    sources.countConnectionsMade,
+  );
+
+  return {
+    recordCall(kind, result, firstMs, tookMs) {
+      calls.inc({ kind, result });
+      if (result !== CALL_RESULT.Served) return;
+      first.observe({ kind }, firstMs / 1000);
+      whole.observe({ kind }, tookMs / 1000);
+    },
+    recordAttempt: (end) => attempts.inc({ end }),
+    recordRefusal: (failure) => refusals.inc({ failure }),
+    format: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/src/observability/call-observer.ts
@@ -0,0 +1,120 @@
+/** Turns what happens to calls into log lines and metrics. */
+import type { AttemptEnd, CallCommand } from '../calls/call-messages.js';
+import type { AttemptRecord, CallEnd, CallObserver } from '../calls/call-runner.js';
+import { OUTCOME } from '../types/outcomes.js';
+import { CALL_RESULT } from './call-metrics.js';
+import type { CallMetrics, CallResult } from './call-metrics.js';
+import type { DecisionLog } from './decision-log.js';
+
+/** An answer with this status or a higher one is an endpoint's own failure. */
+const SERVER_ERROR_MIN = 500;
+
+/** What an observer needs to know beside the calls. */
+export interface CallObserverOptions {
+  readonly log: DecisionLog;
+  readonly metrics: CallMetrics;
+  readonly getKnowledge: () => { readonly configurationVersion: number; readonly ageMs: number };
+}
+
+function describeAttemptEnd(end: AttemptEnd): string {
+  switch (end.kind) {
+    case 'broken':
+      return `broken: ${end.reason}`;
+    case 'answered':
+      return `answered ${end.head.status}`;
+    case 'rejected':
+      return end.isWrongEndpoint ? 'rejected: another endpoint has the address' : 'rejected: full';
+    default:
+      return end.kind;
+  }
+}
+
+function isGoodAttempt(end: AttemptEnd): boolean {
+  if (end.kind === 'answered') return end.head.status < SERVER_ERROR_MIN;
+  return end.kind === 'stream_ended';
+}
+
+function describeFinal(final: CallCommand | undefined): string {
+  switch (final?.kind) {
+    case undefined:
+      return 'caller left';
+    case 'cancel':
+      return 'caller left';
+    case 'fail':
+      return `${final.failure.type} (${final.failure.outcome}): ${final.failure.message}`;
+    case 'break_answer':
+      return `broken off: ${final.reason}`;
+    case 'deliver_answer':
+      return `answered ${final.head.status}`;
+    default:
+      return 'answered whole';
+  }
+}
+
+function computeResult(final: CallCommand | undefined): CallResult {
+  switch (final?.kind) {
+    case 'fail':
+      return final.failure.outcome === OUTCOME.NotRun ? CALL_RESULT.Refused : CALL_RESULT.Failed;
+    case 'break_answer':
+      return CALL_RESULT.Broken;
+    case 'deliver_answer':
+      return final.head.status < SERVER_ERROR_MIN ? CALL_RESULT.Served : CALL_RESULT.Failed;
+    case 'deliver_end':
+      return CALL_RESULT.Served;
+    default:
+      return CALL_RESULT.CallerLeft;
+  }
+}
+
+/** Builds an observer. */
+export function createCallObserver(options: CallObserverOptions): CallObserver {
+  const { log, metrics } = options;
+  return {
+    onAttempt({ call, attempt, endpoint, load, candidates, remainingMs }: AttemptRecord) {
+      const knowledge = options.getKnowledge();
+      log.write({
+        event: 'attempt_started',
+        request: call.callId,
+        attempt,
+        endpoint: endpoint.id,
+        endpointRunning: load.running,
+        endpointUnreadTokens: load.unreadTokens,
+        candidates,
+        remainingMs: Math.round(remainingMs),
+        configurationVersion: knowledge.configurationVersion,
+        knowledgeAgeMs: Math.round(knowledge.ageMs),
+      });
+    },
+    onAttemptEnded({ call, attempt, endpoint }, end, tookMs) {
+      metrics.recordAttempt(end.kind);
+      if (isGoodAttempt(end)) return;
+      log.write({
+        event: 'attempt_failed',
+        request: call.callId,
+        attempt,
+        endpoint: endpoint.id,
+        end: describeAttemptEnd(end),
+        tookMs: Math.round(tookMs),
+      });
+    },
+    onEnded({ call, final, attempts, firstMs, tookMs }: CallEnd) {
+      const result = computeResult(final);
+      metrics.recordCall(call.route.kind, result, firstMs, tookMs);
+      const isInTime = firstMs <= call.route.targetMs;
+      log.write(
+        {
+          event: 'call_ended',
+          request: call.callId,
+          route: call.route.name,
+          organisation: call.organisation ?? '',
+          end: describeFinal(final),
+          attempts,
+          firstMs: Math.round(firstMs),
+          tookMs: Math.round(tookMs),
+          targetMs: call.route.targetMs,
+        },
+        result === CALL_RESULT.Served && isInTime && attempts === 1,
+      );
+    },
+  };
+}
--- /dev/null
+++ b/src/observability/log-events.ts
@@ -0,0 +1,117 @@
+/** The catalogue of log lines: every event with its fields. docs/OPERATIONS.md explains each. */
+
+/** One line. */
+export type LogEvent =
+  | { readonly event: 'started'; readonly callers: string; readonly peers: string }
+  | { readonly event: 'stopped'; readonly reason: string }
+  | { readonly event: 'leaving'; readonly inFlight: number }
+  | { readonly event: 'settings_reloaded'; readonly outcome: string }
+  | {
+      readonly event: 'source_lost';
+      readonly feed: string;
+      readonly reason: string;
+      readonly knowledgeAgeMs: number;
+    }
+  | { readonly event: 'source_back'; readonly feed: string }
+  | { readonly event: 'clocks_parted'; readonly configurationVersion: number }
+  | {
+      readonly event: 'configuration_reported';
+      readonly version: number;
+      readonly outcome: string;
+      /** 'source', or the peer that told. */
+      readonly source: string;
+    }
+  | {
+      readonly event: 'row_refused';
+      readonly key: string;
+      readonly field: string;
+      readonly reason: string;
+    }
+  | {
+      readonly event: 'endpoint_changed';
+      readonly endpoint: string;
+      readonly pool: string;
+      readonly change: string;
+      readonly source: string;
+    }
+  | {
+      readonly event: 'endpoint_judged';
+      readonly endpoint: string;
+      readonly verdict: string;
+      readonly reason: string;
+    }
+  | { readonly event: 'datagram_refused'; readonly reason: string }
+  | { readonly event: 'peer_changed'; readonly peer: string; readonly state: string }
+  | {
+      readonly event: 'knowledge_asked';
+      readonly peer: string;
+      readonly outcome: string;
+      readonly knowledgeAgeMs: number;
+    }
+  | {
+      /** A request was answered without a call being made of it. */
+      readonly event: 'request_refused';
+      readonly request: string;
+      readonly failure: string;
+      readonly configurationVersion: number;
+      readonly knowledgeAgeMs: number;
+    }
+  | {
+      readonly event: 'attempt_started';
+      readonly request: string;
+      readonly attempt: number;
+      readonly endpoint: string;
+      /** Calls and unread prompt tokens that were known to be under way there. */
+      readonly endpointRunning: number;
+      readonly endpointUnreadTokens: number;
+      readonly candidates: number;
+      readonly remainingMs: number;
+      readonly configurationVersion: number;
+      readonly knowledgeAgeMs: number;
+    }
+  | {
+      readonly event: 'attempt_failed';
+      readonly request: string;
+      readonly attempt: number;
+      readonly endpoint: string;
+      readonly end: string;
+      readonly tookMs: number;
+    }
+  | {
+      readonly event: 'call_ended';
+      readonly request: string;
+      readonly route: string;
+      readonly organisation: string;
+      readonly end: string;
+      readonly attempts: number;
+      readonly firstMs: number;
+      readonly tookMs: number;
+      readonly targetMs: number;
+    }
+  | { readonly event: 'lines_left_out'; readonly kind: LogKind; readonly lines: number };
+
+/** Kinds of lines that have a budget of their own. */
+export const LOG_KIND = {
+  /** Start, stop, reload, dependencies, knowledge. */
+  State: 'state',
+  /** Requests that were refused, failed, retried or late. */
+  Failure: 'failure',
+  /** Requests that went well. */
+  Served: 'served',
+} as const;
+export type LogKind = (typeof LOG_KIND)[keyof typeof LOG_KIND];
+
+/** The kind of a line; `isGood` says whether a call ended well and in time. */
+export function resolveLogKind(event: LogEvent, isGood: boolean): LogKind {
+  switch (event.event) {
+    case 'request_refused':
+    case 'attempt_failed':
+      return LOG_KIND.Failure;
+    case 'attempt_started':
+      return event.attempt > 1 ? LOG_KIND.Failure : LOG_KIND.Served;
+    case 'call_ended':
+      return isGood ? LOG_KIND.Served : LOG_KIND.Failure;
+    default:
+      return LOG_KIND.State;
+  }
+}
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -1,6 +1,16 @@
 /** What an instance needs of its links to peers; the outbox is one way, a test's fake another. */
 import type { AttemptVerdict } from '../claims/claim.js';
-import type { FetchConfigurationResponse, PeerMessage } from '../gen/peer_pb.js';
+import type {
+  FetchConfigurationResponse,
+  FetchKnowledgeResponse,
+  PeerMessage,
+} from '../gen/peer_pb.js';
+
+/** What the asking instance has of the source's tables; 0 for nothing. */
+export interface KnownRevisions {
+  readonly configurationRevision: number;
+  readonly endpointsRevision: number;
+}
 
 /** Links to peers, by address. */
 export interface PeerLinks {
@@ -12,5 +22,7 @@
     hashes: readonly string[],
   ): Promise<FetchConfigurationResponse>;
   /** Rejects when the peer does not answer. */
+  fetchKnowledge(address: string, known: KnownRevisions): Promise<FetchKnowledgeResponse>;
+  /** Rejects when the peer does not answer. */
   queryAttempt(address: string, attemptId: string): Promise<AttemptVerdict>;
 }
--- a/src/peers/peer-outbox.ts
+++ b/src/peers/peer-outbox.ts
@@ -19,6 +19,8 @@
 const CALL_TIMEOUT_MS = 1000;
 /** Texts of a configuration may take longer, in milliseconds. */
 const FETCH_TIMEOUT_MS = 3000;
+/** A peer that answers later than this, in milliseconds, is not asked to stand in for the source: another is. */
+const KNOWLEDGE_TIMEOUT_MS = 400;
 /** Guards against connections gone silent: a ping without an answer closes them. */
 const PING_INTERVAL_MS = 1000;
 const PING_TIMEOUT_MS = 800;
@@ -135,6 +137,8 @@
         { hashes: [...hashes] },
         { timeoutMs: FETCH_TIMEOUT_MS },
       ),
+    fetchKnowledge: (address, known) =>
+      getLink(address).client.fetchKnowledge(known, { timeoutMs: KNOWLEDGE_TIMEOUT_MS }),
     async queryAttempt(address, attemptId) {
       const { verdict } = await getLink(address).client.queryAttempt({ attemptId });
       return parseVerdict(verdict);
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -7,7 +7,12 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { AttemptVerdict } from '../claims/claim.js';
 import { PeerService } from '../gen/peer_pb.js';
-import type { FetchConfigurationResponse, PeerMessage } from '../gen/peer_pb.js';
+import type {
+  FetchConfigurationResponse,
+  FetchKnowledgeRequest,
+  FetchKnowledgeResponse,
+  PeerMessage,
+} from '../gen/peer_pb.js';
 import { hashText, isSameDigest } from '../utils/hash.js';
 import { encodeVerdict } from './attempt-verdict.js';
 import { PEER_SECRET_HEADER } from './peer-outbox.js';
@@ -19,6 +24,7 @@
   onMessages(from: string, bodies: readonly PeerMessage['body'][]): void;
   onFetchConfiguration(hashes: readonly string[]): FetchConfigurationResponse;
   onQueryAttempt(attemptId: string): AttemptVerdict;
+  onFetchKnowledge(request: FetchKnowledgeRequest): FetchKnowledgeResponse;
 }
 
 /** A server that listens for peers. */
@@ -58,6 +64,7 @@
           return {};
         },
         fetchConfiguration: (request) => handlers.onFetchConfiguration(request.hashes),
+        fetchKnowledge: (request) => handlers.onFetchKnowledge(request),
         queryAttempt: (request) => ({
           verdict: encodeVerdict(handlers.onQueryAttempt(request.attemptId)),
         }),
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -1,18 +1,27 @@
-/** What this instance has under way at each endpoint, and how each has answered it lately. */
+/**
+ * What is under way at each endpoint, by own calls and by what other instances tell of theirs, and how
+ * each endpoint has answered lately.
+ */
 
 /** Failures in a row after which an endpoint is set aside. */
 const FAILURES_SUSPECT = 3;
 /** An endpoint set aside gets one call again after this long, in milliseconds. */
 const PROBE_AFTER_MS = 1000;
 
-/** One endpoint as this instance knows it from its own calls. */
+/** What a peer told counts this long, in milliseconds: ten times the pause between two tellings. */
+const TOLD_MAX_AGE_MS = 1000;
+
+/** What is under way at one endpoint. */
 export interface EndpointLoad {
   /** Calls under way. */
   readonly running: number;
   /** Prompt tokens sent for which no first answer has come. */
   readonly unreadTokens: number;
-  readonly failuresInRow: number;
-  readonly lastFailureMs: number;
+}
+
+/** What one instance has under way at one endpoint, as it tells the others. */
+export interface EndpointShareOfLoad extends EndpointLoad {
+  readonly endpoint: string;
 }
 
 /** A call that is under way at an endpoint. */
@@ -25,7 +34,14 @@
 
 /** Loads of all endpoints. */
 export interface EndpointLoads {
+  /** The load of all instances that can be heard. */
   get(id: string): EndpointLoad;
+  /** Own calls under way, for the others. */
+  listOwn(): EndpointShareOfLoad[];
+  /** Everything that another instance has under way. */
+  setTold(instance: string, shares: readonly EndpointShareOfLoad[], nowMs: number): void;
+  /** Leaves out what was told too long ago. */
+  advance(nowMs: number): void;
   /** Whether own calls say that the endpoint should be passed over for now. */
   isSuspect(id: string, nowMs: number): boolean;
   start(id: string, unreadTokens: number): LoadTicket;
@@ -39,27 +55,70 @@
   lastFailureMs: number;
 }
 
-const NO_LOAD: EndpointLoad = {
-  running: 0,
-  unreadTokens: 0,
-  failuresInRow: 0,
-  lastFailureMs: -Infinity,
-};
+interface Told {
+  readonly shares: readonly EndpointShareOfLoad[];
+  readonly toldMs: number;
+}
 
 /** Builds loads of which nothing is known. */
 export function createEndpointLoads(): EndpointLoads {
   const states = new Map<string, LoadState>();
+  const told = new Map<string, Told>();
+  /** Sums of what others told, by endpoint. */
+  const others = new Map<string, { running: number; unreadTokens: number }>();
+
+  function addTold(shares: readonly EndpointShareOfLoad[], sign: 1 | -1): void {
+    for (const { endpoint, running, unreadTokens } of shares) {
+      const sum = others.get(endpoint) ?? { running: 0, unreadTokens: 0 };
+      sum.running += sign * running;
+      sum.unreadTokens += sign * unreadTokens;
+      if (sum.running === 0 && sum.unreadTokens === 0) others.delete(endpoint);
+      else others.set(endpoint, sum);
+    }
+  }
+
+  function removeTold(instance: string): void {
+    const known = told.get(instance);
+    if (known !== undefined) addTold(known.shares, -1);
+    told.delete(instance);
+  }
 
   function getState(id: string): LoadState {
     const known = states.get(id);
     if (known !== undefined) return known;
-    const state: LoadState = { ...NO_LOAD };
+    const state: LoadState = {
+      running: 0,
+      unreadTokens: 0,
+      failuresInRow: 0,
+      lastFailureMs: -Infinity,
+    };
     states.set(id, state);
     return state;
   }
 
   return {
-    get: (id) => states.get(id) ?? NO_LOAD,
+    get(id) {
+      const own = states.get(id);
+      const other = others.get(id);
+      return {
+        running: (own?.running ?? 0) + (other?.running ?? 0),
+        unreadTokens: (own?.unreadTokens ?? 0) + (other?.unreadTokens ?? 0),
+      };
+    },
+    listOwn: () =>
+      [...states]
+        .filter(([, { running }]) => running > 0)
+        .map(([endpoint, { running, unreadTokens }]) => ({ endpoint, running, unreadTokens })),
+    setTold(instance, shares, nowMs) {
+      removeTold(instance);
+      told.set(instance, { shares, toldMs: nowMs });
+      addTold(shares, 1);
+    },
+    advance(nowMs) {
+      for (const [instance, { toldMs }] of told) {
+        if (nowMs - toldMs > TOLD_MAX_AGE_MS) removeTold(instance);
+      }
+    },
     isSuspect(id, nowMs) {
       const state = states.get(id);
       if (state === undefined || state.failuresInRow < FAILURES_SUSPECT) return false;
--- a/src/soak/fake-network.ts
+++ b/src/soak/fake-network.ts
@@ -98,6 +98,8 @@
         },
         fetchConfiguration: (address, hashes) =>
           runCall(address, (peer) => peer.buildConfigurationResponse(hashes)),
+        // Routers of the soak follow no source tables.
+        fetchKnowledge: () => Promise.reject(new Error('no source tables are followed here')),
         queryAttempt: (address, attemptId) =>
           runCall(address, (peer) => peer.getAttemptVerdict(attemptId)),
       };
