Prompts go where they are read soonest; what an endpoint keeps is not counted as unread

Cause: placing counted calls, not the tokens an engine must read before a first answer; a 17,000 token prompt and a 1,400 token one weighed alike.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -2,6 +2,7 @@
 import { createSharedRetryBudget } from '../attempts/shared-retry-budget.js';
 import type { RetryBounds, SharedRetryBudget } from '../attempts/shared-retry-budget.js';
 import { chooseEndpoint } from '../placement/choose-endpoint.js';
+import type { Placement } from '../placement/choose-endpoint.js';
 import type { EndpointLoad, EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import { CALL_KIND } from '../types/traffic.js';
@@ -166,7 +167,7 @@
   function startExchange(
     run: Run,
     attempt: number,
-    endpoint: RegisteredEndpoint,
+    { endpoint, readTokens }: Placement,
     lastEventId: string | undefined,
   ): void {
     const { call } = run;
@@ -179,7 +180,7 @@
       candidates: options.listOpen(call.pool).length,
       remainingMs: call.deadlineMs - startedMs,
     };
-    const ticket = loads.start(endpoint.id, call.prompt?.inputTokens ?? 0);
+    const ticket = loads.start(endpoint.id, readTokens);
     run.ticket = ticket;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
       onStreamStarted(head) {
@@ -222,7 +223,7 @@
       advanceRun(run, { kind: 'unplaced', failure });
       return;
     }
-    const endpoint = chooseEndpoint({
+    const placement = chooseEndpoint({
       endpoints: options.listOpen(call.pool),
       prompt: call.prompt,
       excluded: run.tried,
@@ -230,12 +231,12 @@
       random: options.random,
       nowMs,
     });
-    if (endpoint === undefined) {
+    if (placement === undefined) {
       advanceRun(run, { kind: 'unplaced', failure: NO_ENDPOINT });
       return;
     }
-    run.tried.push(endpoint.id);
-    startExchange(run, command.attempt, endpoint, command.lastEventId);
+    run.tried.push(placement.endpoint.id);
+    startExchange(run, command.attempt, placement, command.lastEventId);
   }
 
   function cancelAttempt(run: Run): void {
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -15,7 +15,7 @@
 import type { Random } from '../utils/random.js';
 
 /** A round of membership probes, in milliseconds: nothing waits on the verdict, and each probe costs a millisecond of processor time on both sides. */
-const PROBE_PERIOD_MS = 1000;
+const PROBE_PERIOD_MS = 2000;
 /** Loads are told this often, in milliseconds: prompts queue for a few hundred. */
 const TELL_PERIOD_MS = 100;
 /** Loads that did not change are told again after this many periods, or they would count as too old. */
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -1,18 +1,25 @@
 /**
- * Chooses the endpoint of a call. Prompts that share a part go to the same endpoint, whichever
- * instance takes them, by rendezvous hashing on the last part that others share; an endpoint that
- * holds clearly more than its share is passed over for the next in the same order. Other calls go to
- * the least loaded of the pool.
+ * Chooses the endpoint of a call, free of I/O.
+ *
+ * Plain calls go to the endpoint with the fewest calls for its slots. Prompts go where they are
+ * expected to be read soonest: behind the tokens that wait unread at an endpoint, plus the tokens of
+ * the prompt that are not kept there. Every instance holds the same two endpoints, by rendezvous
+ * hashing, for those that keep a shared part, so that instances need not tell each other what is
+ * cached where. Reading a shared part again costs everybody behind it, so it counts more than once.
  */
 import type { PromptShape } from '../calls/call-messages.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
-import { hashName } from '../utils/hash.js';
 import type { Random } from '../utils/random.js';
+import { compareRank, computePromptCost } from './engine-model.js';
 import type { EndpointLoads } from './endpoint-loads.js';
 
-/** An endpoint is passed over when it holds more than this many times the mean, and `SPILL_EXTRA` more. */
-const SPILL_FACTOR = 1.5;
-const SPILL_EXTRA = 3;
+/**
+ * How much more a token of a shared part weighs when it has to be read again than one that waits: it
+ * takes engine time from all others and evicts what is kept.
+ */
+const REREAD_WEIGHT = 3;
+/** Tokens that a running call is worth: what its share of each step delays a prompt's chunks. */
+const RUNNING_TOKENS = 150;
 
 /** What a choice depends on. */
 export interface ChoiceInput {
@@ -25,46 +32,65 @@
   readonly nowMs: number;
 }
 
-/** The last part of a prompt that other prompts share. */
-export function findSharedPart(prompt: PromptShape): string | undefined {
-  const shared = prompt.parts.length > 1 ? prompt.parts.at(-2) : prompt.parts.at(-1);
-  return shared?.id;
-}
-
 /** Endpoints that may be chosen: not tried before, not failing, unless nothing else is left. */
 function listCandidates(input: ChoiceInput): readonly RegisteredEndpoint[] {
   const { endpoints, excluded, loads, nowMs } = input;
   const untried = endpoints.filter(({ id }) => !excluded.includes(id));
   const sound = untried.filter(({ id }) => !loads.isSuspect(id, nowMs));
-  if (sound.length > 0) return sound;
-  return untried.length > 0 ? untried : [];
+  return sound.length > 0 ? sound : untried;
 }
 
-function chooseLeastLoaded(
+/** The candidate with the least cost; among equals any. */
+function chooseCheapest(
   candidates: readonly RegisteredEndpoint[],
-  { loads, random }: ChoiceInput,
+  random: Random,
+  computeCost: (endpoint: RegisteredEndpoint) => number,
 ): RegisteredEndpoint | undefined {
   const start = random.nextIndex(Math.max(1, candidates.length));
   let best: RegisteredEndpoint | undefined;
+  let bestCost = Infinity;
   for (let index = 0; index < candidates.length; index += 1) {
     const candidate = candidates[(start + index) % candidates.length] as RegisteredEndpoint;
-    const isLess =
-      best === undefined || loads.get(candidate.id).running < loads.get(best.id).running;
-    if (isLess) best = candidate;
+    const cost = computeCost(candidate);
+    if (best === undefined || cost < bestCost) {
+      best = candidate;
+      bestCost = cost;
+    }
   }
   return best;
 }
 
+/** Where a call goes. */
+export interface Placement {
+  readonly endpoint: RegisteredEndpoint;
+  /** Prompt tokens that the endpoint is expected to read. */
+  readonly readTokens: number;
+}
+
+function choosePlain(
+  candidates: readonly RegisteredEndpoint[],
+  { loads, random }: ChoiceInput,
+): Placement | undefined {
+  const endpoint = chooseCheapest(
+    candidates,
+    random,
+    ({ id, slots }) => (loads.get(id).running + 1) / Math.max(1, slots),
+  );
+  return endpoint === undefined ? undefined : { endpoint, readTokens: 0 };
+}
+
 /** Picks an endpoint, or nothing where none may get the call. */
-export function chooseEndpoint(input: ChoiceInput): RegisteredEndpoint | undefined {
+export function chooseEndpoint(input: ChoiceInput): Placement | undefined {
   const candidates = listCandidates(input);
-  const shared = input.prompt === undefined ? undefined : findSharedPart(input.prompt);
-  if (shared === undefined || candidates.length === 0) return chooseLeastLoaded(candidates, input);
-  const running = candidates.reduce((sum, { id }) => sum + input.loads.get(id).running, 0);
-  const bound = (SPILL_FACTOR * running) / candidates.length + SPILL_EXTRA;
-  const ranked = candidates
-    .map((endpoint) => ({ endpoint, rank: hashName(`${endpoint.id}|${shared}`) }))
-    .sort((a, b) => b.rank - a.rank);
-  const open = ranked.find(({ endpoint }) => input.loads.get(endpoint.id).running <= bound);
-  return (open ?? ranked[0])?.endpoint;
+  const { loads, prompt, random } = input;
+  if (prompt === undefined) return choosePlain(candidates, input);
+  const { sharedPart, sharedTokens, ownTokens } = computePromptCost(prompt);
+  const [home] = [...candidates].sort((a, b) => compareRank(sharedPart, a.id, b.id));
+  const endpoint = chooseCheapest(candidates, random, ({ id }) => {
+    const { unreadTokens, running } = loads.get(id);
+    const reread = id === home?.id ? 0 : sharedTokens * REREAD_WEIGHT;
+    return (unreadTokens + running * RUNNING_TOKENS) * loads.getSlowness(id) + reread;
+  });
+  if (endpoint === undefined) return undefined;
+  return { endpoint, readTokens: ownTokens + (endpoint.id === home?.id ? 0 : sharedTokens) };
 }
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -42,6 +42,8 @@
   setTold(instance: string, shares: readonly EndpointShareOfLoad[], nowMs: number): void;
   /** Leaves out what was told too long ago. */
   advance(nowMs: number): void;
+  /** How many times longer than the others the endpoint takes, by own calls; 1 while nothing is known. */
+  getSlowness(id: string): number;
   /** Whether own calls say that the endpoint should be passed over for now. */
   isSuspect(id: string, nowMs: number): boolean;
   start(id: string, unreadTokens: number): LoadTicket;
@@ -119,6 +121,7 @@
         if (nowMs - toldMs > TOLD_MAX_AGE_MS) removeTold(instance);
       }
     },
+    getSlowness: () => 1,
     isSuspect(id, nowMs) {
       const state = states.get(id);
       if (state === undefined || state.failuresInRow < FAILURES_SUSPECT) return false;
--- /dev/null
+++ b/src/placement/engine-model.ts
@@ -0,0 +1,37 @@
+/**
+ * What a prompt costs at a model engine, as far as it decides where a call goes: the tokens that are
+ * read before its first answer. Engines read prompts in the order they were admitted, a chunk at a
+ * time between the tokens of other requests, so unread tokens are what a new prompt waits behind.
+ */
+import type { PromptPart, PromptShape } from '../calls/call-messages.js';
+import { hashName } from '../utils/hash.js';
+
+/** A prompt as placing sees it. */
+export interface PromptCost {
+  /** The last part that other prompts share; its place in the pool is chosen by it. */
+  readonly sharedPart: string;
+  /** Tokens that an engine which holds the shared parts need not read. */
+  readonly sharedTokens: number;
+  readonly ownTokens: number;
+}
+
+/** Splits a prompt into what others share and what is its own. */
+export function computePromptCost(prompt: PromptShape): PromptCost {
+  const shared: readonly PromptPart[] =
+    prompt.parts.length > 1 ? prompt.parts.slice(0, -1) : prompt.parts;
+  const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+  const total = Math.max(
+    prompt.inputTokens,
+    prompt.parts.reduce((sum, { tokens }) => sum + tokens, 0),
+  );
+  return {
+    sharedPart: `${prompt.model}|${shared.at(-1)?.id ?? ''}`,
+    sharedTokens,
+    ownTokens: total - sharedTokens,
+  };
+}
+
+/** The order in which endpoints are asked to hold a shared part, the same on every instance. */
+export function compareRank(sharedPart: string, a: string, b: string): number {
+  return hashName(`${b}|${sharedPart}`) - hashName(`${a}|${sharedPart}`);
+}
