Leaving refuses what cannot end; cut data centres and silent streams are left behind

Cause: (1) requests on kept connections were taken 5 s after SIGTERM and cut at the end of the grace time; a call that came in the last 100 ms met the exit. (2) a cut data centre's endpoints stayed in use: connects waited 800 ms each and kept connections hung. (3) a resumable stream that fell silent was not moved. Ruled out for (1): the balancer (the connection had been open all along).

--- a/src/calls/call-life.test.ts
+++ b/src/calls/call-life.test.ts
@@ -10,6 +10,7 @@
 const HEAD: AnswerHead = { status: 200, headers: [] };
 const DEADLINE_MS = 5000;
 const STALL_MS = 600;
+const GAP_MS = 800;
 
 interface Harness {
   readonly life: CallLife;
@@ -26,6 +27,7 @@
     deadlineMs: DEADLINE_MS,
     lastEventId: undefined,
     stallMs: STALL_MS,
+    gapMs: GAP_MS,
     takeRetry() {
       left -= 1;
       return left >= 0;
@@ -130,6 +132,19 @@
       t.deepEqual(late, []);
     });
 
+    // A data centre is cut off in the middle of a draft: its events stop coming and nothing breaks.
+    // The caller would give up; the draft goes on at an engine that can be reached.
+    it('that may be resumed move on when they fall silent', (t) => {
+      const { send } = createHarness(CALL_KIND.ResumableStream);
+      send({ kind: 'start' });
+      send({ kind: 'stream_started', attempt: 1, head: HEAD }, 100);
+      send({ kind: 'event', attempt: 1, id: '3', bytes: Buffer.from('id: 3\n\n') }, 200);
+      t.deepEqual(send({ kind: 'tick' }, 200 + GAP_MS - 1), []);
+      const moved = send({ kind: 'tick' }, 200 + GAP_MS);
+      t.like(moved[0], { kind: 'cancel', reason: 'stalled' });
+      t.like(moved[1], { kind: 'attempt', lastEventId: '3' });
+    });
+
     // A stream that may not run twice loses its engine: what the caller has must not look whole.
     it('that may not be resumed end visibly broken', (t) => {
       const { send } = createHarness(CALL_KIND.Stream);
--- a/src/calls/call-life.ts
+++ b/src/calls/call-life.ts
@@ -8,7 +8,13 @@
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { Failure, RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
-import type { AnswerHead, AttemptEnd, CallCommand, CallMessage } from './call-messages.js';
+import type {
+  AnswerHead,
+  AttemptEnd,
+  CallCommand,
+  CallMessage,
+  CancelReason,
+} from './call-messages.js';
 
 /** A caller turned away because the endpoints are full comes back after this long, in milliseconds. */
 const FULL_RETRY_MS = 500;
@@ -25,6 +31,8 @@
   readonly lastEventId: string | undefined;
   /** An attempt without its first answer is given up after this long, in milliseconds, if another may follow. */
   readonly stallMs: number;
+  /** The same for a stream that began and then fell silent. */
+  readonly gapMs: number;
   /** Spends one second try of the shared budget. */
   readonly takeRetry: () => boolean;
 }
@@ -50,7 +58,8 @@
   let sent = 0;
   let unsent = 0;
   let isWaiting = false;
-  let attemptSinceMs = 0;
+  /** When the attempt under way began, or was last heard of. */
+  let heardMs = 0;
   let mayHaveRun = false;
   let hasHead = false;
   /** The attempt under way has begun to answer: nothing proves any more that it ran nothing. */
@@ -85,7 +94,7 @@
     sent += 1;
     isWaiting = true;
     hasBegun = false;
-    attemptSinceMs = nowMs;
+    heardMs = nowMs;
     commands.push({ kind: 'attempt', attempt, lastEventId, isRepeat });
   }
 
@@ -163,7 +172,7 @@
     commands.push({ kind: 'deliver_head', head });
   }
 
-  function cancelAttempt(reason: string): void {
+  function cancelAttempt(reason: CancelReason): void {
     if (!isWaiting) return;
     isWaiting = false;
     commands.push({ kind: 'cancel', attempt, reason });
@@ -180,9 +189,13 @@
     }
   }
 
-  /** Guards against answers that were lost on the way: they show as silence after the call was sent. */
+  /**
+   * Guards against answers that were lost on the way and connections gone silent: both show as
+   * silence after the call was sent, or in the middle of a stream.
+   */
   function checkStall(nowMs: number): void {
-    const isStalled = isWaiting && !hasHead && nowMs - attemptSinceMs >= options.stallMs;
+    const boundMs = hasBegun ? options.gapMs : options.stallMs;
+    const isStalled = isWaiting && nowMs - heardMs >= boundMs;
     if (!isStalled || !isRepeatable || sent >= attemptsMax) return;
     if (!options.takeRetry()) return;
     mayHaveRun = true;
@@ -216,9 +229,11 @@
         );
         break;
       case 'stream_started':
+        heardMs = nowMs;
         handleStreamStarted(message.head);
         break;
       case 'event':
+        heardMs = nowMs;
         if (message.id !== undefined) lastEventId = message.id;
         commands.push({ kind: 'deliver_event', bytes: message.bytes });
         break;
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -87,6 +87,9 @@
   | { readonly kind: 'caller_left' }
   | { readonly kind: 'tick' };
 
+/** Why an attempt is given up. */
+export type CancelReason = 'deadline' | 'stalled' | 'caller left';
+
 /** What a call's life asks for. */
 export type CallCommand =
   /** Choose an endpoint and send the call there, after this event where it goes on. */
@@ -97,7 +100,7 @@
       /** Endpoints are not to be chosen twice. */
       readonly isRepeat: boolean;
     }
-  | { readonly kind: 'cancel'; readonly attempt: number; readonly reason: string }
+  | { readonly kind: 'cancel'; readonly attempt: number; readonly reason: CancelReason }
   | { readonly kind: 'deliver_head'; readonly head: AnswerHead }
   | { readonly kind: 'deliver_event'; readonly bytes: Buffer }
   | { readonly kind: 'deliver_end' }
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -3,7 +3,13 @@
 import type { RetryBounds, SharedRetryBudget } from '../attempts/shared-retry-budget.js';
 import { chooseEndpoint } from '../placement/choose-endpoint.js';
 import type { Placement } from '../placement/choose-endpoint.js';
-import type { EndpointLoad, EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
+import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
+import type {
+  EndpointLoad,
+  EndpointLoads,
+  EndpointVerdict,
+  LoadTicket,
+} from '../placement/endpoint-loads.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import { CALL_KIND } from '../types/traffic.js';
 import type { CallKind, RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
@@ -19,6 +25,7 @@
   AttemptEnd,
   CallCommand,
   CallMessage,
+  CancelReason,
   CallSink,
   HeaderField,
   RoutedCall,
@@ -33,6 +40,10 @@
 const STALL_FACTOR = 3;
 /** Prompts are read before a stream's first event; below this time, in milliseconds, silence says nothing. */
 const STREAM_STALL_MIN_MS = 1500;
+/** A stream counts as stalled after this many times the longest pause that is still in time. */
+const GAP_FACTOR = 2;
+/** Below this time, in milliseconds, a pause is an engine's step; callers give up after two seconds. */
+const GAP_MIN_MS = 800;
 /** Connections to one endpoint where its pool states no bound. */
 const CONNECTIONS_UNSTATED = 64;
 /** Part of an endpoint's connections that one instance may take, over the number of instances. */
@@ -95,6 +106,8 @@
   readonly findPool: (name: string) => TrafficPool | undefined;
   /** Instances that share the endpoints, this one included. */
   readonly countInstances: () => number;
+  /** Whether a data centre is out of reach for now. */
+  readonly isCut: (dataCentre: string) => boolean;
   /** Why the call must not be sent now, if it must not. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
 }
@@ -138,9 +151,22 @@
   return isStream(route.kind) ? Math.max(STREAM_STALL_MIN_MS, stallMs) : stallMs;
 }
 
-/** Whether an attempt's end says something against its endpoint. */
-function isEndpointFailure(end: AttemptEnd): boolean {
-  return end.kind === 'broken' || end.kind === 'unsent';
+function computeGapMs({ route }: RoutedCall): number {
+  return Math.max(GAP_MIN_MS, (route.gapTargetMs ?? 0) * GAP_FACTOR);
+}
+
+/** What an attempt's end says of its endpoint. */
+function computeVerdict(end: AttemptEnd): EndpointVerdict {
+  switch (end.kind) {
+    case 'unsent':
+      return ENDPOINT_VERDICT.Unreachable;
+    case 'broken':
+      return ENDPOINT_VERDICT.Failed;
+    case 'rejected':
+      return ENDPOINT_VERDICT.None;
+    default:
+      return ENDPOINT_VERDICT.Good;
+  }
 }
 
 /** Builds a runner with nothing running. */
@@ -192,7 +218,7 @@
         advanceRun(run, { kind: 'event', attempt, id, bytes });
       },
       onEnded(end) {
-        ticket.recordEnd(isEndpointFailure(end), getNow());
+        ticket.recordEnd(computeVerdict(end), getNow());
         observer.onAttemptEnded(record, end, getNow() - startedMs);
         advanceRun(run, { kind: 'ended', attempt, end });
       },
@@ -225,6 +251,7 @@
     }
     const placement = chooseEndpoint({
       endpoints: options.listOpen(call.pool),
+      isCut: options.isCut,
       prompt: call.prompt,
       excluded: run.tried,
       loads,
@@ -239,9 +266,10 @@
     startExchange(run, command.attempt, placement, command.lastEventId);
   }
 
-  function cancelAttempt(run: Run): void {
+  function cancelAttempt(run: Run, reason: CancelReason): void {
     run.closeExchange?.();
-    run.ticket?.recordEnd(false, getNow());
+    const isSilent = reason === 'stalled';
+    run.ticket?.recordEnd(isSilent ? ENDPOINT_VERDICT.Failed : ENDPOINT_VERDICT.None, getNow());
   }
 
   function runCommand(run: Run, command: CallCommand): void {
@@ -250,7 +278,7 @@
         startAttempt(run, command);
         break;
       case 'cancel':
-        cancelAttempt(run);
+        cancelAttempt(run, command.reason);
         break;
       case 'deliver_head':
         run.sink.onHead(command.head);
@@ -304,6 +332,7 @@
         deadlineMs: call.deadlineMs,
         lastEventId: call.lastEventId,
         stallMs: computeStallMs(call),
+        gapMs: computeGapMs(call),
         takeRetry: () => budget.take(options.countInstances(), getNow()),
       });
       const run: Run = {
--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -6,8 +6,8 @@
 import type { Dispatcher } from 'undici';
 import type { HeaderField } from './call-messages.js';
 
-/** A connection that is not made within this time counts as not made, in milliseconds: a thousand times the distance between data centres. */
-const CONNECT_TIMEOUT_MS = 800;
+/** A connection that is not made within this time counts as not made, in milliseconds: a hundred times a round trip between data centres. A lost opening packet is sent again after a second; another endpoint has answered by then. */
+const CONNECT_TIMEOUT_MS = 300;
 /** How long an idle connection is kept where the endpoint names no time, in milliseconds. */
 const IDLE_UNSTATED_MS = 1500;
 /** An idle connection is given up this long before the endpoint would close it, in milliseconds: a call on its way must not meet the close. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,6 +31,7 @@
 import type { TrafficConfiguration } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
 import type { Random } from '../utils/random.js';
+import { Err } from '../utils/result.js';
 import type { Result } from '../utils/result.js';
 import { createNotReady, resolveCall } from './admit-call.js';
 import type { CallerRequest } from './admit-call.js';
@@ -71,6 +72,8 @@
   readonly keyAgeMaxMs: number;
   /** Longest wait for calls in flight when leaving, in milliseconds. */
   readonly drainTimeoutMs: number;
+  /** How long callers that still come are served after this instance began to leave, in milliseconds. */
+  readonly drainNoticeMs: number;
   readonly onConfiguration: (configuration: TrafficConfiguration) => void;
   readonly onStopAccepting: () => void;
   readonly onDrained: () => void;
@@ -104,7 +107,7 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { timers, log, random } = options;
   const loads = createEndpointLoads();
-  const drain = createDrain(options.drainTimeoutMs);
+  const drain = createDrain(options.drainTimeoutMs, options.drainNoticeMs);
   let table: RouteTable | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
 
@@ -156,6 +159,7 @@
     listOpen: (pool) => keeper.directory.listOpen(pool),
     findPool: (name) => table?.findPool(name),
     countInstances: () => peers.countInstances(),
+    isCut: (dataCentre) => peers.isCut(dataCentre),
     checkSendable(call) {
       // Checked right before each send: a call that waited may have outlived its key.
       if (!call.isKeyed || areKeysValid()) return undefined;
@@ -196,6 +200,9 @@
 
   return {
     resolve(request) {
+      // Guards against taking what cannot be finished any more: it shows as a call cut off when the
+      // process ends. Callers keep using open connections until then.
+      if (!drain.isAccepting()) return Err(createNotReady('this instance is leaving; try another'));
       const ageMs = keeper.computeAge();
       return resolveCall(request, {
         table,
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -5,6 +5,7 @@
 import type { EndpointLoads, EndpointShareOfLoad } from '../placement/endpoint-loads.js';
 import type { FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import { FactState } from '../membership/facts.js';
+import { createReachability } from '../membership/reachability.js';
 import type { Contact } from '../membership/membership-messages.js';
 import { createFleetView } from '../node/fleet-view.js';
 import type { DecisionLog } from '../observability/decision-log.js';
@@ -18,7 +19,7 @@
 const PROBE_PERIOD_MS = 2000;
 /** Loads are told this often, in milliseconds: prompts queue for a few hundred. */
 const TELL_PERIOD_MS = 100;
-/** Loads that did not change are told again after this many periods, or they would count as too old. */
+/** Loads that did not change are told again after this many periods: it is the heartbeat by which others see that they reach this instance. */
 const TELL_REPEAT_PERIODS = 5;
 /** Peers that are told directly; in a larger fleet each tells a changing part. */
 const TELL_PEERS_MAX = 12;
@@ -52,6 +53,8 @@
   handleTold(instance: string, shares: readonly EndpointShareOfLoad[]): void;
   handleBodies(from: string, bodies: readonly PeerMessage['body'][]): void;
   recordUnreachable(address: string): void;
+  /** Whether a data centre is out of reach for now. */
+  isCut(dataCentre: string): boolean;
   /** Instances that share the endpoints, this one included. */
   countInstances(): number;
   leave(): void;
@@ -61,6 +64,7 @@
 /** Starts the exchange. */
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
   const { self, timers, random, log, links, loads } = options;
+  const reachability = createReachability(self.dataCentre);
   let lastTold = '';
   let periodsSinceTold = 0;
 
@@ -98,7 +102,7 @@
     const shares = loads.listOwn();
     const told = JSON.stringify(shares);
     periodsSinceTold += 1;
-    const isRepeatDue = shares.length > 0 && periodsSinceTold >= TELL_REPEAT_PERIODS;
+    const isRepeatDue = periodsSinceTold >= TELL_REPEAT_PERIODS;
     if (told === lastTold && !isRepeatDue) return;
     lastTold = told;
     periodsSinceTold = 0;
@@ -130,7 +134,14 @@
 
   return {
     handleTold(instance, shares) {
-      loads.setTold(instance, shares, timers.clock.monotonicMs());
+      const nowMs = timers.clock.monotonicMs();
+      reachability.recordHeard(instance, nowMs);
+      loads.setTold(instance, shares, nowMs);
+    },
+    isCut(dataCentre) {
+      const others = fleet.listPresent().filter((fact) => fact.subject !== self.name);
+      const peers = others.map((fact) => ({ name: fact.subject, dataCentre: fact.dataCentre }));
+      return reachability.isCut(dataCentre, peers, timers.clock.monotonicMs());
     },
     handleBodies(from, bodies) {
       for (const body of bodies) {
--- a/src/lifecycle/drain.ts
+++ b/src/lifecycle/drain.ts
@@ -29,10 +29,15 @@
 export interface Drain {
   handle(message: DrainMessage, nowMs: number): DrainCommand[];
   getStage(): Stage;
+  /** Whether what still comes is served. */
+  isAccepting(): boolean;
 }
 
-/** Builds the lifecycle of an instance that starts. */
-export function createDrain(timeoutMs: number): Drain {
+/**
+ * Builds the lifecycle of an instance that starts; callers are accepted for `noticeMs` after it leaves.
+ * @default noticeMs 2000
+ */
+export function createDrain(timeoutMs: number, noticeMs = BALANCER_NOTICE_MS): Drain {
   let stage: Stage = STAGE.Starting;
   let leavingSinceMs = 0;
   let isAccepting = true;
@@ -41,7 +46,7 @@
     if (stage !== STAGE.Leaving) return [];
     const commands: DrainCommand[] = [];
     const sinceMs = nowMs - leavingSinceMs;
-    if (isAccepting && sinceMs >= BALANCER_NOTICE_MS) {
+    if (isAccepting && sinceMs >= noticeMs) {
       isAccepting = false;
       commands.push('stop_accepting');
     }
@@ -68,5 +73,6 @@
       }
     },
     getStage: () => stage,
+    isAccepting: () => isAccepting,
   };
 }
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -44,6 +44,8 @@
   left(): void;
   /** Members that may own shards. */
   listAlive(): Fact[];
+  /** Members that have not left of their own will, dead ones included. */
+  listPresent(): Fact[];
   listStatus(): MemberStatus[];
   listLeavingEndpoints(): string[];
   /** Address of a member that takes part. */
@@ -128,6 +130,10 @@
     // A suspect owns nothing: a wrong suspicion costs a moment's double grants, a right one is time
     // won for every request that waits on a dead owner.
     listAlive: () => membership.listMembers().filter((fact) => fact.state === FactState.ALIVE),
+    listPresent: () =>
+      membership
+        .listMembers()
+        .filter((fact) => fact.state !== FactState.LEFT && fact.state !== FactState.LEAVING),
     listStatus: () =>
       membership.listMembers().map((fact) => ({
         name: fact.subject,
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -27,17 +27,23 @@
   readonly prompt: PromptShape | undefined;
   /** Endpoints that had this call already. */
   readonly excluded: readonly string[];
+  /** Whether a data centre is out of reach for now. */
+  readonly isCut: (dataCentre: string) => boolean;
   readonly loads: EndpointLoads;
   readonly random: Random;
   readonly nowMs: number;
 }
 
-/** Endpoints that may be chosen: not tried before, not failing, unless nothing else is left. */
+/** Endpoints that may be chosen: not tried before, within reach, not failing; the least doubtful where no other is left. */
 function listCandidates(input: ChoiceInput): readonly RegisteredEndpoint[] {
   const { endpoints, excluded, loads, nowMs } = input;
   const untried = endpoints.filter(({ id }) => !excluded.includes(id));
-  const sound = untried.filter(({ id }) => !loads.isSuspect(id, nowMs));
-  return sound.length > 0 ? sound : untried;
+  const dataCentres = new Set(untried.map(({ dataCentre }) => dataCentre));
+  const cut = [...dataCentres].filter((dataCentre) => input.isCut(dataCentre));
+  const near = untried.filter(({ dataCentre }) => !cut.includes(dataCentre));
+  const sound = near.filter(({ id }) => !loads.isSuspect(id, nowMs));
+  if (sound.length > 0) return sound;
+  return near.length > 0 ? near : untried;
 }
 
 /** The candidate with the least cost; among equals any. */
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -3,9 +3,11 @@
  * each endpoint has answered lately.
  */
 
-/** Failures in a row after which an endpoint is set aside. */
+import { assertNever } from '../utils/assert-never.js';
+
+/** Failures in a row after which an endpoint is set aside: one may be the call's own. */
 const FAILURES_SUSPECT = 3;
-/** An endpoint set aside gets one call again after this long, in milliseconds. */
+/** An endpoint set aside gets one call again after this long, in milliseconds: a crashed one is back in two seconds or later. */
 const PROBE_AFTER_MS = 1000;
 
 /** What a peer told counts this long, in milliseconds: ten times the pause between two tellings. */
@@ -24,12 +26,24 @@
   readonly endpoint: string;
 }
 
+/** What the end of a call says of its endpoint. */
+export const ENDPOINT_VERDICT = {
+  /** It did its part. */
+  Good: 'good',
+  /** The call ended for reasons that say nothing of it. */
+  None: 'none',
+  /** Its answer broke off or did not come. */
+  Failed: 'failed',
+  /** No connection could be made: all further calls would fail alike. */
+  Unreachable: 'unreachable',
+} as const;
+export type EndpointVerdict = (typeof ENDPOINT_VERDICT)[keyof typeof ENDPOINT_VERDICT];
+
 /** A call that is under way at an endpoint. */
 export interface LoadTicket {
   /** The first bytes of its answer came. */
   recordFirst(): void;
-  /** It ended; `isFailed` where the endpoint did not do its part. */
-  recordEnd(isFailed: boolean, nowMs: number): void;
+  recordEnd(verdict: EndpointVerdict, nowMs: number): void;
 }
 
 /** Loads of all endpoints. */
@@ -98,6 +112,26 @@
     return state;
   }
 
+  function recordVerdict(state: LoadState, verdict: EndpointVerdict, nowMs: number): void {
+    switch (verdict) {
+      case ENDPOINT_VERDICT.Good:
+        state.failuresInRow = 0;
+        break;
+      case ENDPOINT_VERDICT.None:
+        break;
+      case ENDPOINT_VERDICT.Failed:
+        state.failuresInRow += 1;
+        state.lastFailureMs = nowMs;
+        break;
+      case ENDPOINT_VERDICT.Unreachable:
+        state.failuresInRow = Math.max(FAILURES_SUSPECT, state.failuresInRow + 1);
+        state.lastFailureMs = nowMs;
+        break;
+      default:
+        assertNever(verdict);
+    }
+  }
+
   return {
     get(id) {
       const own = states.get(id);
@@ -125,7 +159,8 @@
     isSuspect(id, nowMs) {
       const state = states.get(id);
       if (state === undefined || state.failuresInRow < FAILURES_SUSPECT) return false;
-      return nowMs - state.lastFailureMs < PROBE_AFTER_MS;
+      // One call at a time finds out whether it is back.
+      return state.running > 0 || nowMs - state.lastFailureMs < PROBE_AFTER_MS;
     },
     start(id, unreadTokens) {
       const state = getState(id);
@@ -139,13 +174,12 @@
       };
       return {
         recordFirst: settleUnread,
-        recordEnd(isFailed, nowMs) {
+        recordEnd(verdict, nowMs) {
           if (isEnded) return;
           isEnded = true;
           settleUnread();
           state.running -= 1;
-          state.failuresInRow = isFailed ? state.failuresInRow + 1 : 0;
-          if (isFailed) state.lastFailureMs = nowMs;
+          recordVerdict(state, verdict, nowMs);
         },
       };
     },
--- a/src/routes/route-table.test.ts
+++ b/src/routes/route-table.test.ts
@@ -11,6 +11,7 @@
     kind: CALL_KIND.Idempotent,
     timeoutMs: 1000,
     targetMs: 100,
+    gapTargetMs: undefined,
     priority: 2,
     attemptsMax: 2,
     isPublic: false,
--- a/src/types/traffic.ts
+++ b/src/types/traffic.ts
@@ -28,6 +28,8 @@
   readonly timeoutMs: number;
   /** Time to the answer, or to the first event of a stream, in milliseconds. */
   readonly targetMs: number;
+  /** The longest pause between events of a stream that is still in time, in milliseconds. */
+  readonly gapTargetMs: number | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Endpoints one call may be sent to. */
