--- /dev/null
+++ b/src/knowledge/feed-watcher.test.ts
@@ -0,0 +1,90 @@
+import { describe } from '../test/describe.js';
+import { createTimerService } from '../runtime/timer-service.js';
+import { createSystemClock } from '../runtime/clock.js';
+import { createRandom } from '../utils/random.js';
+import type { FeedAnswer, FeedReader } from './feed.js';
+import { startFeedWatcher } from './feed-watcher.js';
+
+const NEVER = new Promise<FeedAnswer>(() => undefined);
+
+type Call = { readonly kind: 'list' } | { readonly kind: 'watch'; readonly waitMs: number };
+
+function buildRows(revision: number, key = 'k'): FeedAnswer {
+  return { kind: 'rows', rows: [{ key, value: 'v' }], revision, sourceNowMs: 1, sentMs: 1 };
+}
+
+/** Runs a watcher on scripted answers; the last one never comes. */
+async function runWatcher(answers: readonly FeedAnswer[]) {
+  const calls: Call[] = [];
+  const told: string[] = [];
+  let resets = 0;
+  const timers = createTimerService(createSystemClock());
+  const done = new Promise<void>((resolve) => {
+    const sendNext = async (call: Call): Promise<FeedAnswer> => {
+      const next = answers[calls.length];
+      calls.push(call);
+      if (next !== undefined) return next;
+      resolve();
+      return NEVER;
+    };
+    const reader: FeedReader = {
+      list: () => sendNext({ kind: 'list' }),
+      watch: (_, waitMs) => sendNext({ kind: 'watch', waitMs }),
+      reset() {
+        resets += 1;
+      },
+    };
+    startFeedWatcher({
+      reader,
+      timers,
+      random: createRandom(1),
+      waitMs: 1500,
+      listener: {
+        onListed: (_, { revision }) => told.push(`listed ${revision}`),
+        onChanged: (_, { revision }) => told.push(`changed ${revision}`),
+        onLost: (reason) => told.push(`lost ${reason}`),
+      },
+    });
+  });
+  await done;
+  timers.stop();
+  return { calls, told, resets };
+}
+
+describe('feed watcher', ({ it }) => {
+  it('lists once, then watches', async (t) => {
+    const { calls, told } = await runWatcher([buildRows(5), buildRows(6)]);
+    t.deepEqual(told, ['listed 5', 'changed 6']);
+    t.deepEqual(
+      calls.map(({ kind }) => kind),
+      ['list', 'watch', 'watch'],
+    );
+  });
+
+  // The source forgets its history; the list that follows is read from a copy that lags behind, in
+  // which a removed row still stands. Applying it would bring the row back.
+  it('lists anew when the history is gone, and passes over a list that lags', async (t) => {
+    const { told } = await runWatcher([
+      buildRows(5),
+      buildRows(9),
+      { kind: 'compacted' },
+      buildRows(7),
+      buildRows(11),
+    ]);
+    t.deepEqual(told, ['listed 5', 'changed 9', 'listed 11']);
+  });
+
+  // The source goes away: the connection is doubted, and the first call after it does not wait, so
+  // that its return is known at once.
+  it('asks without waiting after a failure, on a new connection', async (t) => {
+    const { calls, told, resets } = await runWatcher([
+      buildRows(5),
+      { kind: 'unavailable', reason: 'silent' },
+      buildRows(5),
+    ]);
+    t.deepEqual(told, ['listed 5', 'lost silent', 'changed 5']);
+    t.is(resets, 1);
+    t.like(calls[2], { kind: 'watch', waitMs: 0 });
+    t.like(calls[3], { kind: 'watch', waitMs: 1500 });
+  });
+});
--- /dev/null
+++ b/src/placement/hold-back.test.ts
@@ -0,0 +1,44 @@
+import { describe } from '../test/describe.js';
+import { compareWaiting, isHeldBack } from './hold-back.js';
+import type { WaitingCall } from './hold-back.js';
+
+const CALL = { receivedMs: 0, deadlineMs: 8000, nowMs: 100 };
+
+describe('holding calls back', ({ describe: block }) => {
+  block('whether', ({ it }) => {
+    // The counter opens while long histories burst in. A clerk's question must not stand behind all
+    // of them in an engine's reading order: the histories wait at the instance instead.
+    it('keeps long, less urgent calls from a busy engine, never the most urgent', (t) => {
+      t.true(isHeldBack({ ...CALL, priority: 2, unreadTokens: 40_000 }));
+      t.false(isHeldBack({ ...CALL, priority: 1, unreadTokens: 40_000 }));
+      t.true(isHeldBack({ ...CALL, priority: 1, unreadTokens: 70_000 }));
+      t.false(isHeldBack({ ...CALL, priority: 0, unreadTokens: 1_000_000 }));
+    });
+
+    it('lets an engine with little to read have work at once', (t) => {
+      t.false(isHeldBack({ ...CALL, priority: 2, unreadTokens: 10_000 }));
+    });
+
+    // Engines stay busy for minutes: a history that waited on would be lost, and no class may starve.
+    it('ends while the call can still be served', (t) => {
+      t.false(isHeldBack({ ...CALL, priority: 2, unreadTokens: 900_000, nowMs: 3300 }));
+    });
+  });
+
+  block('in which order', ({ it }) => {
+    const build = (priority: number, receivedMs: number): WaitingCall => ({
+      priority,
+      receivedMs,
+      targetMs: 1500,
+    });
+
+    it('the urgent first, then those that can still be in time, oldest first', (t) => {
+      const late = build(2, 0);
+      const older = build(2, 1000);
+      const newer = build(2, 1500);
+      const urgent = build(1, 1900);
+      const ordered = [newer, late, older, urgent].sort((a, b) => compareWaiting(a, b, 2000));
+      t.deepEqual(ordered, [urgent, older, newer, late]);
+    });
+  });
+});
