--- a/src/calls/call-life.ts
+++ b/src/calls/call-life.ts
@@ -148,7 +148,13 @@
         handleUnsent(nowMs);
         break;
       case 'rejected':
-        handleLost(true, 'the endpoints are full; come back after the time given', nowMs);
+        handleLost(
+          true,
+          end.isWrongEndpoint
+            ? 'the endpoint is gone; come back after the time given'
+            : 'the endpoints are full; come back after the time given',
+          nowMs,
+        );
         break;
       case 'broken':
         mayHaveRun = true;
--- a/src/cli/ctl-main.ts
+++ b/src/cli/ctl-main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** The operators' tool: checks, publishes and shows declarations, and the state of the fleet. */
 import { randomBytes, randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
 import { userInfo } from 'node:os';
 import { request } from 'undici';
 import { createCompiler } from '../configuration/compile-files.js';
@@ -11,6 +12,7 @@
 import type { PublishError, PublishRequest } from '../configuration/publish.js';
 import { readFolder } from '../configuration/read-folder.js';
 import type { ConfigurationStore } from '../configuration/store.js';
+import { listStory } from '../observability/explain.js';
 import type { RouterStatus } from '../types/router-status.js';
 import { hashText } from '../utils/hash.js';
 import { EXIT_CODE, createCommandLine, listArguments, runMain } from './command-line.js';
@@ -52,6 +54,14 @@
 
 let exitCode: ExitCode = EXIT_CODE.Ok;
 
+function runExplain(request: string, files: readonly string[], isJson: boolean): void {
+  const lines = files.flatMap((file) => readFileSync(file, 'utf8').split('\n'));
+  const story = listStory(request, lines);
+  if (story.length === 0) exitCode = EXIT_CODE.Failed;
+  const nothing = `no line names request ${request}; look at lines_left_out and at other instances`;
+  print(isJson, story, story.length === 0 ? nothing : story.join('\n'));
+}
+
 function print(isJson: boolean, value: unknown, text: string): void {
   process.stdout.write(isJson ? `${JSON.stringify(value, undefined, 2)}\n` : `${text}\n`);
 }
@@ -297,6 +307,15 @@
       (command) => command,
       (args) => runKey(args.json),
     )
+    .command(
+      'explain <request> <files..>',
+      'one request’s story from the logs of several instances',
+      (command) =>
+        command
+          .positional('request', { type: 'string', demandOption: true })
+          .positional('files', { type: 'string', array: true, demandOption: true }),
+      (args) => runExplain(args.request, args.files, args.json),
+    )
     .demandCommand(1, 'name a command; --help lists them')
     .parseAsync();
   return exitCode;
--- /dev/null
+++ b/src/observability/explain.test.ts
@@ -0,0 +1,30 @@
+import { describe } from '../test/describe.js';
+import { listStory } from './explain.js';
+
+function buildLine(second: number, instance: string, message: string, fields: object): string {
+  const timestamp = `2026-05-29T22:58:${String(second).padStart(2, '0')}.000Z`;
+  return JSON.stringify({ timestamp, instance, message, level: 'info', ...fields });
+}
+
+describe('explaining a request', ({ it }) => {
+  // A clerk complains of a refusal. The instance had lost the store two seconds earlier.
+  it('puts what its instance believed beside what happened to it, in order', (t) => {
+    const story = listStory('r1', [
+      buildLine(37, 'front-1', 'request_refused', { request: 'r1', knowledgeAgeMs: 4569 }),
+      'something else',
+      buildLine(34, 'front-1', 'source_lost', { feed: 'configuration' }),
+      buildLine(34, 'front-2', 'source_lost', { feed: 'configuration' }),
+      buildLine(33, 'front-1', 'endpoint_changed', { endpoint: 'i-9' }),
+      buildLine(10, 'front-1', 'started', {}),
+    ]);
+    t.deepEqual(
+      story.map((line) => line.split(' ').slice(1, 3).join(' ')),
+      ['front-1 source_lost', 'front-1 request_refused'],
+    );
+    t.regex(story[1] ?? '', /knowledgeAgeMs=4569/);
+  });
+
+  it('tells nothing of a request that left no line', (t) => {
+    t.deepEqual(listStory('r2', [buildLine(1, 'front-1', 'started', {})]), []);
+  });
+});
