--- a/src/cli/ctl-main.ts
+++ b/src/cli/ctl-main.ts
@@ -54,11 +54,11 @@
 
 let exitCode: ExitCode = EXIT_CODE.Ok;
 
-function runExplain(request: string, files: readonly string[], isJson: boolean): void {
+function runExplain(requestId: string, files: readonly string[], isJson: boolean): void {
   const lines = files.flatMap((file) => readFileSync(file, 'utf8').split('\n'));
-  const story = listStory(request, lines);
+  const story = listStory(requestId, lines);
   if (story.length === 0) exitCode = EXIT_CODE.Failed;
-  const nothing = `no line names request ${request}; look at lines_left_out and at other instances`;
+  const nothing = `no line names request ${requestId}; look at lines_left_out and at other instances`;
   print(isJson, story, story.length === 0 ? nothing : story.join('\n'));
 }
 
--- a/src/knowledge/feed-watcher.test.ts
+++ b/src/knowledge/feed-watcher.test.ts
@@ -5,7 +5,9 @@
 import type { FeedAnswer, FeedReader } from './feed.js';
 import { startFeedWatcher } from './feed-watcher.js';
 
-const NEVER = new Promise<FeedAnswer>(() => undefined);
+const NEVER = new Promise<FeedAnswer>(() => {
+  // Settles never: the script is over.
+});
 
 type Call = { readonly kind: 'list' } | { readonly kind: 'watch'; readonly waitMs: number };
 
