--- a/scripts/clean-dist.mjs
+++ b/scripts/clean-dist.mjs
@@ -2,3 +2,4 @@
 import { rmSync } from 'node:fs';
 
 rmSync('dist', { recursive: true, force: true });
+rmSync('target', { recursive: true, force: true });
