--- /dev/null
+++ b/src/calls/attempt-bounds.ts
@@ -0,0 +1,45 @@
+/** When an attempt counts as stalled, and what its end says of its endpoint. */
+import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
+import type { EndpointVerdict } from '../placement/endpoint-loads.js';
+import { CALL_KIND } from '../types/traffic.js';
+import type { CallKind } from '../types/traffic.js';
+import type { AttemptEnd, RoutedCall } from './call-messages.js';
+
+/** An attempt counts as stalled after this many times the route's target. */
+const STALL_FACTOR = 3;
+/** Prompts are read before a stream's first event; below this time, in milliseconds, silence says nothing. */
+const STREAM_STALL_MIN_MS = 1500;
+/** A stream counts as stalled after this many times the longest pause that is still in time. */
+const GAP_FACTOR = 2;
+/** Below this time, in milliseconds, a pause is an engine's step; callers give up after two seconds. */
+const GAP_MIN_MS = 800;
+/** Whether the answer is an event stream. */
+export function isStream(kind: CallKind): boolean {
+  return kind === CALL_KIND.Stream || kind === CALL_KIND.ResumableStream;
+}
+
+/** Silence after which an attempt without an answer is given up, in milliseconds. */
+export function computeStallMs({ route }: RoutedCall): number {
+  const stallMs = route.targetMs * STALL_FACTOR;
+  return isStream(route.kind) ? Math.max(STREAM_STALL_MIN_MS, stallMs) : stallMs;
+}
+
+/** Silence after which a stream that began is given up, in milliseconds. */
+export function computeGapMs({ route }: RoutedCall): number {
+  return Math.max(GAP_MIN_MS, (route.gapTargetMs ?? 0) * GAP_FACTOR);
+}
+
+/** What an attempt's end says of its endpoint. */
+export function computeVerdict(end: AttemptEnd): EndpointVerdict {
+  switch (end.kind) {
+    case 'unsent':
+      return ENDPOINT_VERDICT.Unreachable;
+    case 'broken':
+      return ENDPOINT_VERDICT.Failed;
+    case 'rejected':
+      // Where another endpoint has the address, this one is gone and its entry lags behind.
+      return end.isWrongEndpoint ? ENDPOINT_VERDICT.Unreachable : ENDPOINT_VERDICT.None;
+    default:
+      return ENDPOINT_VERDICT.Good;
+  }
+}
--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -8,7 +8,6 @@
   isUnrun: false,
   isWrongEndpoint: false,
   isSigned: true,
-  isClosing: false,
   isEventStream: false,
   headers: [],
 };
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -17,8 +17,6 @@
   readonly isWrongEndpoint: boolean;
   /** The answer bears the mark that every endpoint puts on its own. */
   readonly isSigned: boolean;
-  /** The endpoint takes no more calls: it is leaving, or closes this connection. */
-  readonly isClosing: boolean;
   readonly isEventStream: boolean;
   readonly headers: readonly HeaderField[];
 }
--- a/src/calls/call-life.test.ts
+++ b/src/calls/call-life.test.ts
@@ -73,7 +73,7 @@
       const { send } = createHarness(CALL_KIND.NonIdempotent);
       send({ kind: 'start' });
       const next = send({ kind: 'ended', attempt: 1, end: REJECTED });
-      t.like(next[0], { kind: 'attempt', attempt: 2, isRepeat: true });
+      t.like(next[0], { kind: 'attempt', attempt: 2 });
       const last = send({ kind: 'ended', attempt: 2, end: REJECTED });
       t.is(findFailure(last)?.outcome, OUTCOME.NotRun);
       t.truthy(findFailure(last)?.retryAfterMs);
--- a/src/calls/call-life.ts
+++ b/src/calls/call-life.ts
@@ -91,14 +91,14 @@
     commands.push({ kind: 'fail', failure });
   }
 
-  function startAttempt(isRepeat: boolean, nowMs: number): void {
+  function startAttempt(nowMs: number): void {
     attempt += 1;
     sent += 1;
     isWaiting = true;
     isDispatched = false;
     hasBegun = false;
     heardMs = nowMs;
-    commands.push({ kind: 'attempt', attempt, lastEventId, isRepeat });
+    commands.push({ kind: 'attempt', attempt, lastEventId });
   }
 
   /** Ends a call that no endpoint answered and that may not be sent again. */
@@ -110,7 +110,7 @@
   /** Sends the call to another endpoint if that is allowed, else ends it. */
   function handleLost(isProvedUnrun: boolean, message: string, nowMs: number): void {
     const isAllowed = (isProvedUnrun || isRepeatable) && sent < attemptsMax;
-    if (isAllowed && options.takeRetry()) startAttempt(true, nowMs);
+    if (isAllowed && options.takeRetry()) startAttempt(nowMs);
     else closeUnanswered(message);
   }
 
@@ -118,7 +118,7 @@
     sent -= 1;
     unsent += 1;
     if (unsent > UNSENT_MAX) closeUnanswered('no endpoint could be reached; come back later');
-    else startAttempt(true, nowMs);
+    else startAttempt(nowMs);
   }
 
   function handleAnswered(answer: Answer, nowMs: number): void {
@@ -131,7 +131,7 @@
     }
     if (isError && isRepeatable && sent < attemptsMax && options.takeRetry()) {
       kept = answer;
-      startAttempt(true, nowMs);
+      startAttempt(nowMs);
       return;
     }
     isEnded = true;
@@ -209,7 +209,7 @@
     if (!options.takeRetry()) return;
     mayHaveRun = true;
     cancelAttempt('stalled');
-    startAttempt(true, nowMs);
+    startAttempt(nowMs);
   }
 
   function handleCallerLeft(): void {
@@ -226,7 +226,7 @@
   function applyMessage(message: CallMessage, nowMs: number): void {
     switch (message.kind) {
       case 'start':
-        startAttempt(false, nowMs);
+        startAttempt(nowMs);
         break;
       case 'unplaced':
         isWaiting = false;
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -99,8 +99,6 @@
       readonly kind: 'attempt';
       readonly attempt: number;
       readonly lastEventId: string | undefined;
-      /** Endpoints are not to be chosen twice. */
-      readonly isRepeat: boolean;
     }
   | { readonly kind: 'cancel'; readonly attempt: number; readonly reason: CancelReason }
   | { readonly kind: 'deliver_head'; readonly head: AnswerHead }
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -4,97 +4,39 @@
 import { chooseEndpoint } from '../placement/choose-endpoint.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
-import type {
-  EndpointLoad,
-  EndpointLoads,
-  EndpointVerdict,
-  LoadTicket,
-} from '../placement/endpoint-loads.js';
+import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
 import { compareWaiting, isHeldBack } from '../placement/hold-back.js';
 import type { WaitingCall } from '../placement/hold-back.js';
 import type { TimerService } from '../runtime/timer-service.js';
-import { CALL_KIND } from '../types/traffic.js';
-import type { CallKind, RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
+import type { RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
 import type { Random } from '../utils/random.js';
+import { computeGapMs, computeStallMs, computeVerdict, isStream } from './attempt-bounds.js';
 import { createAttemptReader } from './attempt-reader.js';
-import type { DecodedHead } from './attempt-reader.js';
 import { createCallLife } from './call-life.js';
 import type { CallLife } from './call-life.js';
 import type {
-  AttemptEnd,
   CallCommand,
   CallMessage,
   CancelReason,
   CallSink,
-  HeaderField,
   RoutedCall,
 } from './call-messages.js';
-import type { EndpointConnections, EndpointExchange } from './endpoint-connections.js';
+import type { AttemptRecord, CallObserver } from './call-records.js';
+import type { EndpointConnections } from './endpoint-connections.js';
+import type { EndpointProtocol } from './endpoint-protocol.js';
 
 /** Calls' deadlines and stalls are looked at this often, in milliseconds: an eighth of the shortest slack a deadline has. */
 const TICK_MS = 25;
 /** With no endpoint in sight a caller comes back after this long, in milliseconds: a registry's change takes less to arrive. */
 const NO_ENDPOINT_RETRY_MS = 1000;
-/** An attempt counts as stalled after this many times the route's target. */
-const STALL_FACTOR = 3;
-/** Prompts are read before a stream's first event; below this time, in milliseconds, silence says nothing. */
-const STREAM_STALL_MIN_MS = 1500;
-/** A stream counts as stalled after this many times the longest pause that is still in time. */
-const GAP_FACTOR = 2;
-/** Below this time, in milliseconds, a pause is an engine's step; callers give up after two seconds. */
-const GAP_MIN_MS = 800;
 /** Connections to one endpoint where its pool states no bound. */
 const CONNECTIONS_UNSTATED = 64;
 /** Part of an endpoint's connections that one instance may take, over the number of instances. */
 const CONNECTIONS_SHARE = 0.8;
 
-/** How endpoints are spoken to. */
-export interface EndpointProtocol {
-  encode(call: RoutedCall, attempt: EncodedAttempt): EndpointExchange;
-  decode(status: number, headers: readonly HeaderField[]): DecodedHead;
-}
-
-/** What differs from attempt to attempt. */
-export interface EncodedAttempt {
-  readonly endpointId: string;
-  /** Time the endpoint may take, in milliseconds. */
-  readonly remainingMs: number;
-  readonly lastEventId: string | undefined;
-}
-
-/** One attempt for the record, with what decided it. */
-export interface AttemptRecord {
-  readonly call: RoutedCall;
-  readonly attempt: number;
-  readonly endpoint: RegisteredEndpoint;
-  /** What was known to be under way at the endpoint. */
-  readonly load: EndpointLoad;
-  /** Endpoints there were to choose from. */
-  readonly candidates: number;
-  readonly remainingMs: number;
-}
-
-/** The end of a call for the record. */
-export interface CallEnd {
-  readonly call: RoutedCall;
-  /** The last command of its life; undefined where the caller left. */
-  readonly final: CallCommand | undefined;
-  readonly attempts: number;
-  /** From the request to the first bytes of the answer, or to its end where there were none. */
-  readonly firstMs: number;
-  readonly tookMs: number;
-}
-
-/** Decisions that are told, for logs and metrics. */
-export interface CallObserver {
-  onAttempt(record: AttemptRecord): void;
-  onAttemptEnded(record: AttemptRecord, end: AttemptEnd, tookMs: number): void;
-  onEnded(end: CallEnd): void;
-}
-
 /** What a runner is built on. */
 export interface CallRunnerOptions {
   readonly connections: EndpointConnections;
@@ -146,19 +88,6 @@
   retryAfterMs: NO_ENDPOINT_RETRY_MS,
 };
 
-function isStream(kind: CallKind): boolean {
-  return kind === CALL_KIND.Stream || kind === CALL_KIND.ResumableStream;
-}
-
-function computeStallMs({ route }: RoutedCall): number {
-  const stallMs = route.targetMs * STALL_FACTOR;
-  return isStream(route.kind) ? Math.max(STREAM_STALL_MIN_MS, stallMs) : stallMs;
-}
-
-function computeGapMs({ route }: RoutedCall): number {
-  return Math.max(GAP_MIN_MS, (route.gapTargetMs ?? 0) * GAP_FACTOR);
-}
-
 function buildWaitingCall({ call }: Run): WaitingCall {
   return {
     priority: call.priority,
@@ -167,21 +96,6 @@
   };
 }
 
-/** What an attempt's end says of its endpoint. */
-function computeVerdict(end: AttemptEnd): EndpointVerdict {
-  switch (end.kind) {
-    case 'unsent':
-      return ENDPOINT_VERDICT.Unreachable;
-    case 'broken':
-      return ENDPOINT_VERDICT.Failed;
-    case 'rejected':
-      // Where another endpoint has the address, this one is gone and its entry lags behind.
-      return end.isWrongEndpoint ? ENDPOINT_VERDICT.Unreachable : ENDPOINT_VERDICT.None;
-    default:
-      return ENDPOINT_VERDICT.Good;
-  }
-}
-
 /** Builds a runner with nothing running. */
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
   const { connections, protocol, loads, timers, observer } = options;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,14 +5,11 @@
  */
 import type { RetryBounds } from '../attempts/shared-retry-budget.js';
 import type { CallSink, RoutedCall } from '../calls/call-messages.js';
+import type { CallObserver } from '../calls/call-records.js';
 import { createCallRunner } from '../calls/call-runner.js';
-import type {
-  CallObserver,
-  CallRunner,
-  EndpointProtocol,
-  RunningCall,
-} from '../calls/call-runner.js';
+import type { CallRunner, RunningCall } from '../calls/call-runner.js';
 import type { EndpointConnections } from '../calls/endpoint-connections.js';
+import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { FeedReader } from '../knowledge/feed.js';
 import { createDrain, STAGE } from '../lifecycle/drain.js';
--- a/src/observability/call-observer.ts
+++ b/src/observability/call-observer.ts
@@ -1,6 +1,6 @@
 /** Turns what happens to calls into log lines and metrics. */
 import type { AttemptEnd, CallCommand } from '../calls/call-messages.js';
-import type { AttemptRecord, CallEnd, CallObserver } from '../calls/call-runner.js';
+import type { AttemptRecord, CallEnd, CallObserver } from '../calls/call-records.js';
 import { OUTCOME } from '../types/outcomes.js';
 import { CALL_RESULT } from './call-metrics.js';
 import type { CallMetrics, CallResult } from './call-metrics.js';
