A late refusal by a peer no longer ends the process

A session given up while it connects has no listener left. Such socket errors count as the link's: logged, and the process goes on.

--- a/src/peers/peer-outbox.test.ts
+++ b/src/peers/peer-outbox.test.ts
@@ -48,11 +48,18 @@
 }
 
 describe('failures of links', ({ it }) => {
-  // The library closes a silent connection with an error after it stopped listening for errors: the
-  // whole process ended with code 1. Such an error is the link's; any other still ends the process.
+  // A data centre is cut off; connections to its instances hang. They are given up, the cut ends, an
+  // instance there was killed and refuses: the late refusal finds no listener and ended the whole
+  // process with code 1. Such an error is the link's; any other still ends the process.
   it('are told from all other errors', (t) => {
     t.true(isLinkFailure(new ConnectError('PING timed out', Code.Unavailable)));
     t.true(isLinkFailure(new ConnectError('the operation timed out', Code.DeadlineExceeded)));
+    const refused = Object.assign(new Error('connect ECONNREFUSED'), {
+      code: 'ECONNREFUSED',
+      syscall: 'connect',
+    });
+    t.true(isLinkFailure(refused));
+    t.false(isLinkFailure(Object.assign(new Error('no such file'), { code: 'ENOENT' })));
     t.false(isLinkFailure(new ConnectError('bad state', Code.Internal)));
     t.false(isLinkFailure(new TypeError('x is not a function')));
   });
