--- /dev/null
+++ b/src/lifecycle/drain.test.ts
@@ -0,0 +1,21 @@
+import { describe } from '../test/describe.js';
+import { createDrain } from './drain.js';
+
+const TIMEOUT_MS = 7300;
+const NOTICE_MS = 2800;
+
+describe('leaving', ({ it }) => {
+  // A caller keeps using an open connection for seconds after the instance began to leave. What comes
+  // after the balancer's notice cannot be finished any more: it was taken, and cut at the exit.
+  it('accepts until the balancer has noticed, and never again', (t) => {
+    const drain = createDrain(TIMEOUT_MS, NOTICE_MS);
+    drain.handle({ kind: 'configured' }, 0);
+    drain.handle({ kind: 'leave' }, 1000);
+    drain.handle({ kind: 'tick', inFlight: 1 }, 1000 + NOTICE_MS - 1);
+    t.true(drain.isAccepting());
+    t.deepEqual(drain.handle({ kind: 'tick', inFlight: 1 }, 1000 + NOTICE_MS), ['stop_accepting']);
+    t.false(drain.isAccepting());
+    drain.handle({ kind: 'tick', inFlight: 0 }, 5000);
+    t.false(drain.isAccepting());
+  });
+});
