Few instances of each data centre follow the store; the others ask them; a list alone confirms nothing

And a list read after a start or a forgotten history may be seconds behind: it was taken for the newest as of its answer, so that a key taken away meanwhile would have passed.

Change: three watchers of each data centre by rendezvous hashing; others ask one of them every 400 ms and at once when a datagram of loads names newer revisions; answers carry only rows that changed. Whoever has no recent knowledge watches itself. A list counts only when the watch after it, which does not wait, answered.

Ruled out: pushing whole tables (25 KB a change to each of 60 followers fills 7 Mbit/s links); long polls at peers (knowledge would be up to 4 s old); ages in one-way datagrams (they may lie in a suspended receiver).

--- a/src/directory/endpoint-directory.ts
+++ b/src/directory/endpoint-directory.ts
@@ -4,6 +4,7 @@
  * is away are kept until it has been back for a moment: the endpoints renew them then.
  */
 import type { RegisteredEndpoint } from '../types/traffic.js';
+import { assertNever } from '../utils/assert-never.js';
 
 /** An endpoint that lives has renewed its entry this long after the registry's return, in milliseconds: the platform's promise. */
 export const RENEWAL_MS = 2000;
@@ -16,6 +17,8 @@
   | { readonly kind: 'listed'; readonly endpoints: readonly RegisteredEndpoint[] }
   | { readonly kind: 'source_lost' }
   | { readonly kind: 'source_back' }
+  /** The registry has come back, as another instance saw it: entries may still be renewed this long. */
+  | { readonly kind: 'renewing'; readonly forMs: number }
   | { readonly kind: 'tick' };
 
 /** What changed for whom. */
@@ -32,6 +35,8 @@
   listOpen(pool: string): readonly RegisteredEndpoint[];
   find(id: string): RegisteredEndpoint | undefined;
   listAll(): readonly RegisteredEndpoint[];
+  /** For how many more milliseconds lapsed entries may be renewed; 0 while the registry is away or has long been back. */
+  computeRenewalLeft(nowMs: number): number;
 }
 
 interface Entry {
@@ -45,7 +50,8 @@
   const entries = new Map<string, Entry>();
   let openOfPool = new Map<string, RegisteredEndpoint[]>();
   let isSourceLost = false;
-  let sourceBackMs = -Infinity;
+  /** Lapsed entries may be renewed until then. */
+  let renewalEndMs = -Infinity;
   let changes: DirectoryChange[] = [];
 
   function recordChange(endpoint: RegisteredEndpoint, change: DirectoryChange['change']): void {
@@ -68,7 +74,7 @@
   function handleRemoved(id: string, nowMs: number): void {
     const entry = entries.get(id);
     if (entry === undefined || entry.isLapsed) return;
-    const isRenewalDue = isSourceLost || nowMs - sourceBackMs < RENEWAL_MS;
+    const isRenewalDue = isSourceLost || nowMs < renewalEndMs;
     // Guards against emptying a pool whose entries lapsed with the registry: it shows as every
     // endpoint vanishing at the registry's return although all of them answer.
     if (isRenewalDue && !entry.endpoint.isLeaving) {
@@ -86,7 +92,7 @@
   }
 
   function handleTick(nowMs: number): void {
-    if (isSourceLost || nowMs - sourceBackMs < RENEWAL_MS) return;
+    if (isSourceLost || nowMs < renewalEndMs) return;
     for (const entry of [...entries.values()]) if (entry.isLapsed) removeEntry(entry);
   }
 
@@ -105,11 +111,17 @@
         isSourceLost = true;
         break;
       case 'source_back':
-        if (isSourceLost) sourceBackMs = nowMs;
+        if (isSourceLost) renewalEndMs = nowMs + RENEWAL_MS;
         isSourceLost = false;
         break;
-      default:
+      case 'renewing':
+        renewalEndMs = Math.max(renewalEndMs, nowMs + message.forMs);
+        break;
+      case 'tick':
         handleTick(nowMs);
+        break;
+      default:
+        assertNever(message);
     }
   }
 
@@ -133,6 +145,7 @@
     },
     listOpen: (pool) => openOfPool.get(pool) ?? [],
     find: (id) => entries.get(id)?.endpoint,
+    computeRenewalLeft: (nowMs) => (isSourceLost ? 0 : Math.max(0, renewalEndMs - nowMs)),
     listAll: () => [...entries.values()].map(({ endpoint }) => endpoint),
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,9 +16,9 @@
 import type { DrainCommand } from '../lifecycle/drain.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { DecisionLog } from '../observability/decision-log.js';
+import type { ToldLoads } from '../peers/load-datagrams.js';
 import type { PeerLinks } from '../peers/peer-links.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
-import type { EndpointShareOfLoad } from '../placement/endpoint-loads.js';
 import { createRouteTable } from '../routes/route-table.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { Invariants } from '../runtime/invariants.js';
@@ -56,7 +56,7 @@
   readonly log: DecisionLog;
   readonly links: PeerLinks;
   /** Tells a peer what this instance has under way. */
-  readonly tellLoads: (address: string, shares: readonly EndpointShareOfLoad[]) => void;
+  readonly tellLoads: (address: string, told: ToldLoads) => void;
   readonly instances: InstanceListClient;
   readonly configurationFeed: FeedReader;
   readonly endpointFeed: FeedReader;
@@ -91,7 +91,7 @@
   leave(): void;
   getConfiguration(): TrafficConfiguration | undefined;
   getKnowledgeState(): KnowledgeState;
-  handleTold(instance: string, dataCentre: string, shares: readonly EndpointShareOfLoad[]): void;
+  handleTold(told: ToldLoads): void;
   handleBodies(from: string, bodies: readonly PeerMessage['body'][]): void;
   recordUnreachable(address: string): void;
   buildKnowledge(request: FetchKnowledgeRequest): FetchKnowledgeResponse;
@@ -143,6 +143,7 @@
     getRevisions: () => keeper.getRevisions(),
     onKnowledge: (peer, response, sentMs) => keeper.applyResponse(peer, response, sentMs),
     getKnowledgeAge: () => keeper.computeAge(),
+    onWatching: (isWatching) => keeper.setWatching(isWatching),
   });
 
   const runner: CallRunner = createCallRunner({
@@ -218,7 +219,7 @@
       configurationVersion: table?.version ?? 0,
       ageMs: keeper.computeAge(),
     }),
-    handleTold: (instance, dataCentre, shares) => peers.handleTold(instance, dataCentre, shares),
+    handleTold: (told) => peers.handleTold(told),
     handleBodies: (from, bodies) => peers.handleBodies(from, bodies),
     recordUnreachable: (address) => peers.recordUnreachable(address),
     buildKnowledge: (request) => keeper.buildResponse(request),
--- a/src/gateway/knowledge-keeper.ts
+++ b/src/gateway/knowledge-keeper.ts
@@ -4,7 +4,7 @@
  */
 import { createEndpointDirectory } from '../directory/endpoint-directory.js';
 import type { DirectoryMessage, EndpointDirectory } from '../directory/endpoint-directory.js';
-import type { FetchKnowledgeRequest, FetchKnowledgeResponse } from '../gen/peer_pb.js';
+import type { FetchKnowledgeRequest, FetchKnowledgeResponse, TableRow } from '../gen/peer_pb.js';
 import { createConfigurationKnowledge } from '../knowledge/configuration-knowledge.js';
 import type { FeedReader, FeedRow } from '../knowledge/feed.js';
 import { startFeedWatcher } from '../knowledge/feed-watcher.js';
@@ -12,6 +12,7 @@
 import { createSourceClock } from '../knowledge/source-clock.js';
 import { createSuspensionDetector } from '../knowledge/suspension-detector.js';
 import { createTableMirror } from '../knowledge/table-mirror.js';
+import type { MirrorChanges } from '../knowledge/table-mirror.js';
 import type { KnownRevisions } from '../peers/peer-links.js';
 import type { DecisionLog } from '../observability/decision-log.js';
 import type { TimerService } from '../runtime/timer-service.js';
@@ -58,9 +59,15 @@
   buildResponse(request: FetchKnowledgeRequest): FetchKnowledgeResponse;
   /** What a peer answered to a question sent at `sentMs`. */
   applyResponse(peer: string, response: FetchKnowledgeResponse, sentMs: number): void;
+  /** Whether this instance follows the source itself; else it lives on what peers answer. */
+  setWatching(isWanted: boolean): void;
   stop(): void;
 }
 
+function parseTableRow({ key, value }: TableRow): FeedRow {
+  return { key, value };
+}
+
 /** Builds a keeper; it starts following its feeds at once. */
 export function createKnowledgeKeeper(options: KnowledgeKeeperOptions): KnowledgeKeeper {
   const { timers, log, decoder } = options;
@@ -72,6 +79,7 @@
   const endpointRows = createTableMirror();
   let trustedSinceMs = -Infinity;
   let isSourceLost = false;
+  let isWatching = true;
   const getNow = (): number => timers.clock.monotonicMs();
 
   /** Distrusts what is known after a suspension: how long it lasted this process cannot know. */
@@ -81,6 +89,7 @@
     sourceClock.reset();
     knowledge.removeConfirmations();
     log.write({ event: 'clocks_parted', configurationVersion: knowledge.getVersion() });
+    if (!isWatching) return;
     configurationWatcher.restart();
     endpointWatcher.restart();
   }
@@ -126,6 +135,13 @@
     }
   }
 
+  function handleConfigurationList(rows: readonly FeedRow[]): void {
+    handleSourceAnswer('configuration');
+    // Guards against a list that is seconds behind, which shows as a removed key that still works at
+    // an instance that has just started: a list says what exists, never that nothing newer does.
+    recordConfiguration(rows, -Infinity, 'source');
+  }
+
   function handleConfigurationAnswer(rows: readonly FeedRow[], times: AnswerTimes): void {
     handleSourceAnswer('configuration');
     // An answer asked for before a suspension says nothing of the time since.
@@ -143,11 +159,11 @@
     applyDirectory({ kind: 'listed', endpoints }, source);
   }
 
-  function handleEndpointRows(rows: readonly FeedRow[]): void {
+  function handleEndpointRows(rows: readonly FeedRow[], source: string): void {
     for (const row of rows) {
       const endpoint = decoder.decodeEndpoint(row);
-      if (endpoint !== undefined) applyDirectory({ kind: 'registered', endpoint }, 'source');
-      else if (row.value === undefined) applyDirectory({ kind: 'removed', id: row.key }, 'source');
+      if (endpoint !== undefined) applyDirectory({ kind: 'registered', endpoint }, source);
+      else if (row.value === undefined) applyDirectory({ kind: 'removed', id: row.key }, source);
     }
   }
 
@@ -159,7 +175,7 @@
     listener: {
       onListed(rows, answer) {
         configurationRows.setAll(rows, answer.revision);
-        handleConfigurationAnswer(rows, answer);
+        handleConfigurationList(rows);
       },
       onChanged(rows, answer) {
         configurationRows.apply(rows, answer.revision);
@@ -182,7 +198,7 @@
       onChanged(rows, answer) {
         endpointRows.apply(rows, answer.revision);
         handleSourceAnswer('endpoints');
-        handleEndpointRows(rows);
+        handleEndpointRows(rows, 'source');
       },
       onLost: (reason) => handleSourceLost('endpoints', reason),
     },
@@ -194,28 +210,38 @@
   });
 
   function buildTable(
-    rows: readonly FeedRow[],
+    changes: MirrorChanges,
     revision: number,
-    known: number,
     ageMs: number,
   ): FetchKnowledgeResponse['configuration'] {
-    if (revision === 0 || !Number.isFinite(ageMs)) return undefined;
-    const isNews = revision > known;
     return {
       $typeName: 'hyssoptally.peer.v1.TableKnowledge',
       revision,
       ageMs,
-      hasRows: isNews,
-      rows: !isNews
-        ? []
-        : rows.map(({ key, value }) => ({
-            $typeName: 'hyssoptally.peer.v1.TableRow',
-            key,
-            value: value ?? '',
-          })),
+      hasRows: changes.rows.length > 0,
+      isComplete: changes.kind === 'all',
+      rows: changes.rows.map(({ key, value }) => ({
+        $typeName: 'hyssoptally.peer.v1.TableRow',
+        key,
+        ...(value === undefined ? {} : { value }),
+      })),
     };
   }
 
+  function buildConfigurationTable(known: number): FetchKnowledgeResponse['configuration'] {
+    const ageMs = computeAge();
+    const version = knowledge.getVersion();
+    if (version === 0 || !Number.isFinite(ageMs)) return undefined;
+    const rows = version > known ? configurationRows.list() : [];
+    return buildTable({ kind: 'all', rows }, version, ageMs);
+  }
+
+  function buildEndpointTable(known: number): FetchKnowledgeResponse['endpoints'] {
+    const revision = endpointRows.getContentRevision();
+    if (revision === 0 || isSourceLost) return undefined;
+    return buildTable(endpointRows.listSince(known), revision, 0);
+  }
+
   function applyConfigurationTable(
     table: NonNullable<FetchKnowledgeResponse['configuration']>,
     peer: string,
@@ -224,50 +250,73 @@
     // The answer was built after the question was sent, so the knowledge is at most this old.
     const knownAtMs = sentMs - table.ageMs;
     if (table.hasRows) {
-      configurationRows.setAll(table.rows, configurationRows.getRevision());
-      recordConfiguration(table.rows, knownAtMs, peer);
+      const rows = table.rows.map(parseTableRow);
+      configurationRows.setAll(rows, configurationRows.getRevision());
+      recordConfiguration(rows, knownAtMs, peer);
     } else {
       knowledge.record({ version: table.revision, configuration: undefined, knownAtMs });
     }
   }
 
+  function applyEndpointTable(
+    table: NonNullable<FetchKnowledgeResponse['endpoints']>,
+    renewalLeftMs: number,
+    peer: string,
+  ): void {
+    if (!table.hasRows || table.revision <= endpointRows.getContentRevision()) return;
+    if (renewalLeftMs > 0) applyDirectory({ kind: 'renewing', forMs: renewalLeftMs }, peer);
+    const rows = table.rows.map(parseTableRow);
+    if (table.isComplete) {
+      endpointRows.setAll(rows, table.revision);
+      handleEndpointList(rows, peer);
+    } else {
+      endpointRows.apply(rows, table.revision);
+      handleEndpointRows(rows, peer);
+    }
+  }
+
+  function stopFollowing(): void {
+    isWatching = false;
+    configurationWatcher.pause();
+    endpointWatcher.pause();
+  }
+
+  function startFollowing(): void {
+    isWatching = true;
+    configurationWatcher.resume(configurationRows.getRevision());
+    endpointWatcher.resume(endpointRows.getRevision());
+  }
+
   return {
     directory,
     getConfiguration: () => knowledge.get(),
     computeAge,
     getRevisions: () => ({
       configurationRevision: knowledge.getVersion(),
-      endpointsRevision: endpointRows.getRevision(),
+      endpointsRevision: endpointRows.getContentRevision(),
     }),
     buildResponse(request) {
-      const ageMs = computeAge();
-      const configuration = buildTable(
-        configurationRows.list(),
-        knowledge.getVersion(),
-        request.configurationRevision,
-        ageMs,
-      );
-      const endpoints = buildTable(
-        endpointRows.list(),
-        endpointRows.getRevision(),
-        request.endpointsRevision,
-        isSourceLost ? Infinity : 0,
-      );
+      const configuration = buildConfigurationTable(request.configurationRevision);
+      const endpoints = buildEndpointTable(request.endpointsRevision);
       return {
         $typeName: 'hyssoptally.peer.v1.FetchKnowledgeResponse',
+        renewalLeftMs: directory.computeRenewalLeft(getNow()),
         ...(configuration === undefined ? {} : { configuration }),
         ...(endpoints === undefined ? {} : { endpoints }),
       };
     },
-    applyResponse(peer, { configuration, endpoints }, sentMs) {
+    applyResponse(peer, { configuration, endpoints, renewalLeftMs }, sentMs) {
       if (sentMs < trustedSinceMs) return;
       if (configuration !== undefined) applyConfigurationTable(configuration, peer, sentMs);
       // While the own feed answers, it is the better source.
-      const isNeeded = isSourceLost || endpointRows.getRevision() === 0;
-      if (isNeeded && endpoints?.hasRows === true) {
-        endpointRows.setAll(endpoints.rows, endpoints.revision);
-        handleEndpointList(endpoints.rows, peer);
-      }
+      const isNeeded = !isWatching || isSourceLost || endpointRows.getRevision() === 0;
+      if (isNeeded && endpoints !== undefined) applyEndpointTable(endpoints, renewalLeftMs, peer);
+    },
+    setWatching(isWanted) {
+      if (isWanted === isWatching) return;
+      log.write({ event: 'watching_changed', isWatching: isWanted });
+      if (isWanted) startFollowing();
+      else stopFollowing();
     },
     stop() {
       configurationWatcher.stop();
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -2,7 +2,10 @@
  * What an instance does with the others: membership, telling what it has under way, and asking for
  * knowledge where the source is out of its reach.
  */
-import type { EndpointLoads, EndpointShareOfLoad } from '../placement/endpoint-loads.js';
+import { WATCHERS_PER_DATA_CENTRE, createWatchDuty } from '../knowledge/watch-duty.js';
+import type { WatchDuty } from '../knowledge/watch-duty.js';
+import type { ToldLoads } from '../peers/load-datagrams.js';
+import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import type { FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import { FactState } from '../membership/facts.js';
 import { createReachability } from '../membership/reachability.js';
@@ -26,6 +29,10 @@
 /** Peers are asked for knowledge this often, in milliseconds, while the own is too old. */
 const ASK_PERIOD_MS = 300;
 const ASK_PEERS = 2;
+/** An instance that does not follow the source asks one that does this often, in milliseconds: with the longest wait of a feed, 1.5 s, its knowledge is at most 1.9 s old, and 2.2 s count as recent. News is asked for at once. */
+const FOLLOW_PERIOD_MS = 400;
+/** An instance whose knowledge is older than this, in milliseconds, follows the source itself: two askings have failed. */
+const FOLLOW_AGE_MAX_MS = 2800;
 
 /** What the exchange is built on. */
 export interface PeerExchangeOptions {
@@ -37,7 +44,7 @@
   readonly invariants: Invariants;
   readonly log: DecisionLog;
   readonly links: PeerLinks;
-  readonly tellLoads: (address: string, shares: readonly EndpointShareOfLoad[]) => void;
+  readonly tellLoads: (address: string, told: ToldLoads) => void;
   readonly instances: InstanceListClient;
   readonly loads: EndpointLoads;
   readonly isLeaving: () => boolean;
@@ -46,11 +53,13 @@
   readonly getRevisions: () => KnownRevisions;
   readonly onKnowledge: (peer: string, response: FetchKnowledgeResponse, sentMs: number) => void;
   readonly getKnowledgeAge: () => number;
+  /** Whether this instance is to follow the source itself. */
+  readonly onWatching: (isWatching: boolean) => void;
 }
 
 /** An instance's dealings with the others. */
 export interface PeerExchange {
-  handleTold(instance: string, dataCentre: string, shares: readonly EndpointShareOfLoad[]): void;
+  handleTold(told: ToldLoads): void;
   handleBodies(from: string, bodies: readonly PeerMessage['body'][]): void;
   recordUnreachable(address: string): void;
   /** Whether a data centre is out of reach for now. */
@@ -65,6 +74,10 @@
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
   const { self, timers, random, log, links, loads } = options;
   const reachability = createReachability(self.dataCentre);
+  const watchDuty = createWatchDuty();
+  let duty: WatchDuty = { kind: 'watch' };
+  let turn = random.nextIndex(WATCHERS_PER_DATA_CENTRE);
+  let isAskingForNews = false;
   let lastTold = '';
   let periodsSinceTold = 0;
 
@@ -99,14 +112,19 @@
   }
 
   function sendLoads(): void {
-    const shares = loads.listOwn(timers.clock.monotonicMs());
-    const told = JSON.stringify(shares);
+    const told: ToldLoads = {
+      instance: self.name,
+      dataCentre: self.dataCentre,
+      shares: loads.listOwn(timers.clock.monotonicMs()),
+      revisions: options.getRevisions(),
+    };
+    const text = JSON.stringify(told);
     periodsSinceTold += 1;
     const isRepeatDue = periodsSinceTold >= TELL_REPEAT_PERIODS;
-    if (told === lastTold && !isRepeatDue) return;
-    lastTold = told;
+    if (text === lastTold && !isRepeatDue) return;
+    lastTold = text;
     periodsSinceTold = 0;
-    for (const { address } of choosePeers(TELL_PEERS_MAX)) options.tellLoads(address, shares);
+    for (const { address } of choosePeers(TELL_PEERS_MAX)) options.tellLoads(address, told);
   }
 
   async function fetchKnowledge(peer: string, address: string): Promise<void> {
@@ -115,7 +133,10 @@
     try {
       const response = await links.fetchKnowledge(address, options.getRevisions());
       options.onKnowledge(peer, response, sentMs);
-      log.write({ event: 'knowledge_asked', peer, outcome: 'answered', knowledgeAgeMs });
+      // What a follower is told again and again changes no belief and needs no line.
+      if (duty.kind === 'watch') {
+        log.write({ event: 'knowledge_asked', peer, outcome: 'answered', knowledgeAgeMs });
+      }
     } catch (error) {
       log.write({ event: 'knowledge_asked', peer, outcome: String(error), knowledgeAgeMs });
     }
@@ -125,16 +146,59 @@
     loads.advance(timers.clock.monotonicMs());
     sendLoads();
   });
+  function advanceDuty(): void {
+    const alive = fleet.listAlive().filter((fact) => fact.dataCentre === self.dataCentre);
+    duty = watchDuty.advance(
+      {
+        self: self.name,
+        alive: alive.map((fact) => fact.subject),
+        isKnowledgeOld: options.getKnowledgeAge() > FOLLOW_AGE_MAX_MS,
+      },
+      timers.clock.monotonicMs(),
+    );
+    options.onWatching(duty.kind === 'watch');
+  }
+
+  function postQuestion(peer: string): Promise<void> {
+    const address = fleet.findAddress(peer);
+    return address === undefined ? Promise.resolve() : fetchKnowledge(peer, address);
+  }
+
+  /** Asks at once where somebody has more than this instance, which does not follow the source. */
+  function checkNews({ instance, revisions }: ToldLoads): void {
+    if (duty.kind === 'watch' || isAskingForNews) return;
+    const own = options.getRevisions();
+    const isNews =
+      revisions.configurationRevision > own.configurationRevision ||
+      revisions.endpointsRevision > own.endpointsRevision;
+    if (!isNews) return;
+    isAskingForNews = true;
+    postQuestion(instance)
+      .catch(() => undefined)
+      .finally(() => {
+        isAskingForNews = false;
+      });
+  }
+
   timers.subscribe(ASK_PERIOD_MS, () => {
+    advanceDuty();
     if (!options.isKnowledgeOld()) return;
     for (const { name, address } of choosePeers(ASK_PEERS)) {
       fetchKnowledge(name, address).catch(() => undefined);
     }
   });
+  timers.subscribe(FOLLOW_PERIOD_MS, () => {
+    if (duty.kind === 'watch') return;
+    turn += 1;
+    const watcher = duty.watchers[turn % duty.watchers.length];
+    if (watcher !== undefined) postQuestion(watcher).catch(() => undefined);
+  });
 
   return {
-    handleTold(instance, dataCentre, shares) {
+    handleTold(told) {
+      const { instance, dataCentre, shares } = told;
       const nowMs = timers.clock.monotonicMs();
+      checkNews(told);
       reachability.recordHeard(instance, nowMs);
       loads.setTold(instance, shares, dataCentre === self.dataCentre, nowMs);
     },
--- a/src/knowledge/feed-watcher.test.ts
+++ b/src/knowledge/feed-watcher.test.ts
@@ -89,4 +89,53 @@
     t.like(calls[2], { kind: 'watch', waitMs: 0 });
     t.like(calls[3], { kind: 'watch', waitMs: 1500 });
   });
+
+  // An instance starts while the store's lists are seconds behind: a key that was taken away still
+  // stands in its list. The list must not be waited on for 1.5 s as if it were the newest.
+  it('asks without waiting after a list, which alone says nothing of its own age', async (t) => {
+    const { calls } = await runWatcher([buildRows(5), buildRows(6), buildRows(7)]);
+    t.like(calls[1], { kind: 'watch', waitMs: 0 });
+    t.like(calls[2], { kind: 'watch', waitMs: 1500 });
+  });
+
+  // An instance stops following the store, hears from peers meanwhile, and takes it up again. Its
+  // old place in the feed would bring back what peers have told it is gone.
+  it('makes no call while it pauses, and goes on from what is known by then', async (t) => {
+    const calls: number[] = [];
+    const timers = createTimerService(createSystemClock());
+    const reader: FeedReader = {
+      list: async () => buildRows(5),
+      watch: async (revision) => {
+        calls.push(revision);
+        return revision === 5 ? buildRows(6) : NEVER;
+      },
+      reset: () => undefined,
+    };
+    const watcher = startFeedWatcher({
+      reader,
+      timers,
+      random: createRandom(1),
+      waitMs: 1500,
+      listener: {
+        onListed: () => undefined,
+        onChanged: () => undefined,
+        onLost: () => undefined,
+      },
+    });
+    const waitTurns = (): Promise<void> =>
+      new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+    await waitTurns();
+    t.deepEqual(calls, [5, 6]);
+    watcher.pause();
+    watcher.restart();
+    await waitTurns();
+    t.deepEqual(calls, [5, 6]);
+    watcher.resume(9);
+    await waitTurns();
+    t.deepEqual(calls, [5, 6, 9]);
+    watcher.stop();
+    timers.stop();
+  });
 });
--- a/src/knowledge/feed-watcher.ts
+++ b/src/knowledge/feed-watcher.ts
@@ -12,7 +12,10 @@
 
 /** What a watcher reports. */
 export interface FeedListener {
-  /** Every row there is; what is missing does not exist. */
+  /**
+   * Every row there is; what is missing does not exist. A list may be seconds behind: only the
+   * answer to the watch that follows it says that nothing newer exists.
+   */
   onListed(rows: readonly FeedRow[], answer: AnswerTimes): void;
   /** Rows that changed; none where a call only confirmed that nothing did. */
   onChanged(rows: readonly FeedRow[], answer: AnswerTimes): void;
@@ -40,6 +43,10 @@
 export interface FeedWatcher {
   /** Doubts the connection: the call under way is given up and made anew. */
   restart(): void;
+  /** Closes the connection until `resume`. */
+  pause(): void;
+  /** Goes on after a pause, from the revision up to which everything is known by other ways. */
+  resume(revision: number): void;
   stop(): void;
 }
 
@@ -51,6 +58,9 @@
   let highest = 0;
   let failures = 0;
   let isStopped = false;
+  let isPaused = false;
+  /** Whether a watch was answered since the last list or doubt. */
+  let isConfirmed = false;
   let round = 0;
 
   function computePauseMs(): number {
@@ -64,6 +74,7 @@
     if (answer.revision < highest) return;
     highest = answer.revision;
     const isList = revision === undefined;
+    isConfirmed = !isList;
     revision = answer.revision;
     if (isList) listener.onListed(answer.rows, answer);
     else listener.onChanged(answer.rows, answer);
@@ -79,6 +90,7 @@
         return 0;
       default:
         failures += 1;
+        isConfirmed = false;
         reader.reset();
         listener.onLost(answer.reason);
         return computePauseMs();
@@ -87,8 +99,8 @@
 
   async function fetchNext(): Promise<FeedAnswer> {
     if (revision === undefined) return reader.list();
-    // After a doubt the first call does not wait: whether the source answers must be known at once.
-    return reader.watch(revision, failures > 0 ? 0 : options.waitMs);
+    // After a list or a doubt the first call does not wait: what it says must be known at once.
+    return reader.watch(revision, isConfirmed ? options.waitMs : 0);
   }
 
   async function runRound(current: number): Promise<void> {
@@ -100,20 +112,37 @@
   }
 
   function startRound(current: number): void {
-    if (isStopped || current !== round) return;
+    if (isStopped || isPaused || current !== round) return;
     runRound(current).catch((error: unknown) => {
       listener.onLost(`the feed could not be read: ${String(error)}`);
       timers.subscribeOnce(RETRY_MAX_MS, () => startRound(current));
     });
   }
 
+  function startAnew(): void {
+    round += 1;
+    isConfirmed = false;
+    reader.reset();
+    startRound(round);
+  }
+
   startRound(round);
   return {
     restart() {
-      round += 1;
       failures = Math.max(1, failures);
+      startAnew();
+    },
+    pause() {
+      isPaused = true;
+      round += 1;
       reader.reset();
-      startRound(round);
+    },
+    resume(known) {
+      if (!isPaused) return;
+      isPaused = false;
+      highest = Math.max(highest, known);
+      if (revision !== undefined) revision = Math.max(revision, known);
+      startAnew();
     },
     stop() {
       isStopped = true;
--- /dev/null
+++ b/src/knowledge/table-mirror.test.ts
@@ -0,0 +1,98 @@
+import fc from 'fast-check';
+import { describe } from '../test/describe.js';
+import type { FeedRow } from './feed.js';
+import { createTableMirror } from './table-mirror.js';
+import type { TableMirror } from './table-mirror.js';
+
+function listSorted(rows: readonly FeedRow[]): FeedRow[] {
+  return [...rows].sort((a, b) => a.key.localeCompare(b.key));
+}
+
+/** What a follower does with what an instance that watches answers. */
+function applyChanges(follower: TableMirror, watcher: TableMirror): void {
+  const revision = watcher.getContentRevision();
+  if (revision <= follower.getContentRevision()) return;
+  const changes = watcher.listSince(follower.getContentRevision());
+  if (changes.kind === 'all') follower.setAll(changes.rows, revision);
+  else follower.apply(changes.rows, revision);
+}
+
+describe('table mirror', ({ it }) => {
+  it('tells what changed since a revision, removals too', (t) => {
+    const mirror = createTableMirror();
+    mirror.setAll(
+      [
+        { key: 'a', value: '1' },
+        { key: 'b', value: '1' },
+      ],
+      5,
+    );
+    mirror.apply([{ key: 'a', value: undefined }], 8);
+    mirror.apply([], 9);
+    t.is(mirror.getRevision(), 9);
+    t.is(mirror.getContentRevision(), 8);
+    t.deepEqual(mirror.listSince(5), { kind: 'changed', rows: [{ key: 'a', value: undefined }] });
+    t.deepEqual(mirror.listSince(8), { kind: 'changed', rows: [] });
+    t.deepEqual(mirror.listSince(4), { kind: 'all', rows: [{ key: 'b', value: '1' }] });
+  });
+
+  it('remembers a bounded number of removals, and gives everything to who lacks an older one', (t) => {
+    const mirror = createTableMirror();
+    mirror.setAll([], 1);
+    for (let revision = 2; revision < 1000; revision += 1) {
+      mirror.apply([{ key: `k${revision}`, value: undefined }], revision);
+    }
+    t.is(mirror.listSince(2).kind, 'all');
+    t.is(mirror.listSince(990).rows.length, 9);
+  });
+
+  // A runner leaves. Instances that do not watch ask now this, now that instance which does, and
+  // those are told of changes at different moments and in different batches, some after a list of
+  // everything. A follower that missed one removal would go on calling a runner that is gone.
+  it('keeps a follower of several watchers complete, whatever each of them has seen', (t) => {
+    const change = fc.record({
+      key: fc.constantFrom('a', 'b', 'c', 'd'),
+      isRemoved: fc.boolean(),
+      /** Which watchers hear of everything so far, and whether from a list. */
+      hears: fc.tuple(fc.boolean(), fc.boolean()),
+      lists: fc.boolean(),
+      asks: fc.nat(1),
+    });
+    fc.assert(
+      fc.property(fc.array(change, { maxLength: 40 }), (changes) => {
+        const source = new Map<string, string>();
+        const log: { row: FeedRow; revision: number }[] = [];
+        const watchers = [createTableMirror(), createTableMirror()];
+        const follower = createTableMirror();
+        for (const watcher of watchers) watcher.setAll([], 1);
+        const updateWatcher = (watcher: TableMirror, isList: boolean): void => {
+          const revision = log.length + 1;
+          const rows = [...source].map(([key, value]) => ({ key, value }));
+          const missed = log.filter((entry) => entry.revision > watcher.getRevision());
+          if (isList) watcher.setAll(rows, revision);
+          else
+            watcher.apply(
+              missed.map(({ row }) => row),
+              revision,
+            );
+        };
+        for (const { key, isRemoved, hears, lists, asks } of changes) {
+          const value = isRemoved ? undefined : `${log.length}`;
+          if (value === undefined) source.delete(key);
+          else source.set(key, value);
+          log.push({ row: { key, value }, revision: log.length + 2 });
+          watchers.forEach((watcher, index) => {
+            if (hears[index] === true) updateWatcher(watcher, lists);
+          });
+          applyChanges(follower, watchers[asks] as TableMirror);
+        }
+        updateWatcher(watchers[0] as TableMirror, false);
+        applyChanges(follower, watchers[0] as TableMirror);
+        const expected = [...source].map(([key, value]) => ({ key, value }));
+        t.deepEqual(listSorted(follower.list()), listSorted(expected));
+      }),
+      { numRuns: 500 },
+    );
+    t.pass();
+  });
+});
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -13,6 +13,8 @@
       readonly knowledgeAgeMs: number;
     }
   | { readonly event: 'source_back'; readonly feed: string }
+  /** Whether this instance follows the source itself or asks instances that do. */
+  | { readonly event: 'watching_changed'; readonly isWatching: boolean }
   | { readonly event: 'clocks_parted'; readonly configurationVersion: number }
   | {
       readonly event: 'configuration_reported';
--- a/src/peers/peer-outbox.test.ts
+++ b/src/peers/peer-outbox.test.ts
@@ -28,7 +28,10 @@
       throw new Error('not asked in this test');
     },
     onQueryAttempt: () => 'unknown',
-    onFetchKnowledge: () => ({ $typeName: 'hyssoptally.peer.v1.FetchKnowledgeResponse' }),
+    onFetchKnowledge: () => ({
+      $typeName: 'hyssoptally.peer.v1.FetchKnowledgeResponse',
+      renewalLeftMs: 0,
+    }),
   });
   const relay = await startRelay(server.port);
   const outbox = createPeerOutbox({
