--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -135,14 +135,14 @@
       candidates: options.listOpen(call.pool).length,
       remainingMs: call.deadlineMs - startedMs,
     };
-    const ticket = loads.start(endpoint.id, readTokens);
+    const ticket = loads.start(endpoint.id, readTokens, startedMs);
     run.ticket = ticket;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
       onStreamStarted(head) {
         advanceRun(run, { kind: 'stream_started', attempt, head });
       },
       onEvent({ id, bytes }) {
-        ticket.recordFirst();
+        ticket.recordFirst(getNow());
         run.firstMs ??= getNow() - call.receivedMs;
         advanceRun(run, { kind: 'event', attempt, id, bytes });
       },
@@ -192,9 +192,12 @@
       advanceRun(run, { kind: 'unplaced', failure: NO_ENDPOINT });
       return true;
     }
-    const { unreadTokens } = loads.get(placement.endpoint.id);
+    const nowMs = getNow();
+    const { id } = placement.endpoint;
+    const { readTokens } = placement;
+    const unreadMs = loads.get(id).unreadTokens / loads.computePace(id, nowMs);
     const { priority, receivedMs, deadlineMs } = call;
-    if (isHeldBack({ priority, unreadTokens, receivedMs, deadlineMs, nowMs: getNow() })) {
+    if (isHeldBack({ priority, readTokens, unreadMs, receivedMs, deadlineMs, nowMs })) {
       return false;
     }
     run.tried.push(placement.endpoint.id);
--- a/src/peers/load-datagrams.ts
+++ b/src/peers/load-datagrams.ts
@@ -9,8 +9,8 @@
 import type { EndpointShareOfLoad } from '../placement/endpoint-loads.js';
 import type { KnownRevisions } from './peer-links.js';
 
-/** Shares in one datagram: up to 30 bytes each, so that it fits an Ethernet frame. The largest go first. */
-const SHARES_MAX = 45;
+/** Shares in one datagram: up to 40 bytes each, so that it fits an Ethernet frame. The largest go first. */
+const SHARES_MAX = 34;
 
 /** What one instance tells the others. */
 export interface ToldLoads {
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -37,7 +37,16 @@
 }
 
 function buildShare(share: Partial<EndpointShareOfLoad>): EndpointShareOfLoad {
-  return { endpoint: 'a', running: 0, unreadTokens: 0, answers: 0, failures: 0, ...share };
+  return {
+    endpoint: 'a',
+    running: 0,
+    unreadTokens: 0,
+    answers: 0,
+    failures: 0,
+    readTokens: 0,
+    readMs: 0,
+    ...share,
+  };
 }
 
 /** Milliseconds in which an engine of the deployments reads a token. */
@@ -97,7 +106,7 @@
       const loads = createEndpointLoads();
       const prompt = buildPrompt('x', 2000, 1000);
       const home = chooseEndpoint(buildInput({ prompt, loads }))?.endpoint.id ?? '';
-      loads.start(home, 20_000);
+      loads.start(home, 20_000, 0);
       const placement = chooseEndpoint(buildInput({ prompt, loads }));
       t.not(placement?.endpoint.id, home);
       t.is(placement?.readTokens, 3000);
@@ -135,7 +144,7 @@
           buildInput({ prompt: prompt(count), loads, random, nowMs }),
         );
         const id = placement?.endpoint.id ?? '';
-        const ticket = loads.start(id, placement?.readTokens ?? 0);
+        const ticket = loads.start(id, placement?.readTokens ?? 0, nowMs);
         if (id === 'a' && random.next() < 0.45) {
           failed += 1;
           ticket.recordEnd(ENDPOINT_VERDICT.Errored, nowMs);
@@ -172,10 +181,10 @@
 
     it('trusts it again after a while, and forgives a single failure', (t) => {
       const loads = createEndpointLoads();
-      loads.start('a', 0).recordEnd(ENDPOINT_VERDICT.Errored, 0);
+      loads.start('a', 0, 0).recordEnd(ENDPOINT_VERDICT.Errored, 0);
       t.is(loads.computeFailureShare('a', 0), 0);
       for (let count = 0; count < 4; count += 1) {
-        loads.start('a', 0).recordEnd(ENDPOINT_VERDICT.Errored, 0);
+        loads.start('a', 0, 0).recordEnd(ENDPOINT_VERDICT.Errored, 0);
       }
       t.true(loads.computeFailureShare('a', 0) > 0.5);
       t.is(loads.computeFailureShare('a', 10_000), 0);
@@ -198,13 +207,13 @@
     it('sets an unreachable endpoint aside and asks it again with one call', (t) => {
       const loads = createEndpointLoads();
       const endpoints = [buildEndpoint('dead'), buildEndpoint('live')];
-      loads.start('dead', 0).recordEnd(ENDPOINT_VERDICT.Unreachable, 0);
+      loads.start('dead', 0, 0).recordEnd(ENDPOINT_VERDICT.Unreachable, 0);
       for (let count = 0; count < 5; count += 1) {
         t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 500 }))?.endpoint.id, 'live');
-        loads.start('live', 0);
+        loads.start('live', 0, 0);
       }
       t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 1500 }))?.endpoint.id, 'dead');
-      const probe = loads.start('dead', 0);
+      const probe = loads.start('dead', 0, 0);
       t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 1500 }))?.endpoint.id, 'live');
       probe.recordEnd(ENDPOINT_VERDICT.Good, 1600);
       t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 1600 }))?.endpoint.id, 'dead');
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -11,6 +11,7 @@
 import type { PromptShape } from '../calls/call-messages.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
+import { computeSlowness } from './reading-pace.js';
 import { compareRank, computePromptCost } from './engine-model.js';
 import type { EndpointLoads } from './endpoint-loads.js';
 
@@ -98,12 +99,15 @@
   const { loads, prompt, random, nowMs } = input;
   if (prompt === undefined) return choosePlain(candidates, input);
   const { sharedPart, sharedTokens, ownTokens } = computePromptCost(prompt);
+  const meanPace = loads.computeMeanPace(nowMs);
   const [home] = [...candidates].sort((a, b) => compareRank(sharedPart, a.id, b.id));
   const endpoint = chooseCheapest(candidates, random, ({ id }) => {
     const { unreadTokens, running } = loads.get(id);
+    const waiting = unreadTokens + running * RUNNING_TOKENS + ownTokens;
+    const slowness = computeSlowness(meanPace, loads.computePace(id, nowMs));
     const reread = id === home?.id ? 0 : sharedTokens * REREAD_WEIGHT;
     const failing = loads.computeFailureShare(id, nowMs) * FAILURE_TOKENS;
-    return unreadTokens + running * RUNNING_TOKENS + reread + failing;
+    return waiting * slowness + reread + failing;
   });
   if (endpoint === undefined) return undefined;
   return { endpoint, readTokens: ownTokens + (endpoint.id === home?.id ? 0 : sharedTokens) };
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -4,8 +4,11 @@
  */
 
 import { assertNever } from '../utils/assert-never.js';
-import { createFailureShares } from './failure-shares.js';
+import type { DecayingSums } from '../utils/decaying-sums.js';
+import { computeFailureShare, createFailureCounts } from './failure-shares.js';
 import type { FailureCounts } from './failure-shares.js';
+import { buildReadingSample, computePace, createReadingSums } from './reading-pace.js';
+import type { ReadingSums } from './reading-pace.js';
 
 /** Failures in a row after which an endpoint is set aside: one may be the call's own. */
 const FAILURES_SUSPECT = 3;
@@ -23,8 +26,8 @@
   readonly unreadTokens: number;
 }
 
-/** What one instance has under way at one endpoint and which calls failed there lately, as it tells the others. */
-export interface EndpointShareOfLoad extends EndpointLoad, FailureCounts {
+/** What one instance has under way at one endpoint and how calls fared there lately, as it tells the others. */
+export interface EndpointShareOfLoad extends EndpointLoad, FailureCounts, ReadingSums {
   readonly endpoint: string;
 }
 
@@ -46,7 +49,7 @@
 /** A call that is under way at an endpoint. */
 export interface LoadTicket {
   /** The first bytes of its answer came. */
-  recordFirst(): void;
+  recordFirst(nowMs: number): void;
   recordEnd(verdict: EndpointVerdict, nowMs: number): void;
 }
 
@@ -54,7 +57,7 @@
 export interface EndpointLoads {
   /** The load of all instances that can be heard. */
   get(id: string): EndpointLoad;
-  /** Own calls under way and failed, for the others. */
+  /** Own calls under way and how they fared, for the others. */
   listOwn(nowMs: number): EndpointShareOfLoad[];
   /** Everything that another instance has under way; its failures count where it is of the own data centre. */
   setTold(
@@ -67,54 +70,101 @@
   advance(nowMs: number): void;
   /** Which part of its calls the endpoint fails, 0 to 1. */
   computeFailureShare(id: string, nowMs: number): number;
+  /** Prompt tokens the endpoint reads in a millisecond. */
+  computePace(id: string, nowMs: number): number;
+  /** The same for endpoints on the whole. */
+  computeMeanPace(nowMs: number): number;
   /** Whether own calls say that the endpoint should be passed over for now. */
   isSuspect(id: string, nowMs: number): boolean;
-  start(id: string, unreadTokens: number): LoadTicket;
+  start(id: string, unreadTokens: number, nowMs: number): LoadTicket;
   remove(id: string): void;
 }
 
-const NOTHING_FAILED: FailureCounts = { answers: 0, failures: 0 };
+/** Own sums below these are not told: they no longer change a choice. */
+const TOLD_FAILURES_MIN = 0.1;
+const TOLD_READING_MS_MIN = 20;
 
 interface LoadState {
   running: number;
   unreadTokens: number;
   failuresInRow: number;
   lastFailureMs: number;
+  readonly failures: DecayingSums<keyof FailureCounts>;
+  readonly reading: DecayingSums<keyof ReadingSums>;
 }
 
 interface Told {
   readonly shares: readonly EndpointShareOfLoad[];
+  readonly isNear: boolean;
   readonly toldMs: number;
 }
 
+type OtherSums = { -readonly [K in keyof Omit<EndpointShareOfLoad, 'endpoint'>]: number };
+
+function createOtherSums(): OtherSums {
+  return { running: 0, unreadTokens: 0, answers: 0, failures: 0, readTokens: 0, readMs: 0 };
+}
+
+const NOTHING_TOLD: Readonly<OtherSums> = createOtherSums();
+
 /** Builds loads of which nothing is known. */
 export function createEndpointLoads(): EndpointLoads {
   const states = new Map<string, LoadState>();
   const told = new Map<string, Told>();
-  /** Sums of what others told, by endpoint. */
-  const others = new Map<string, { running: number; unreadTokens: number }>();
-  const failureShares = createFailureShares();
-
-  function addTold(shares: readonly EndpointShareOfLoad[], sign: 1 | -1): void {
-    for (const { endpoint, running, unreadTokens } of shares) {
-      const sum = others.get(endpoint) ?? { running: 0, unreadTokens: 0 };
-      sum.running += sign * running;
-      sum.unreadTokens += sign * unreadTokens;
-      if (sum.running === 0 && sum.unreadTokens === 0) others.delete(endpoint);
-      else others.set(endpoint, sum);
+  /** Sums of what others told, by endpoint, kept up to date so that a choice need not add them up. */
+  const others = new Map<string, OtherSums>();
+  /** How many tellings name the endpoint. */
+  const tellings = new Map<string, number>();
+
+  function addTold({ shares, isNear }: Told, sign: 1 | -1): void {
+    for (const share of shares) {
+      const sum = others.get(share.endpoint) ?? createOtherSums();
+      sum.running += sign * share.running;
+      sum.unreadTokens += sign * share.unreadTokens;
+      sum.readTokens += sign * share.readTokens;
+      sum.readMs += sign * share.readMs;
+      if (isNear) {
+        sum.answers += sign * share.answers;
+        sum.failures += sign * share.failures;
+      }
+      const count = (tellings.get(share.endpoint) ?? 0) + sign;
+      tellings.set(share.endpoint, count);
+      // Dropped rather than left at zero: sums of fractions would keep a rest.
+      if (count > 0) others.set(share.endpoint, sum);
+      else others.delete(share.endpoint);
     }
   }
 
   function removeTold(instance: string): void {
     const known = told.get(instance);
-    if (known !== undefined) addTold(known.shares, -1);
+    if (known !== undefined) addTold(known, -1);
     told.delete(instance);
-    failureShares.removeTold(instance);
   }
 
-  function setToldFailures(instance: string, shares: readonly EndpointShareOfLoad[]): void {
-    const failing = shares.filter(({ failures }) => failures > 0);
-    failureShares.setTold(instance, new Map(failing.map((share) => [share.endpoint, share])));
+  function getOthers(id: string): Readonly<OtherSums> {
+    return others.get(id) ?? NOTHING_TOLD;
+  }
+
+  function readReading(id: string, nowMs: number): ReadingSums {
+    const own = states.get(id)?.reading.read(nowMs);
+    const other = getOthers(id);
+    return {
+      readTokens: (own?.readTokens ?? 0) + other.readTokens,
+      readMs: (own?.readMs ?? 0) + other.readMs,
+    };
+  }
+
+  function buildShare(
+    endpoint: string,
+    state: LoadState,
+    nowMs: number,
+  ): EndpointShareOfLoad | undefined {
+    const { running, unreadTokens } = state;
+    const { answers, failures } = state.failures.read(nowMs);
+    const { readTokens, readMs } = state.reading.read(nowMs);
+    const isQuiet = failures < TOLD_FAILURES_MIN && readMs < TOLD_READING_MS_MIN;
+    if (running === 0 && isQuiet) return undefined;
+    return { endpoint, running, unreadTokens, answers, failures, readTokens, readMs };
   }
 
   function getState(id: string): LoadState {
@@ -125,6 +175,8 @@
       unreadTokens: 0,
       failuresInRow: 0,
       lastFailureMs: -Infinity,
+      failures: createFailureCounts(),
+      reading: createReadingSums(),
     };
     states.set(id, state);
     return state;
@@ -151,70 +203,94 @@
     }
   }
 
+  function startCall(id: string, unreadTokens: number, startedMs: number): LoadTicket {
+    const state = getState(id);
+    const aheadTokens = state.unreadTokens + getOthers(id).unreadTokens + unreadTokens;
+    let unread = unreadTokens;
+    let isAnswered = false;
+    let isEnded = false;
+    state.running += 1;
+    state.unreadTokens += unread;
+
+    function removeUnread(): void {
+      state.unreadTokens -= unread;
+      unread = 0;
+    }
+
+    return {
+      recordFirst(nowMs) {
+        removeUnread();
+        if (isAnswered || unreadTokens === 0) return;
+        isAnswered = true;
+        state.reading.add(buildReadingSample(aheadTokens, nowMs - startedMs), nowMs);
+      },
+      recordEnd(verdict, nowMs) {
+        if (isEnded) return;
+        isEnded = true;
+        removeUnread();
+        state.running -= 1;
+        recordVerdict(state, verdict, nowMs);
+        if (verdict === ENDPOINT_VERDICT.None) return;
+        const failures = verdict === ENDPOINT_VERDICT.Good ? 0 : 1;
+        state.failures.add({ answers: 1, failures }, nowMs);
+      },
+    };
+  }
+
   return {
     get(id) {
       const own = states.get(id);
-      const other = others.get(id);
+      const other = getOthers(id);
       return {
-        running: (own?.running ?? 0) + (other?.running ?? 0),
-        unreadTokens: (own?.unreadTokens ?? 0) + (other?.unreadTokens ?? 0),
+        running: (own?.running ?? 0) + other.running,
+        unreadTokens: (own?.unreadTokens ?? 0) + other.unreadTokens,
       };
     },
-    listOwn(nowMs) {
-      const shares: EndpointShareOfLoad[] = [];
-      for (const [endpoint, { running, unreadTokens }] of states) {
-        const failed = failureShares.findOwn(endpoint, nowMs);
-        if (running > 0 || failed !== undefined) {
-          shares.push({ endpoint, running, unreadTokens, ...(failed ?? NOTHING_FAILED) });
-        }
-      }
-      return shares;
-    },
+    listOwn: (nowMs) =>
+      [...states]
+        .map(([endpoint, state]) => buildShare(endpoint, state, nowMs))
+        .filter((share) => share !== undefined),
     setTold(instance, shares, isNear, nowMs) {
       removeTold(instance);
-      told.set(instance, { shares, toldMs: nowMs });
-      addTold(shares, 1);
-      if (isNear) setToldFailures(instance, shares);
+      const telling: Told = { shares, isNear, toldMs: nowMs };
+      told.set(instance, telling);
+      addTold(telling, 1);
     },
     advance(nowMs) {
       for (const [instance, { toldMs }] of told) {
         if (nowMs - toldMs > TOLD_MAX_AGE_MS) removeTold(instance);
       }
     },
-    computeFailureShare: (id, nowMs) => failureShares.compute(id, nowMs),
+    computeFailureShare(id, nowMs) {
+      const own = states.get(id)?.failures.read(nowMs);
+      const other = getOthers(id);
+      return computeFailureShare({
+        answers: (own?.answers ?? 0) + other.answers,
+        failures: (own?.failures ?? 0) + other.failures,
+      });
+    },
+    computePace: (id, nowMs) => computePace(readReading(id, nowMs)),
+    computeMeanPace(nowMs) {
+      const ids = new Set([...states.keys(), ...others.keys()]);
+      let readTokens = 0;
+      let readMs = 0;
+      for (const id of ids) {
+        const sums = readReading(id, nowMs);
+        readTokens += sums.readTokens;
+        readMs += sums.readMs;
+      }
+      const engines = Math.max(1, ids.size);
+      return computePace({ readTokens: readTokens / engines, readMs: readMs / engines });
+    },
     isSuspect(id, nowMs) {
       const state = states.get(id);
       if (state === undefined || state.failuresInRow < FAILURES_SUSPECT) return false;
       // One call at a time finds out whether it is back.
       return state.running > 0 || nowMs - state.lastFailureMs < PROBE_AFTER_MS;
     },
-    start(id, unreadTokens) {
-      const state = getState(id);
-      let unread = unreadTokens;
-      let isEnded = false;
-      state.running += 1;
-      state.unreadTokens += unread;
-      const settleUnread = (): void => {
-        state.unreadTokens -= unread;
-        unread = 0;
-      };
-      return {
-        recordFirst: settleUnread,
-        recordEnd(verdict, nowMs) {
-          if (isEnded) return;
-          isEnded = true;
-          settleUnread();
-          state.running -= 1;
-          recordVerdict(state, verdict, nowMs);
-          if (verdict !== ENDPOINT_VERDICT.None) {
-            failureShares.record(id, verdict !== ENDPOINT_VERDICT.Good, nowMs);
-          }
-        },
-      };
-    },
+    start: startCall,
     remove(id) {
       states.delete(id);
-      failureShares.remove(id);
     },
   };
 }
--- a/src/placement/hold-back.test.ts
+++ b/src/placement/hold-back.test.ts
@@ -2,26 +2,32 @@
 import { compareWaiting, isHeldBack } from './hold-back.js';
 import type { WaitingCall } from './hold-back.js';
 
-const CALL = { receivedMs: 0, deadlineMs: 8000, nowMs: 100 };
+const CALL = { readTokens: 3720, receivedMs: 0, deadlineMs: 8000, nowMs: 100 };
 
 describe('holding calls back', ({ describe: block }) => {
   block('whether', ({ it }) => {
     // The counter opens while long histories burst in. A clerk's question must not stand behind all
     // of them in an engine's reading order: the histories wait at the instance instead.
     it('keeps long, less urgent calls from a busy engine, never the most urgent', (t) => {
-      t.true(isHeldBack({ ...CALL, priority: 2, unreadTokens: 40_000 }));
-      t.false(isHeldBack({ ...CALL, priority: 1, unreadTokens: 40_000 }));
-      t.true(isHeldBack({ ...CALL, priority: 1, unreadTokens: 70_000 }));
-      t.false(isHeldBack({ ...CALL, priority: 0, unreadTokens: 1_000_000 }));
+      t.true(isHeldBack({ ...CALL, priority: 2, unreadMs: 250 }));
+      t.false(isHeldBack({ ...CALL, priority: 1, unreadMs: 250 }));
+      t.true(isHeldBack({ ...CALL, priority: 1, unreadMs: 625 }));
+      t.false(isHeldBack({ ...CALL, priority: 0, unreadMs: 8900 }));
     });
 
     it('lets an engine with little to read have work at once', (t) => {
-      t.false(isHeldBack({ ...CALL, priority: 2, unreadTokens: 10_000 }));
+      t.false(isHeldBack({ ...CALL, priority: 2, unreadMs: 89 }));
+    });
+
+    // An organisation with a low priority asks a short question during a burst. Held behind everybody
+    // else's histories for over a second it would get no answer at all, though it delays nobody.
+    it('never keeps a short prompt', (t) => {
+      t.false(isHeldBack({ ...CALL, readTokens: 1460, priority: 2, unreadMs: 900 }));
     });
 
     // Engines stay busy for minutes: a history that waited on would be lost, and no class may starve.
     it('ends while the call can still be served', (t) => {
-      t.false(isHeldBack({ ...CALL, priority: 2, unreadTokens: 900_000, nowMs: 3300 }));
+      t.false(isHeldBack({ ...CALL, priority: 2, unreadMs: 8000, nowMs: 3300 }));
     });
   });
 
--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -3,16 +3,18 @@
  *
  * The load it answers: long, less urgent prompts arrive in a burst, more than the engines can read.
  * Engines read what they admitted in order, so each long prompt that was let in delays the urgent
- * short ones behind it by its reading time. Held back here, it lets them pass. The most urgent are
- * never held.
+ * short ones behind it by its reading time. Held back here, it lets them pass. The most urgent and
+ * the shortest are never held.
  */
 
 /**
- * Unread tokens at an engine up to which a call of priority 1 is let in; less urgent ones get an equal
- * part for each step down. 60,000 tokens are read in about 540 ms; the first answer that shows that
- * they were read comes about 100 ms late, so that an engine with less before it would run dry.
+ * Longest time, in milliseconds, that a call of priority 1 may find unread prompts ahead of it at its
+ * engine and yet be let in; less urgent ones get an equal part for each step down. The most urgent
+ * aim at 300 ms and need about 80 of them themselves.
  */
-const UNREAD_TOKENS_MAX = 60_000;
+const READING_MAX_MS = 300;
+/** A prompt with no more tokens to read than this delays those behind it by less than 20 ms, and is never held, whatever its organisation's priority. */
+const SMALL_TOKENS = 2000;
 /** A call that waited this share of the time it has is let in whatever is before it: waiting on would lose it, and no class may starve. */
 const WAIT_SHARE_MAX = 0.4;
 
@@ -20,8 +22,10 @@
 export interface HoldInput {
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Tokens that wait unread at the engine it would go to. */
-  readonly unreadTokens: number;
+  /** Tokens that the engine has to read of the call itself. */
+  readonly readTokens: number;
+  /** How long the engine it would go to takes to read what waits there unread, in milliseconds. */
+  readonly unreadMs: number;
   readonly receivedMs: number;
   readonly deadlineMs: number;
   readonly nowMs: number;
@@ -29,9 +33,9 @@
 
 /** Whether the call waits. */
 export function isHeldBack(input: HoldInput): boolean {
-  const { priority, unreadTokens, receivedMs, deadlineMs, nowMs } = input;
-  if (priority <= 0) return false;
-  if (unreadTokens < UNREAD_TOKENS_MAX / priority) return false;
+  const { priority, readTokens, unreadMs, receivedMs, deadlineMs, nowMs } = input;
+  if (priority <= 0 || readTokens <= SMALL_TOKENS) return false;
+  if (unreadMs < READING_MAX_MS / priority) return false;
   return nowMs - receivedMs < (deadlineMs - receivedMs) * WAIT_SHARE_MAX;
 }
 
