--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -7,7 +7,7 @@
 import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
 import { compareWaiting, isHeldBack } from '../placement/hold-back.js';
 import type { WaitingCall } from '../placement/hold-back.js';
-import type { TimerService } from '../runtime/timer-service.js';
+import type { TimerService, Unsubscribe } from '../runtime/timer-service.js';
 import type { RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { RequestFailure } from '../types/outcomes.js';
@@ -103,6 +103,7 @@
   /** Calls that wait here for an endpoint to be less busy. */
   const waiting = new Map<Run, AttemptCommand>();
   const budgets = new Map<string, SharedRetryBudget>();
+  let stopTicking: Unsubscribe | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
 
   function getBudget(pool: string): SharedRetryBudget {
@@ -171,6 +172,22 @@
     );
   }
 
+  function isPlacementHeld(call: RoutedCall, placement: Placement, nowMs: number): boolean {
+    if (call.prompt === undefined) return false;
+    const { endpoint, readTokens } = placement;
+    const { running, unreadTokens } = loads.get(endpoint.id);
+    return isHeldBack({
+      priority: call.priority,
+      readTokens,
+      unreadMs: unreadTokens / loads.computePace(endpoint.id, nowMs),
+      running,
+      slots: endpoint.slots,
+      receivedMs: call.receivedMs,
+      deadlineMs: call.deadlineMs,
+      nowMs,
+    });
+  }
+
   /** Sends a call that was asked for an attempt, or lets it wait; true where it need not wait. */
   function sendAttempt(run: Run, command: AttemptCommand): boolean {
     const { call } = run;
@@ -179,6 +196,7 @@
       advanceRun(run, { kind: 'unplaced', failure });
       return true;
     }
+    const nowMs = getNow();
     const placement = chooseEndpoint({
       endpoints: options.listOpen(call.pool),
       isCut: options.isCut,
@@ -186,20 +204,14 @@
       excluded: run.tried,
       loads,
       random: options.random,
-      nowMs: getNow(),
+      waitedShare: Math.min(1, (nowMs - call.receivedMs) / call.route.targetMs),
+      nowMs,
     });
     if (placement === undefined) {
       advanceRun(run, { kind: 'unplaced', failure: NO_ENDPOINT });
       return true;
     }
-    const nowMs = getNow();
-    const { id } = placement.endpoint;
-    const { readTokens } = placement;
-    const unreadMs = loads.get(id).unreadTokens / loads.computePace(id, nowMs);
-    const { priority, receivedMs, deadlineMs } = call;
-    if (isHeldBack({ priority, readTokens, unreadMs, receivedMs, deadlineMs, nowMs })) {
-      return false;
-    }
+    if (isPlacementHeld(call, placement, nowMs)) return false;
     run.tried.push(placement.endpoint.id);
     startExchange(run, command.attempt, placement, command.lastEventId);
     return true;
@@ -274,10 +286,16 @@
     });
   }
 
-  timers.subscribe(TICK_MS, () => {
-    for (const run of [...runs]) advanceRun(run, { kind: 'tick' });
-    if (waiting.size > 0) advanceWaiting();
-  });
+  /** Ticks only while calls run: an idle instance need not wake forty times a second. */
+  function startTicking(): void {
+    stopTicking ??= timers.subscribe(TICK_MS, () => {
+      for (const run of [...runs]) advanceRun(run, { kind: 'tick' });
+      if (waiting.size > 0) advanceWaiting();
+      if (runs.size > 0) return;
+      stopTicking?.();
+      stopTicking = undefined;
+    });
+  }
 
   return {
     run(call, sink) {
@@ -302,6 +320,7 @@
         firstMs: undefined,
       };
       runs.add(run);
+      startTicking();
       advanceRun(run, { kind: 'start' });
       return { close: () => advanceRun(run, { kind: 'caller_left' }) };
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,7 +16,7 @@
 import type { DrainCommand } from '../lifecycle/drain.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { DecisionLog } from '../observability/decision-log.js';
-import type { ToldLoads } from '../peers/load-datagrams.js';
+import type { Datagrams, ToldLoads } from '../peers/datagrams.js';
 import type { PeerLinks } from '../peers/peer-links.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { createRouteTable } from '../routes/route-table.js';
@@ -55,8 +55,7 @@
   readonly invariants: Invariants;
   readonly log: DecisionLog;
   readonly links: PeerLinks;
-  /** Tells a peer what this instance has under way. */
-  readonly tellLoads: (address: string, told: ToldLoads) => void;
+  readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip'>;
   readonly instances: InstanceListClient;
   readonly configurationFeed: FeedReader;
   readonly endpointFeed: FeedReader;
@@ -135,7 +134,7 @@
     invariants: options.invariants,
     log,
     links: options.links,
-    tellLoads: options.tellLoads,
+    datagrams: options.datagrams,
     instances: options.instances,
     loads,
     isLeaving,
--- /dev/null
+++ b/src/gateway/knowledge-keeper.test.ts
@@ -0,0 +1,193 @@
+import { describe } from '../test/describe.js';
+import type { FeedAnswer, FeedReader, FeedRow } from '../knowledge/feed.js';
+import { createSystemClock } from '../runtime/clock.js';
+import { createTimerService } from '../runtime/timer-service.js';
+import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
+import { createRandom } from '../utils/random.js';
+import { createKnowledgeKeeper } from './knowledge-keeper.js';
+import type { KnowledgeKeeper, RowDecoder } from './knowledge-keeper.js';
+
+const NEVER = new Promise<FeedAnswer>(() => {
+  // The source has nothing new.
+});
+
+const DECODER: RowDecoder = {
+  decodeConfiguration(row): TrafficConfiguration | undefined {
+    if (row.value === undefined) return undefined;
+    const limits = { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    return { version: Number(row.value), routes: [], pools: [], organisations: [], limits };
+  },
+  decodeEndpoint(row): RegisteredEndpoint | undefined {
+    if (row.value === undefined) return undefined;
+    const isLeaving = row.value === 'leaving';
+    return { id: row.key, pool: 'p', address: row.key, dataCentre: 'd', slots: 1, isLeaving };
+  },
+};
+
+/** A table whose watches wait until a test changes it. */
+function createTable(rows: readonly FeedRow[]) {
+  let revision = 5;
+  let calls = 0;
+  let resolveWatch: ((answer: FeedAnswer) => void) | undefined;
+  let isWatchAnswered = true;
+  const buildAnswer = (changed: readonly FeedRow[]): FeedAnswer => ({
+    kind: 'rows',
+    rows: changed,
+    revision,
+    sourceNowMs: performance.now(),
+    sentMs: performance.now(),
+  });
+  const reader: FeedReader = {
+    async list() {
+      calls += 1;
+      return buildAnswer(rows);
+    },
+    async watch(_, waitsMs) {
+      calls += 1;
+      if (!isWatchAnswered) return NEVER;
+      if (waitsMs === 0) return buildAnswer([]);
+      return new Promise((resolve) => {
+        resolveWatch = resolve;
+      });
+    },
+    reset: () => undefined,
+  };
+  return {
+    reader,
+    countCalls: () => calls,
+    setWatchAnswered(isAnswered: boolean) {
+      isWatchAnswered = isAnswered;
+    },
+    setRows(changed: readonly FeedRow[]) {
+      revision += 1;
+      resolveWatch?.(buildAnswer(changed));
+    },
+  };
+}
+
+function waitMs(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+function createHarness() {
+  const timers = createTimerService(createSystemClock());
+  const configuration = createTable([{ key: 'config', value: '7' }]);
+  const endpoints = createTable([
+    { key: 'a', value: 'ready' },
+    { key: 'b', value: 'ready' },
+  ]);
+  const keeper = createKnowledgeKeeper({
+    timers,
+    random: createRandom(1),
+    log: { write: () => undefined },
+    configurationFeed: configuration.reader,
+    endpointFeed: endpoints.reader,
+    decoder: DECODER,
+    onConfiguration: () => undefined,
+    onEndpointRemoved: () => undefined,
+  });
+  return {
+    keeper,
+    configuration,
+    endpoints,
+    stop() {
+      keeper.stop();
+      timers.stop();
+    },
+  };
+}
+
+function listOpen(keeper: KnowledgeKeeper): string[] {
+  return keeper.directory.listOpen('p').map(({ id }) => id);
+}
+
+function sendKnowledge(from: KnowledgeKeeper, to: KnowledgeKeeper, sentMs: number): void {
+  const request = {
+    $typeName: 'hyssoptally.peer.v1.FetchKnowledgeRequest',
+    ...to.getRevisions(),
+  } as const;
+  to.applyResponse('watcher', from.buildResponse(request), sentMs);
+}
+
+describe('knowledge keeper', ({ it }) => {
+  // An instance starts seconds after a key was taken away, while the store's lists are read from a
+  // copy that lags behind. The key still stands in its list. Were the list taken for the newest,
+  // calls with that key would pass.
+  it('does not take a list for the newest before a watch has answered', async (t) => {
+    const harness = createHarness();
+    harness.configuration.setWatchAnswered(false);
+    await waitMs(30);
+    t.is(harness.keeper.getConfiguration()?.version, 7);
+    t.is(harness.keeper.computeAge(), Infinity);
+    harness.stop();
+    const other = createHarness();
+    await waitMs(30);
+    t.true(other.keeper.computeAge() < 1000);
+    other.stop();
+  });
+
+  it('lives on what a peer answers while it does not follow the source, no younger than it is', async (t) => {
+    const watcher = createHarness();
+    const follower = createHarness();
+    await waitMs(30);
+    follower.keeper.setWatching(false);
+    const calls = follower.configuration.countCalls() + follower.endpoints.countCalls();
+    watcher.configuration.setRows([{ key: 'config', value: '9' }]);
+    watcher.endpoints.setRows([
+      { key: 'a', value: 'leaving' },
+      { key: 'b', value: undefined },
+      { key: 'c', value: 'ready' },
+    ]);
+    await waitMs(30);
+    const sentMs = performance.now() - 400;
+    sendKnowledge(watcher.keeper, follower.keeper, sentMs);
+    t.is(follower.keeper.getConfiguration()?.version, 9);
+    t.deepEqual(listOpen(follower.keeper), ['c']);
+    t.true(follower.keeper.computeAge() >= 400);
+    await waitMs(50);
+    t.is(follower.configuration.countCalls() + follower.endpoints.countCalls(), calls);
+    follower.stop();
+    watcher.stop();
+  });
+
+  // The store comes back after an outage in which every entry lapsed. A peer that watches waits two
+  // seconds for engines to renew theirs; one that asks it must wait as well instead of emptying its
+  // pools, and must not wait longer.
+  it('keeps lapsed endpoints as long as the peer it asks does', async (t) => {
+    const follower = createHarness();
+    await waitMs(30);
+    follower.keeper.setWatching(false);
+    const answer = (renewalLeftMs: number, revision: number, rows: readonly FeedRow[]): void =>
+      follower.keeper.applyResponse(
+        'watcher',
+        {
+          $typeName: 'hyssoptally.peer.v1.FetchKnowledgeResponse',
+          renewalLeftMs,
+          endpoints: {
+            $typeName: 'hyssoptally.peer.v1.TableKnowledge',
+            revision,
+            ageMs: 0,
+            hasRows: true,
+            isComplete: false,
+            rows: rows.map((row) => ({
+              $typeName: 'hyssoptally.peer.v1.TableRow',
+              key: row.key,
+              ...(row.value === undefined ? {} : { value: row.value }),
+            })),
+          },
+        },
+        performance.now(),
+      );
+    answer(300, 20, [
+      { key: 'a', value: undefined },
+      { key: 'b', value: undefined },
+    ]);
+    t.deepEqual(listOpen(follower.keeper), ['a', 'b']);
+    answer(250, 21, [{ key: 'b', value: 'ready' }]);
+    await waitMs(700);
+    t.deepEqual(listOpen(follower.keeper), ['b']);
+    follower.stop();
+  });
+});
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -4,7 +4,7 @@
  */
 import { WATCHERS_PER_DATA_CENTRE, createWatchDuty } from '../knowledge/watch-duty.js';
 import type { WatchDuty } from '../knowledge/watch-duty.js';
-import type { ToldLoads } from '../peers/load-datagrams.js';
+import type { Datagrams, ToldLoads } from '../peers/datagrams.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import type { FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import { FactState } from '../membership/facts.js';
@@ -20,6 +20,8 @@
 
 /** A round of membership probes, in milliseconds: nothing waits on the verdict, and each probe costs a millisecond of processor time on both sides. */
 const PROBE_PERIOD_MS = 2000;
+/** Probes are looked at this often, in milliseconds: the shortest bound on them is 200. */
+const FLEET_TICK_MS = 100;
 /** Loads are told this often, in milliseconds: prompts queue for a few hundred. */
 const TELL_PERIOD_MS = 100;
 /** Loads that did not change are told again after this many periods: it is the heartbeat by which others see that they reach this instance. */
@@ -44,7 +46,7 @@
   readonly invariants: Invariants;
   readonly log: DecisionLog;
   readonly links: PeerLinks;
-  readonly tellLoads: (address: string, told: ToldLoads) => void;
+  readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip'>;
   readonly instances: InstanceListClient;
   readonly loads: EndpointLoads;
   readonly isLeaving: () => boolean;
@@ -78,9 +80,16 @@
   let duty: WatchDuty = { kind: 'watch' };
   let turn = random.nextIndex(WATCHERS_PER_DATA_CENTRE);
   let isAskingForNews = false;
+  let cut: ReadonlySet<string> = new Set();
   let lastTold = '';
   let periodsSinceTold = 0;
 
+  /** Full exchanges outgrow a datagram; all other gossip fits one. */
+  function postGossip(address: string, body: PeerMessage['body']): void {
+    if (body.case === 'syncFacts') links.send(address, body);
+    else options.datagrams.sendGossip(address, body);
+  }
+
   const fleet = createFleetView({
     self,
     incarnation: options.incarnation,
@@ -91,7 +100,8 @@
     instances: options.instances,
     seeds: options.seeds,
     isLeaving: options.isLeaving,
-    send: (address, body) => links.send(address, body),
+    tickMs: FLEET_TICK_MS,
+    send: postGossip,
     onChanged(fact, before) {
       if (before?.state === fact.state) return;
       log.write({ event: 'peer_changed', peer: fact.subject, state: FactState[fact.state] });
@@ -124,7 +134,8 @@
     if (text === lastTold && !isRepeatDue) return;
     lastTold = text;
     periodsSinceTold = 0;
-    for (const { address } of choosePeers(TELL_PEERS_MAX)) options.tellLoads(address, told);
+    const addresses = choosePeers(TELL_PEERS_MAX).map(({ address }) => address);
+    options.datagrams.sendLoads(addresses, told);
   }
 
   async function fetchKnowledge(peer: string, address: string): Promise<void> {
@@ -142,8 +153,18 @@
     }
   }
 
+  /** Looked at here rather than at each choice: it walks the whole fleet. */
+  function updateCut(): void {
+    const others = fleet.listPresent().filter((fact) => fact.subject !== self.name);
+    const peers = others.map((fact) => ({ name: fact.subject, dataCentre: fact.dataCentre }));
+    const dataCentres = [...new Set(peers.map(({ dataCentre }) => dataCentre))];
+    const nowMs = timers.clock.monotonicMs();
+    cut = new Set(dataCentres.filter((dataCentre) => reachability.isCut(dataCentre, peers, nowMs)));
+  }
+
   timers.subscribe(TELL_PERIOD_MS, () => {
     loads.advance(timers.clock.monotonicMs());
+    updateCut();
     sendLoads();
   });
   function advanceDuty(): void {
@@ -202,11 +223,7 @@
       reachability.recordHeard(instance, nowMs);
       loads.setTold(instance, shares, dataCentre === self.dataCentre, nowMs);
     },
-    isCut(dataCentre) {
-      const others = fleet.listPresent().filter((fact) => fact.subject !== self.name);
-      const peers = others.map((fact) => ({ name: fact.subject, dataCentre: fact.dataCentre }));
-      return reachability.isCut(dataCentre, peers, timers.clock.monotonicMs());
-    },
+    isCut: (dataCentre) => cut.has(dataCentre),
     handleBodies(from, bodies) {
       for (const body of bodies) {
         switch (body.case) {
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -17,6 +17,7 @@
 import { assertNever } from '../utils/assert-never.js';
 import { chooseRendezvous } from '../utils/hash.js';
 
+/** Membership advances this often, in milliseconds. */
 const TICK_MS = 50;
 const LIST_PERIOD_MS = 2000;
 /** Instances that read the platform's head in each data centre. */
@@ -25,6 +26,11 @@
 /** Settings of a view. */
 export interface FleetViewOptions extends MembershipOptions {
   readonly timers: TimerService;
+  /**
+   * How often membership advances, in milliseconds.
+   * @default 50
+   */
+  readonly tickMs?: number;
   readonly instances: InstanceListClient;
   /** HOST:PORT of peers to ask when the platform cannot be reached. */
   readonly seeds: readonly string[];
@@ -100,7 +106,7 @@
     updateContacts().catch(() => undefined);
   }
 
-  timers.subscribe(TICK_MS, () => runMembership({ kind: 'tick' }));
+  timers.subscribe(options.tickMs ?? TICK_MS, () => runMembership({ kind: 'tick' }));
   timers.subscribe(LIST_PERIOD_MS, startUpdate);
   timers.subscribeOnce(0, startUpdate);
 
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -31,6 +31,7 @@
     isCut: () => false,
     loads: createEndpointLoads(),
     random: createRandom(7),
+    waitedShare: 0,
     nowMs: 0,
     ...change,
   };
@@ -112,6 +113,19 @@
       t.is(placement?.readTokens, 3000);
     });
 
+    // A fleet of engines with 16 slots each, and one shared part in great demand: its home has 20
+    // calls under way. Beyond its slots it would refuse; a call with time left waits for it, one that
+    // is about to be late goes where the part must be read first.
+    it('leaves a home without a free slot only when time runs out', (t) => {
+      const endpoints = ['a', 'b', 'c'].map((id) => ({ ...buildEndpoint(id), slots: 16 }));
+      const loads = createEndpointLoads();
+      const input = { endpoints, prompt: buildPrompt('x', 6300, 2890), loads };
+      const home = chooseEndpoint(buildInput(input))?.endpoint.id ?? '';
+      for (let count = 0; count < 20; count += 1) loads.start(home, 0, 0);
+      t.is(chooseEndpoint(buildInput(input))?.endpoint.id, home);
+      t.not(chooseEndpoint(buildInput({ ...input, waitedShare: 0.6 }))?.endpoint.id, home);
+    });
+
     it('counts what other instances tell of an engine', (t) => {
       const loads = createEndpointLoads();
       const prompt = buildPrompt('x', 200, 1000);
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -12,7 +12,7 @@
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
 import { computeSlowness } from './reading-pace.js';
-import { compareRank, computePromptCost } from './engine-model.js';
+import { computePromptCost, findHome } from './engine-model.js';
 import type { EndpointLoads } from './endpoint-loads.js';
 
 /**
@@ -22,6 +22,13 @@
 const REREAD_WEIGHT = 5;
 /** Tokens that a running call is worth: what its share of each step delays a prompt's chunks. */
 const RUNNING_TOKENS = 150;
+/**
+ * Tokens that each call beyond an engine's slots is worth: a slot of 16 frees about every 45 ms, in
+ * which 5,000 tokens are read. For a call that is about to miss its target it is worth four times as
+ * much, so that it leaves a full home for an engine that must read the shared part first.
+ */
+const QUEUED_TOKENS = 5000;
+const QUEUED_HURRY = 3;
 /**
  * Tokens that a certain failure is worth. Most prompts may be sent once only, so a failure loses the
  * call; 200,000 tokens are read in 1.8 s, beyond which even the longest target is missed.
@@ -40,6 +47,8 @@
   readonly isCut: (dataCentre: string) => boolean;
   readonly loads: EndpointLoads;
   readonly random: Random;
+  /** Part of the time to its target that the call has waited already, 0 to 1. */
+  readonly waitedShare: number;
   readonly nowMs: number;
 }
 
@@ -99,15 +108,17 @@
   const { loads, prompt, random, nowMs } = input;
   if (prompt === undefined) return choosePlain(candidates, input);
   const { sharedPart, sharedTokens, ownTokens } = computePromptCost(prompt);
-  const meanPace = loads.computeMeanPace(nowMs);
-  const [home] = [...candidates].sort((a, b) => compareRank(sharedPart, a.id, b.id));
-  const endpoint = chooseCheapest(candidates, random, ({ id }) => {
+  const meanPace = loads.getMeanPace(nowMs);
+  const home = findHome(sharedPart, candidates);
+  const queuedTokens = QUEUED_TOKENS * (1 + QUEUED_HURRY * input.waitedShare);
+  const endpoint = chooseCheapest(candidates, random, ({ id, slots }) => {
     const { unreadTokens, running } = loads.get(id);
     const waiting = unreadTokens + running * RUNNING_TOKENS + ownTokens;
     const slowness = computeSlowness(meanPace, loads.computePace(id, nowMs));
     const reread = id === home?.id ? 0 : sharedTokens * REREAD_WEIGHT;
     const failing = loads.computeFailureShare(id, nowMs) * FAILURE_TOKENS;
-    return waiting * slowness + reread + failing;
+    const queued = Math.max(0, running + 1 - slots) * queuedTokens;
+    return waiting * slowness + queued + reread + failing;
   });
   if (endpoint === undefined) return undefined;
   return { endpoint, readTokens: ownTokens + (endpoint.id === home?.id ? 0 : sharedTokens) };
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -73,16 +73,18 @@
   /** Prompt tokens the endpoint reads in a millisecond. */
   computePace(id: string, nowMs: number): number;
   /** The same for endpoints on the whole. */
-  computeMeanPace(nowMs: number): number;
+  getMeanPace(nowMs: number): number;
   /** Whether own calls say that the endpoint should be passed over for now. */
   isSuspect(id: string, nowMs: number): boolean;
   start(id: string, unreadTokens: number, nowMs: number): LoadTicket;
   remove(id: string): void;
 }
 
+/** The pace of all engines together is computed anew after this long, in milliseconds: others tell theirs as often, and each choice asks for it. */
+const MEAN_PACE_MAX_AGE_MS = 100;
 /** Own sums below these are not told: they no longer change a choice. */
 const TOLD_FAILURES_MIN = 0.1;
-const TOLD_READING_MS_MIN = 20;
+const TOLD_READING_MS_MIN = 50;
 
 interface LoadState {
   running: number;
@@ -113,6 +115,8 @@
   const told = new Map<string, Told>();
   /** Sums of what others told, by endpoint, kept up to date so that a choice need not add them up. */
   const others = new Map<string, OtherSums>();
+  let meanPace = 0;
+  let meanPaceMs = -Infinity;
   /** How many tellings name the endpoint. */
   const tellings = new Map<string, number>();
 
@@ -270,7 +274,9 @@
       });
     },
     computePace: (id, nowMs) => computePace(readReading(id, nowMs)),
-    computeMeanPace(nowMs) {
+    getMeanPace(nowMs) {
+      if (nowMs - meanPaceMs < MEAN_PACE_MAX_AGE_MS) return meanPace;
+      meanPaceMs = nowMs;
       const ids = new Set([...states.keys(), ...others.keys()]);
       let readTokens = 0;
       let readMs = 0;
@@ -280,7 +286,8 @@
         readMs += sums.readMs;
       }
       const engines = Math.max(1, ids.size);
-      return computePace({ readTokens: readTokens / engines, readMs: readMs / engines });
+      meanPace = computePace({ readTokens: readTokens / engines, readMs: readMs / engines });
+      return meanPace;
     },
     isSuspect(id, nowMs) {
       const state = states.get(id);
--- a/src/placement/engine-model.ts
+++ b/src/placement/engine-model.ts
@@ -4,7 +4,7 @@
  * time between the tokens of other requests, so unread tokens are what a new prompt waits behind.
  */
 import type { PromptPart, PromptShape } from '../calls/call-messages.js';
-import { hashName } from '../utils/hash.js';
+import { hashName, hashPair } from '../utils/hash.js';
 
 /** A prompt as placing sees it. */
 export interface PromptCost {
@@ -31,7 +31,23 @@
   };
 }
 
-/** The order in which endpoints are asked to hold a shared part, the same on every instance. */
-export function compareRank(sharedPart: string, a: string, b: string): number {
-  return hashName(`${b}|${sharedPart}`) - hashName(`${a}|${sharedPart}`);
+/**
+ * The endpoint that is to keep a shared part: the one that ranks highest by rendezvous hashing, the
+ * same on every instance that knows the same endpoints.
+ */
+export function findHome<T extends { readonly id: string }>(
+  sharedPart: string,
+  endpoints: readonly T[],
+): T | undefined {
+  const partHash = hashName(sharedPart);
+  let home: T | undefined;
+  let highest = -1;
+  for (const endpoint of endpoints) {
+    const rank = hashPair(hashName(endpoint.id), partHash);
+    if (rank > highest) {
+      highest = rank;
+      home = endpoint;
+    }
+  }
+  return home;
 }
--- a/src/placement/hold-back.test.ts
+++ b/src/placement/hold-back.test.ts
@@ -2,7 +2,14 @@
 import { compareWaiting, isHeldBack } from './hold-back.js';
 import type { WaitingCall } from './hold-back.js';
 
-const CALL = { readTokens: 3720, receivedMs: 0, deadlineMs: 8000, nowMs: 100 };
+const CALL = {
+  readTokens: 3720,
+  running: 4,
+  slots: 16,
+  receivedMs: 0,
+  deadlineMs: 8000,
+  nowMs: 100,
+};
 
 describe('holding calls back', ({ describe: block }) => {
   block('whether', ({ it }) => {
@@ -25,6 +32,15 @@
       t.false(isHeldBack({ ...CALL, readTokens: 1460, priority: 2, unreadMs: 900 }));
     });
 
+    // An engine with 16 slots has 16 calls under way and queues what comes; at 50 it refuses. Calls
+    // that are refused with a single try are lost to their caller for now; here they only wait.
+    it('keeps calls from an engine without a free slot, the most urgent from a long queue', (t) => {
+      t.true(isHeldBack({ ...CALL, readTokens: 900, priority: 1, unreadMs: 0, running: 16 }));
+      t.false(isHeldBack({ ...CALL, readTokens: 900, priority: 1, unreadMs: 0, running: 15 }));
+      t.false(isHeldBack({ ...CALL, priority: 0, unreadMs: 0, running: 31 }));
+      t.true(isHeldBack({ ...CALL, priority: 0, unreadMs: 0, running: 32 }));
+    });
+
     // Engines stay busy for minutes: a history that waited on would be lost, and no class may starve.
     it('ends while the call can still be served', (t) => {
       t.false(isHeldBack({ ...CALL, priority: 2, unreadMs: 8000, nowMs: 3300 }));
--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -13,6 +13,8 @@
  * aim at 300 ms and need about 80 of them themselves.
  */
 const READING_MAX_MS = 300;
+/** The most urgent calls are let in up to this many times an engine's slots. */
+const URGENT_QUEUE_FACTOR = 2;
 /** A prompt with no more tokens to read than this delays those behind it by less than 20 ms, and is never held, whatever its organisation's priority. */
 const SMALL_TOKENS = 2000;
 /** A call that waited this share of the time it has is let in whatever is before it: waiting on would lose it, and no class may starve. */
@@ -26,17 +28,32 @@
   readonly readTokens: number;
   /** How long the engine it would go to takes to read what waits there unread, in milliseconds. */
   readonly unreadMs: number;
+  /** Calls under way at that engine, and how many it runs at once. */
+  readonly running: number;
+  readonly slots: number;
   readonly receivedMs: number;
   readonly deadlineMs: number;
   readonly nowMs: number;
 }
 
+/**
+ * Whether the engine has no place for the call. An engine queues about twice its slots and refuses
+ * what comes beyond; the most urgent may use half of that queue, where it puts them first, and
+ * everybody else waits here, where nothing is lost.
+ */
+function isFull({ priority, running, slots }: HoldInput): boolean {
+  return priority <= 0 ? running >= slots * URGENT_QUEUE_FACTOR : running >= slots;
+}
+
 /** Whether the call waits. */
 export function isHeldBack(input: HoldInput): boolean {
   const { priority, readTokens, unreadMs, receivedMs, deadlineMs, nowMs } = input;
+  const isLastMoment = nowMs - receivedMs >= (deadlineMs - receivedMs) * WAIT_SHARE_MAX;
+  if (isLastMoment) return false;
+  if (isFull(input)) return true;
   if (priority <= 0 || readTokens <= SMALL_TOKENS) return false;
   if (unreadMs < READING_MAX_MS / priority) return false;
-  return nowMs - receivedMs < (deadlineMs - receivedMs) * WAIT_SHARE_MAX;
+  return true;
 }
 
 /** What the order of waiting calls depends on. */
--- a/src/placement/reading-pace.test.ts
+++ b/src/placement/reading-pace.test.ts
@@ -35,7 +35,7 @@
     runPrompts(loads, 'b', 80);
     const share = { endpoint: 'c', running: 0, unreadTokens: 0, answers: 0, failures: 0 };
     loads.setTold('peer', [{ ...share, readTokens: 20_000, readMs: 900 }], false, nowMs);
-    const mean = loads.computeMeanPace(nowMs);
+    const mean = loads.getMeanPace(nowMs);
     t.true(computeSlowness(mean, loads.computePace('c', nowMs)) > 1.5);
     t.true(computeSlowness(mean, loads.computePace('a', nowMs)) <= 1);
   });
--- a/src/utils/hash.ts
+++ b/src/utils/hash.ts
@@ -28,6 +28,17 @@
   return hash >>> 0;
 }
 
+/** A 32-bit rank of a pair of hashes: as good as hashing both names together, at a fraction of the time. */
+export function hashPair(a: number, b: number): number {
+  let hash = Math.imul(a ^ (b >>> 15), 0x85ebca6b) ^ Math.imul(b, 0xc2b2ae35);
+  hash ^= hash >>> 16;
+  hash = Math.imul(hash, 0x7feb352d);
+  hash ^= hash >>> 15;
+  hash = Math.imul(hash, 0x846ca68b);
+  hash ^= hash >>> 16;
+  return hash >>> 0;
+}
+
 /**
  * Picks the `count` members that rank highest for a key (rendezvous hashing), so that a member's
  * coming or going moves only the keys it ranked first for.
