A pause between lists that are too old to go on from

Ruled out: growing pauses, which would put off the first list that is new enough. Before and after, in the test: seven calls at once -> three pauses of 100 ms.

--- a/src/knowledge/feed-watcher.test.ts
+++ b/src/knowledge/feed-watcher.test.ts
@@ -98,6 +98,23 @@
     t.like(calls[2], { kind: 'watch', waitMs: 1500 });
   });
 
+  // The store forgets its history while its lists lag seconds behind: each list is older than the
+  // history that is left, and each watch from it is refused at once. Sixty instances that list and
+  // watch without a pause would take the store's whole rate for nothing.
+  it('pauses between lists that are too old to go on from', async (t) => {
+    const startMs = performance.now();
+    const { calls } = await runWatcher([
+      buildRows(5),
+      { kind: 'compacted' },
+      buildRows(5),
+      { kind: 'compacted' },
+      buildRows(5),
+      { kind: 'compacted' },
+    ]);
+    t.is(calls.length, 7);
+    t.true(performance.now() - startMs >= 290, 'three pauses of a tenth of a second');
+  });
+
   // An instance stops following the store, hears from peers meanwhile, and takes it up again. Its
   // old place in the feed would bring back what peers have told it is gone.
   it('makes no call while it pauses, and goes on from what is known by then', async (t) => {
--- a/src/knowledge/feed-watcher.ts
+++ b/src/knowledge/feed-watcher.ts
@@ -80,6 +80,13 @@
     else listener.onChanged(answer.rows, answer);
   }
 
+  /** Whether a watch was answered since the last list or doubt; asking ends it. */
+  function takeConfirmation(): boolean {
+    const wasConfirmed = isConfirmed;
+    isConfirmed = false;
+    return wasConfirmed;
+  }
+
   function handleAnswer(answer: FeedAnswer): number {
     switch (answer.kind) {
       case 'rows':
@@ -87,7 +94,9 @@
         return revision === undefined ? RETRY_MIN_MS : 0;
       case 'compacted':
         revision = undefined;
-        return 0;
+        // Guards against a list that lags behind the forgotten history: list and refused watch would
+        // follow each other without a pause, 250 calls a second, until the list has caught up.
+        return takeConfirmation() ? 0 : RETRY_MIN_MS;
       default:
         failures += 1;
         isConfirmed = false;
