--- a/src/calls/call-records.ts
+++ b/src/calls/call-records.ts
@@ -12,6 +12,8 @@
   readonly load: EndpointLoad;
   /** Endpoints there were to choose from. */
   readonly candidates: number;
+  /** Time from the request to this attempt: reading it, earlier attempts, and being held back. */
+  readonly waitedMs: number;
   readonly remainingMs: number;
 }
 
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -134,6 +134,7 @@
       endpoint,
       load: loads.get(endpoint.id),
       candidates: options.listOpen(call.pool).length,
+      waitedMs: startedMs - call.receivedMs,
       remainingMs: call.deadlineMs - startedMs,
     };
     const ticket = loads.start(endpoint.id, readTokens, startedMs);
--- a/src/observability/call-observer.ts
+++ b/src/observability/call-observer.ts
@@ -70,7 +70,7 @@
 export function createCallObserver(options: CallObserverOptions): CallObserver {
   const { log, metrics } = options;
   return {
-    onAttempt({ call, attempt, endpoint, load, candidates, remainingMs }: AttemptRecord) {
+    onAttempt({ call, attempt, endpoint, load, candidates, waitedMs, remainingMs }: AttemptRecord) {
       const knowledge = options.getKnowledge();
       log.write({
         event: 'attempt_started',
@@ -80,6 +80,7 @@
         endpointRunning: load.running,
         endpointUnreadTokens: load.unreadTokens,
         candidates,
+        waitedMs: Math.round(waitedMs),
         remainingMs: Math.round(remainingMs),
         configurationVersion: knowledge.configurationVersion,
         knowledgeAgeMs: Math.round(knowledge.ageMs),
--- a/src/observability/explain.ts
+++ b/src/observability/explain.ts
@@ -14,6 +14,7 @@
   'endpoint_changed',
   'source_lost',
   'source_back',
+  'watching_changed',
   'clocks_parted',
   'peer_changed',
   'knowledge_asked',
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -69,6 +69,8 @@
       readonly endpointRunning: number;
       readonly endpointUnreadTokens: number;
       readonly candidates: number;
+      /** How long the call was read and held at this instance before. */
+      readonly waitedMs: number;
       readonly remainingMs: number;
       readonly configurationVersion: number;
       readonly knowledgeAgeMs: number;
