--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -123,7 +123,7 @@
   function startExchange(
     run: Run,
     attempt: number,
-    { endpoint, readTokens }: Placement,
+    { endpoint, readTokens, copyFrom }: Placement,
     lastEventId: string | undefined,
   ): void {
     const { call } = run;
@@ -163,6 +163,7 @@
         endpointId: endpoint.id,
         remainingMs: record.remainingMs,
         lastEventId,
+        prefixAddress: copyFrom?.address,
       }),
       {
         onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
