--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -123,7 +123,7 @@
   function startExchange(
     run: Run,
     attempt: number,
-    { endpoint, readTokens, copyFrom }: Placement,
+    { endpoint, readTokens }: Placement,
     lastEventId: string | undefined,
   ): void {
     const { call } = run;
@@ -163,7 +163,6 @@
         endpointId: endpoint.id,
         remainingMs: record.remainingMs,
         lastEventId,
-        prefixAddress: copyFrom?.address,
       }),
       {
         onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
--- a/src/calls/endpoint-protocol.ts
+++ b/src/calls/endpoint-protocol.ts
@@ -15,6 +15,4 @@
   /** Time the endpoint may take, in milliseconds. */
   readonly remainingMs: number;
   readonly lastEventId: string | undefined;
-  /** Address of another endpoint that keeps the prompt's shared part: to be copied rather than read again. */
-  readonly prefixAddress: string | undefined;
 }
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -20,10 +20,6 @@
  * takes engine time from all others and evicts what is kept.
  */
 const REREAD_WEIGHT = 5;
-/** The same where the part can be copied from its home, which takes a tenth of the time of reading it and evicts as much. */
-const COPY_WEIGHT = 2;
-/** Parts of fewer tokens than this are read: setting up a copy takes 5 ms, in which an engine reads 560 tokens. */
-const COPY_TOKENS_MIN = 1000;
 /** Tokens that a running call is worth: what its share of each step delays a prompt's chunks. */
 const RUNNING_TOKENS = 150;
 /**
@@ -93,8 +89,6 @@
   readonly endpoint: RegisteredEndpoint;
   /** Prompt tokens that the endpoint is expected to read. */
   readonly readTokens: number;
-  /** The home of the shared part, where the endpoint is another one that should copy it from there. */
-  readonly copyFrom: RegisteredEndpoint | undefined;
 }
 
 function choosePlain(
@@ -105,7 +99,7 @@
     const fullness = (loads.get(id).running + 1) / Math.max(1, slots);
     return fullness + loads.computeFailureShare(id, nowMs) * FAILURE_FULLNESS;
   });
-  return endpoint === undefined ? undefined : { endpoint, readTokens: 0, copyFrom: undefined };
+  return endpoint === undefined ? undefined : { endpoint, readTokens: 0 };
 }
 
 /** Picks an endpoint, or nothing where none may get the call. */
@@ -116,23 +110,16 @@
   const { sharedPart, sharedTokens, ownTokens } = computePromptCost(prompt);
   const meanPace = loads.getMeanPace(nowMs);
   const home = findHome(sharedPart, candidates);
-  const isCopied = sharedTokens >= COPY_TOKENS_MIN;
-  const rereadWeight = isCopied ? COPY_WEIGHT : REREAD_WEIGHT;
   const queuedTokens = QUEUED_TOKENS * (1 + QUEUED_HURRY * input.waitedShare);
   const endpoint = chooseCheapest(candidates, random, ({ id, slots }) => {
     const { unreadTokens, running } = loads.get(id);
     const waiting = unreadTokens + running * RUNNING_TOKENS + ownTokens;
     const slowness = computeSlowness(meanPace, loads.computePace(id, nowMs));
-    const reread = id === home?.id ? 0 : sharedTokens * rereadWeight;
+    const reread = id === home?.id ? 0 : sharedTokens * REREAD_WEIGHT;
     const failing = loads.computeFailureShare(id, nowMs) * FAILURE_TOKENS;
     const queued = Math.max(0, running + 1 - slots) * queuedTokens;
     return waiting * slowness + queued + reread + failing;
   });
   if (endpoint === undefined) return undefined;
-  if (endpoint.id === home?.id) return { endpoint, readTokens: ownTokens, copyFrom: undefined };
-  return {
-    endpoint,
-    readTokens: isCopied ? ownTokens : ownTokens + sharedTokens,
-    copyFrom: isCopied ? home : undefined,
-  };
+  return { endpoint, readTokens: ownTokens + (endpoint.id === home?.id ? 0 : sharedTokens) };
 }
