--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -132,12 +132,12 @@
       call,
       attempt,
       endpoint,
-      load: loads.get(endpoint.id),
+      load: loads.get(endpoint.startId),
       candidates: options.listOpen(call.pool).length,
       waitedMs: startedMs - call.receivedMs,
       remainingMs: call.deadlineMs - startedMs,
     };
-    const ticket = loads.start(endpoint.id, readTokens, startedMs);
+    const ticket = loads.start(endpoint.startId, readTokens, startedMs);
     run.ticket = ticket;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
       onStreamStarted(head) {
@@ -176,11 +176,11 @@
   function isPlacementHeld(call: RoutedCall, placement: Placement, nowMs: number): boolean {
     if (call.prompt === undefined) return false;
     const { endpoint, readTokens } = placement;
-    const { running, unreadTokens } = loads.get(endpoint.id);
+    const { running, unreadTokens } = loads.get(endpoint.startId);
     return isHeldBack({
       priority: call.priority,
       readTokens,
-      unreadMs: unreadTokens / loads.computePace(endpoint.id, nowMs),
+      unreadMs: unreadTokens / loads.computePace(endpoint.startId, nowMs),
       running,
       slots: endpoint.slots,
       receivedMs: call.receivedMs,
--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -40,6 +40,8 @@
     exchange: EndpointExchange,
     listener: ExchangeListener,
   ): () => void;
+  /** Closes every connection to an address; exchanges under way there break off. */
+  closeAll(address: string): void;
   /** Connections made since the start. */
   countMade(): number;
   close(): Promise<void>;
@@ -194,6 +196,11 @@
       queueMicrotask(() => listener.onError(false, `all ${connectionsMax} connections are in use`));
       return () => undefined;
     },
+    closeAll(address) {
+      for (const connection of [...(connectionsOf.get(address) ?? [])]) {
+        removeConnection(connection);
+      }
+    },
     countMade: () => made,
     async close() {
       const all = [...connectionsOf.values()].flatMap((connections) => [...connections]);
--- a/src/directory/endpoint-directory.test.ts
+++ b/src/directory/endpoint-directory.test.ts
@@ -1,9 +1,13 @@
+import fc from 'fast-check';
 import { describe } from '../test/describe.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
+import { buildStartId } from './start-id.js';
 import { RENEWAL_MS, createEndpointDirectory } from './endpoint-directory.js';
+import type { DirectoryMessage } from './endpoint-directory.js';
 
-function buildEndpoint(id: string, isLeaving = false): RegisteredEndpoint {
-  return { id, pool: 'p', address: `${id}:1`, dataCentre: 'd', slots: 1, isLeaving };
+function buildEndpoint(id: string, isLeaving = false, startedMs = 1): RegisteredEndpoint {
+  const startId = buildStartId(id, startedMs);
+  return { id, startId, pool: 'p', address: `${id}:1`, dataCentre: 'd', slots: 1, isLeaving };
 }
 
 describe('endpoint directory', ({ describe: block }) => {
@@ -37,7 +41,7 @@
       directory.handle({ kind: 'tick' }, 5000 + RENEWAL_MS - 1);
       t.is(directory.listOpen('p').length, 2);
       const changes = directory.handle({ kind: 'tick' }, 5000 + RENEWAL_MS);
-      t.deepEqual(changes, [{ id: 'b', pool: 'p', change: 'removed' }]);
+      t.deepEqual(changes, [{ endpoint: buildEndpoint('b'), change: 'removed' }]);
     });
 
     // An endpoint said before the outage that it leaves: its missing entry is no lapse.
@@ -49,5 +53,95 @@
       directory.handle({ kind: 'listed', endpoints: [] }, 5001);
       t.is(directory.find('a'), undefined);
     });
+
+    // While entries lapse, another program writes bytes over one. Kept like a lapsed one, calls would
+    // go on being sent to an endpoint of which nothing is known.
+    it('does not keep an endpoint whose entry cannot be read', (t) => {
+      const directory = createEndpointDirectory();
+      directory.handle({ kind: 'listed', endpoints: [buildEndpoint('a')] }, 0);
+      directory.handle({ kind: 'source_lost' }, 100);
+      directory.handle({ kind: 'unreadable', id: 'a' }, 200);
+      t.deepEqual(directory.listOpen('p'), []);
+    });
+  });
+
+  block('where an endpoint starts again under its id', ({ it }) => {
+    // An engine crashes and is back within two seconds under the name it had, before its entry lapsed.
+    // Believed to be the same, its caches, its load and its connections would be those of before.
+    it('says that the earlier start has ended, once', (t) => {
+      const directory = createEndpointDirectory();
+      directory.handle({ kind: 'listed', endpoints: [buildEndpoint('a', false, 500)] }, 0);
+      // The clock of the endpoint stepped back between its starts.
+      const again = { kind: 'registered', endpoint: buildEndpoint('a', false, 400) } as const;
+      t.deepEqual(directory.handle(again, 10), [
+        { endpoint: buildEndpoint('a', false, 500), change: 'restarted' },
+      ]);
+      t.deepEqual(directory.handle(again, 20), []);
+      t.is(directory.find('a')?.startId, buildStartId('a', 400));
+    });
+
+    it('ends a leaving that the earlier start announced', (t) => {
+      const directory = createEndpointDirectory();
+      directory.handle({ kind: 'listed', endpoints: [buildEndpoint('a', true, 1)] }, 0);
+      directory.handle({ kind: 'registered', endpoint: buildEndpoint('a', false, 2) }, 1);
+      t.is(directory.listOpen('p').length, 1);
+    });
+  });
+
+  block('over any order of entries', ({ it }) => {
+    type Step =
+      | { readonly kind: 'entry'; readonly id: string; readonly startedMs: number }
+      | { readonly kind: 'gone' | 'unreadable'; readonly id: string }
+      | { readonly kind: 'lost' | 'back' | 'list' };
+    const ids = fc.constantFrom('a', 'b', 'c');
+    const steps = fc.array(
+      fc.oneof(
+        fc.record({ kind: fc.constant('entry' as const), id: ids, startedMs: fc.nat(3) }),
+        fc.record({ kind: fc.constantFrom('gone' as const, 'unreadable' as const), id: ids }),
+        fc.record({ kind: fc.constantFrom('lost' as const, 'back' as const, 'list' as const) }),
+      ),
+      { maxLength: 40 },
+    );
+
+    function buildMessage(step: Step, rows: Map<string, RegisteredEndpoint>): DirectoryMessage {
+      switch (step.kind) {
+        case 'entry': {
+          const endpoint = buildEndpoint(step.id, false, step.startedMs);
+          rows.set(step.id, endpoint);
+          return { kind: 'registered', endpoint };
+        }
+        case 'gone':
+          rows.delete(step.id);
+          return { kind: 'removed', id: step.id };
+        case 'unreadable':
+          rows.delete(step.id);
+          return { kind: 'unreadable', id: step.id };
+        case 'list':
+          return { kind: 'listed', endpoints: [...rows.values()] };
+        default:
+          return { kind: step.kind === 'lost' ? 'source_lost' : 'source_back' };
+      }
+    }
+
+    it('uses what the newest readable entries name, and ends each start it replaces', (t) => {
+      fc.assert(
+        fc.property(steps, (sequence) => {
+          const directory = createEndpointDirectory();
+          const rows = new Map<string, RegisteredEndpoint>();
+          const live = new Set<string>();
+          sequence.forEach((step, index) => {
+            for (const { endpoint, change } of directory.handle(buildMessage(step, rows), index)) {
+              if (change === 'removed' || change === 'restarted') live.delete(endpoint.startId);
+            }
+            directory.listOpen('p').forEach(({ startId }) => live.add(startId));
+            t.is(live.size, directory.listOpen('p').length);
+            for (const [id, row] of rows) t.is(directory.find(id)?.startId, row.startId);
+          });
+          directory.handle({ kind: 'source_back' }, 1000);
+          directory.handle({ kind: 'tick' }, 1000 + RENEWAL_MS);
+          t.is(directory.listOpen('p').length, rows.size);
+        }),
+      );
+    });
   });
 });
--- a/src/directory/endpoint-directory.ts
+++ b/src/directory/endpoint-directory.ts
@@ -13,6 +13,8 @@
 export type DirectoryMessage =
   | { readonly kind: 'registered'; readonly endpoint: RegisteredEndpoint }
   | { readonly kind: 'removed'; readonly id: string }
+  /** The entry is there and names no endpoint that could be used. */
+  | { readonly kind: 'unreadable'; readonly id: string }
   /** Everything that is registered; what is not in it was removed. */
   | { readonly kind: 'listed'; readonly endpoints: readonly RegisteredEndpoint[] }
   | { readonly kind: 'source_lost' }
@@ -23,9 +25,9 @@
 
 /** What changed for whom. */
 export interface DirectoryChange {
-  readonly id: string;
-  readonly pool: string;
-  readonly change: 'added' | 'leaving' | 'lapsed' | 'renewed' | 'removed';
+  /** As it was known before the change; for `added`, `leaving` and `renewed` as it is known now. */
+  readonly endpoint: RegisteredEndpoint;
+  readonly change: 'added' | 'leaving' | 'lapsed' | 'renewed' | 'restarted' | 'removed';
 }
 
 /** The directory of one process. */
@@ -55,12 +57,15 @@
   let changes: DirectoryChange[] = [];
 
   function recordChange(endpoint: RegisteredEndpoint, change: DirectoryChange['change']): void {
-    changes.push({ id: endpoint.id, pool: endpoint.pool, change });
+    changes.push({ endpoint, change });
   }
 
   function handleRegistered(endpoint: RegisteredEndpoint): void {
     const known = entries.get(endpoint.id);
     if (known === undefined) recordChange(endpoint, 'added');
+    // Guards against believing of a new start what was seen of the one before: it shows as calls sent
+    // on connections that the crash left half open, and as a sound endpoint that is passed over.
+    else if (known.endpoint.startId !== endpoint.startId) recordChange(known.endpoint, 'restarted');
     else if (known.isLapsed) recordChange(endpoint, 'renewed');
     if (endpoint.isLeaving && known?.endpoint.isLeaving !== true) recordChange(endpoint, 'leaving');
     entries.set(endpoint.id, { endpoint, isLapsed: false });
@@ -85,6 +90,12 @@
     removeEntry(entry);
   }
 
+  /** Not kept like a lapsed entry: somebody wrote that there is nothing to use under this id. */
+  function handleUnreadable(id: string): void {
+    const entry = entries.get(id);
+    if (entry !== undefined) removeEntry(entry);
+  }
+
   function handleListed(endpoints: readonly RegisteredEndpoint[], nowMs: number): void {
     const listed = new Set(endpoints.map(({ id }) => id));
     for (const endpoint of endpoints) handleRegistered(endpoint);
@@ -104,6 +115,9 @@
       case 'removed':
         handleRemoved(message.id, nowMs);
         break;
+      case 'unreadable':
+        handleUnreadable(message.id);
+        break;
       case 'listed':
         handleListed(message.endpoints, nowMs);
         break;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,7 +25,7 @@
 import type { TimerService } from '../runtime/timer-service.js';
 import type { InstanceListClient } from '../storage/instance-list-client.js';
 import type { RequestFailure } from '../types/outcomes.js';
-import type { TrafficConfiguration } from '../types/traffic.js';
+import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
 import type { Random } from '../utils/random.js';
 import { Err } from '../utils/result.js';
@@ -119,9 +119,20 @@
       drain.handle({ kind: 'configured' }, getNow());
       options.onConfiguration(configuration);
     },
-    onEndpointRemoved: (id) => loads.remove(id),
+    onEndpointEnded(endpoint, isRestarted) {
+      loads.remove(endpoint.startId);
+      if (isRestarted) closeConnectionsOf(endpoint);
+    },
   });
 
+  /** Closes what the earlier start left open, unless another endpoint has its address by now. */
+  function closeConnectionsOf({ id, address }: RegisteredEndpoint): void {
+    const isTaken = keeper.directory
+      .listAll()
+      .some((other) => other.id !== id && other.address === address);
+    if (!isTaken) options.connections.closeAll(address);
+  }
+
   const isLeaving = (): boolean =>
     drain.getStage() === STAGE.Leaving || drain.getStage() === STAGE.Drained;
 
--- a/src/gateway/knowledge-keeper.test.ts
+++ b/src/gateway/knowledge-keeper.test.ts
@@ -18,9 +18,11 @@
     return { version: Number(row.value), routes: [], pools: [], organisations: [], limits };
   },
   decodeEndpoint(row): RegisteredEndpoint | undefined {
-    if (row.value === undefined) return undefined;
+    if (row.value === undefined || row.value === 'unreadable') return undefined;
     const isLeaving = row.value === 'leaving';
-    return { id: row.key, pool: 'p', address: row.key, dataCentre: 'd', slots: 1, isLeaving };
+    const { key: id } = row;
+    const startId = `${id}@${row.value}`;
+    return { id, startId, pool: 'p', address: id, dataCentre: 'd', slots: 1, isLeaving };
   },
 };
 
@@ -55,6 +57,9 @@
   return {
     reader,
     countCalls: () => calls,
+    loseWatch() {
+      resolveWatch?.({ kind: 'unavailable', reason: 'the store is out of reach' });
+    },
     setWatchAnswered(isAnswered: boolean) {
       isWatchAnswered = isAnswered;
     },
@@ -78,6 +83,7 @@
     { key: 'a', value: 'ready' },
     { key: 'b', value: 'ready' },
   ]);
+  const ended: string[] = [];
   const keeper = createKnowledgeKeeper({
     timers,
     random: createRandom(1),
@@ -86,10 +92,11 @@
     endpointFeed: endpoints.reader,
     decoder: DECODER,
     onConfiguration: () => undefined,
-    onEndpointRemoved: () => undefined,
+    onEndpointEnded: ({ startId }) => ended.push(startId),
   });
   return {
     keeper,
+    ended,
     configuration,
     endpoints,
     stop() {
@@ -152,6 +159,56 @@
     watcher.stop();
   });
 
+  // An engine's entry is overwritten by some other program. Calls to what it says fail, and the engines
+  // beside it stand in the same page of changes: they must stay in use, and it must come back by its
+  // own next entry.
+  it('stops using an endpoint whose entry cannot be read, and no other', async (t) => {
+    const harness = createHarness();
+    await waitMs(30);
+    harness.endpoints.setRows([
+      { key: 'a', value: 'unreadable' },
+      { key: 'c', value: 'ready' },
+    ]);
+    await waitMs(30);
+    t.deepEqual(listOpen(harness.keeper), ['b', 'c']);
+    t.deepEqual(harness.ended, ['a@ready']);
+    harness.endpoints.setRows([{ key: 'a', value: 'ready' }]);
+    await waitMs(30);
+    t.deepEqual(listOpen(harness.keeper).sort(), ['a', 'b', 'c']);
+    harness.stop();
+  });
+
+  // A prompt is sent to an engine that says it leaves. The store was out of reach, a peer told of the
+  // leaving, and then the store's feed goes on from before it: the row of the time before is replayed.
+  it('does not go back behind what peers told when its own feed goes on from before', async (t) => {
+    const harness = createHarness();
+    await waitMs(30);
+    harness.endpoints.loseWatch();
+    await waitMs(10);
+    harness.keeper.applyResponse(
+      'peer',
+      {
+        $typeName: 'hyssoptally.peer.v1.FetchKnowledgeResponse',
+        renewalLeftMs: 0,
+        endpoints: {
+          $typeName: 'hyssoptally.peer.v1.TableKnowledge',
+          revision: 9,
+          ageMs: 0,
+          hasRows: true,
+          isComplete: false,
+          rows: [{ $typeName: 'hyssoptally.peer.v1.TableRow', key: 'a', value: 'leaving' }],
+        },
+      },
+      performance.now(),
+    );
+    t.deepEqual(listOpen(harness.keeper), ['b']);
+    await waitMs(250);
+    harness.endpoints.setRows([{ key: 'a', value: 'ready' }]);
+    await waitMs(30);
+    t.deepEqual(listOpen(harness.keeper), ['b']);
+    harness.stop();
+  });
+
   // The store comes back after an outage in which every entry lapsed. A peer that watches waits two
   // seconds for engines to renew theirs; one that asks it must wait as well instead of emptying its
   // pools, and must not wait longer.
--- a/src/gateway/knowledge-keeper.ts
+++ b/src/gateway/knowledge-keeper.ts
@@ -30,7 +30,7 @@
  */
 const ENDPOINTS_WAIT_MS = 1500;
 
-/** Reads rows of the source; undefined where a row says nothing the product understands. */
+/** Reads rows of the source; undefined where a row was removed or says nothing the product understands. */
 export interface RowDecoder {
   decodeConfiguration(row: FeedRow): TrafficConfiguration | undefined;
   decodeEndpoint(row: FeedRow): RegisteredEndpoint | undefined;
@@ -45,7 +45,8 @@
   readonly endpointFeed: FeedReader;
   readonly decoder: RowDecoder;
   readonly onConfiguration: (configuration: TrafficConfiguration) => void;
-  readonly onEndpointRemoved: (id: string) => void;
+  /** This start of an endpoint has ended or its entry is gone; `isRestarted`: another start took its place. */
+  readonly onEndpointEnded: (endpoint: RegisteredEndpoint, isRestarted: boolean) => void;
 }
 
 /** Knowledge of one instance. */
@@ -100,8 +101,10 @@
   }
 
   function applyDirectory(message: DirectoryMessage, source: string): void {
-    for (const { id, pool, change } of directory.handle(message, getNow())) {
-      if (change === 'removed') options.onEndpointRemoved(id);
+    for (const { endpoint, change } of directory.handle(message, getNow())) {
+      const isRestarted = change === 'restarted';
+      if (isRestarted || change === 'removed') options.onEndpointEnded(endpoint, isRestarted);
+      const { id, pool } = endpoint;
       log.write({ event: 'endpoint_changed', endpoint: id, pool, change, source });
     }
   }
@@ -152,19 +155,34 @@
     if (version > 0) knowledge.record({ version, configuration: undefined, knownAtMs });
   }
 
-  function handleEndpointList(rows: readonly FeedRow[], source: string): void {
-    const endpoints = rows
-      .map((row) => decoder.decodeEndpoint(row))
-      .filter((endpoint) => endpoint !== undefined);
-    applyDirectory({ kind: 'listed', endpoints }, source);
+  function parseEndpointRow(row: FeedRow): DirectoryMessage {
+    const endpoint = decoder.decodeEndpoint(row);
+    if (endpoint !== undefined) return { kind: 'registered', endpoint };
+    return { kind: row.value === undefined ? 'removed' : 'unreadable', id: row.key };
   }
 
   function handleEndpointRows(rows: readonly FeedRow[], source: string): void {
-    for (const row of rows) {
-      const endpoint = decoder.decodeEndpoint(row);
-      if (endpoint !== undefined) applyDirectory({ kind: 'registered', endpoint }, source);
-      else if (row.value === undefined) applyDirectory({ kind: 'removed', id: row.key }, source);
+    for (const row of rows) applyDirectory(parseEndpointRow(row), source);
+  }
+
+  function handleEndpointList(rows: readonly FeedRow[], source: string): void {
+    const messages = rows.map(parseEndpointRow);
+    for (const message of messages) {
+      if (message.kind === 'unreadable') applyDirectory(message, source);
     }
+    const endpoints = messages.flatMap((message) =>
+      message.kind === 'registered' ? [message.endpoint] : [],
+    );
+    applyDirectory({ kind: 'listed', endpoints }, source);
+  }
+
+  /**
+   * Guards against a feed that goes on from before what peers told while it was out of reach, which
+   * shows as an endpoint that is used again after it said that it leaves, or as the start before the
+   * present one. Up to the revision in hand everything is known.
+   */
+  function isBehindPeers({ revision }: AnswerTimes): boolean {
+    return revision < endpointRows.getContentRevision();
   }
 
   const configurationWatcher = startFeedWatcher({
@@ -191,13 +209,15 @@
     waitMs: ENDPOINTS_WAIT_MS,
     listener: {
       onListed(rows, answer) {
-        endpointRows.setAll(rows, answer.revision);
         handleSourceAnswer('endpoints');
+        if (isBehindPeers(answer)) return;
+        endpointRows.setAll(rows, answer.revision);
         handleEndpointList(rows, 'source');
       },
       onChanged(rows, answer) {
-        endpointRows.apply(rows, answer.revision);
         handleSourceAnswer('endpoints');
+        if (isBehindPeers(answer)) return;
+        endpointRows.apply(rows, answer.revision);
         handleEndpointRows(rows, 'source');
       },
       onLost: (reason) => handleSourceLost('endpoints', reason),
--- /dev/null
+++ b/src/knowledge/suspension-detector.test.ts
@@ -0,0 +1,50 @@
+import { describe } from '../test/describe.js';
+import { createSuspensionDetector } from './suspension-detector.js';
+
+/** Two clocks that a test moves apart. */
+function createClocks() {
+  let monotonicMs = 0;
+  let stepMs = 0;
+  return {
+    clock: {
+      monotonicMs: () => monotonicMs,
+      wallMs: () => 1_700_000_000_000 + monotonicMs + stepMs,
+    },
+    advance(ms: number) {
+      monotonicMs += ms;
+    },
+    step(ms: number) {
+      stepMs += ms;
+    },
+  };
+}
+
+describe('suspension detector', ({ it }) => {
+  // The time of day jumps by seconds and back. Each jump may cost one more confirmation and nothing
+  // further: believed to be a lasting suspension, keys would be refused until the clock is set right.
+  it('takes a step of the time of day, either way, for one suspension', (t) => {
+    for (const stepMs of [4000, -4000]) {
+      const clocks = createClocks();
+      const detector = createSuspensionDetector(clocks.clock);
+      clocks.advance(100);
+      t.false(detector.checkSuspended());
+      clocks.step(stepMs);
+      t.true(detector.checkSuspended());
+      clocks.advance(100);
+      t.false(detector.checkSuspended());
+      clocks.step(-stepMs);
+      t.true(detector.checkSuspended());
+      t.false(detector.checkSuspended());
+    }
+  });
+
+  it('does not mind clocks that drift', (t) => {
+    const clocks = createClocks();
+    const detector = createSuspensionDetector(clocks.clock);
+    for (let count = 0; count < 1000; count += 1) {
+      clocks.advance(100);
+      clocks.step(1);
+      t.false(detector.checkSuspended());
+    }
+  });
+});
--- a/src/membership/membership.test.ts
+++ b/src/membership/membership.test.ts
@@ -126,6 +126,20 @@
     for (const name of NAMES) t.is(fleet.getState(name, 'entry-4'), FactState.ALIVE);
   });
 
+  // The time of day jumps back by seconds on a machine, and its instance is killed and started again:
+  // its incarnation is below the one that the others hold for dead. It must be taken back all the same,
+  // or calls and loads would never reach it.
+  it('takes back a member whose clock stepped back before it started again', (t) => {
+    const fleet = createFleet(NAMES);
+    fleet.runFor(5000);
+    fleet.dead.add('entry-4');
+    fleet.runFor(PROBE_PERIOD_MS * NAMES.length + SUSPECT_MS + 3000);
+    fleet.dead.delete('entry-4');
+    fleet.startMember('entry-4', 500);
+    fleet.runFor(8000);
+    for (const name of NAMES) t.is(fleet.getState(name, 'entry-4'), FactState.ALIVE);
+  });
+
   it('heals after a cut between two halves', (t) => {
     // After a cut both halves serve on and never meet again: each holds the other for dead and has
     // stopped talking to it.
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -8,7 +8,8 @@
 import type { EndpointShareOfLoad, LoadTicket } from './endpoint-loads.js';
 
 function buildEndpoint(id: string, dataCentre = 'own'): RegisteredEndpoint {
-  return { id, pool: 'p', address: `${id}:1`, dataCentre, slots: 128, isLeaving: false };
+  const address = `${id}:1`;
+  return { id, startId: id, pool: 'p', address, dataCentre, slots: 128, isLeaving: false };
 }
 
 function buildPrompt(shared: string, sharedTokens: number, ownTokens: number): PromptShape {
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -59,7 +59,7 @@
   const dataCentres = new Set(untried.map(({ dataCentre }) => dataCentre));
   const cut = [...dataCentres].filter((dataCentre) => input.isCut(dataCentre));
   const near = untried.filter(({ dataCentre }) => !cut.includes(dataCentre));
-  const sound = near.filter(({ id }) => !loads.isSuspect(id, nowMs));
+  const sound = near.filter(({ startId }) => !loads.isSuspect(startId, nowMs));
   if (sound.length > 0) return sound;
   return near.length > 0 ? near : untried;
 }
@@ -95,9 +95,9 @@
   candidates: readonly RegisteredEndpoint[],
   { loads, random, nowMs }: ChoiceInput,
 ): Placement | undefined {
-  const endpoint = chooseCheapest(candidates, random, ({ id, slots }) => {
-    const fullness = (loads.get(id).running + 1) / Math.max(1, slots);
-    return fullness + loads.computeFailureShare(id, nowMs) * FAILURE_FULLNESS;
+  const endpoint = chooseCheapest(candidates, random, ({ startId, slots }) => {
+    const fullness = (loads.get(startId).running + 1) / Math.max(1, slots);
+    return fullness + loads.computeFailureShare(startId, nowMs) * FAILURE_FULLNESS;
   });
   return endpoint === undefined ? undefined : { endpoint, readTokens: 0 };
 }
@@ -111,12 +111,12 @@
   const meanPace = loads.getMeanPace(nowMs);
   const home = findHome(sharedPart, candidates);
   const queuedTokens = QUEUED_TOKENS * (1 + QUEUED_HURRY * input.waitedShare);
-  const endpoint = chooseCheapest(candidates, random, ({ id, slots }) => {
-    const { unreadTokens, running } = loads.get(id);
+  const endpoint = chooseCheapest(candidates, random, ({ id, startId, slots }) => {
+    const { unreadTokens, running } = loads.get(startId);
     const waiting = unreadTokens + running * RUNNING_TOKENS + ownTokens;
-    const slowness = computeSlowness(meanPace, loads.computePace(id, nowMs));
+    const slowness = computeSlowness(meanPace, loads.computePace(startId, nowMs));
     const reread = id === home?.id ? 0 : sharedTokens * REREAD_WEIGHT;
-    const failing = loads.computeFailureShare(id, nowMs) * FAILURE_TOKENS;
+    const failing = loads.computeFailureShare(startId, nowMs) * FAILURE_TOKENS;
     const queued = Math.max(0, running + 1 - slots) * queuedTokens;
     return waiting * slowness + queued + reread + failing;
   });
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -50,7 +50,7 @@
   recordEnd(verdict: EndpointVerdict, nowMs: number): void;
 }
 
-/** Loads of all endpoints. */
+/** Loads of all endpoints, each known by the id of its start: what is believed ends with the start. */
 export interface EndpointLoads {
   /** The load of all instances that can be heard. */
   get(id: string): EndpointLoad;
--- a/src/types/traffic.ts
+++ b/src/types/traffic.ts
@@ -83,8 +83,10 @@
 
 /** One endpoint as it registered itself. */
 export interface RegisteredEndpoint {
-  /** Names one start of the endpoint; a restart has another. */
+  /** The name the endpoint registers itself under; it may start again under the same one. */
   readonly id: string;
+  /** Names one start of the endpoint. What is believed of an endpoint is kept by it and ends with it. */
+  readonly startId: string;
   readonly pool: string;
   readonly address: string;
   readonly dataCentre: string;
