Urgency: the organisation's priority ranks first, the route's within it

Cause: an organisation's priority replaced the route's. Change: ranks 0 to 9 by (organisation, route), sent to engines and used in the order of waiting calls. Holding goes by the route's priority again, which the same fault had flattened. Ruled out: memory that placing does not count; preemption remains, of the least urgent now.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -42,7 +42,8 @@
   readonly organisation: string | undefined;
   /** Whether the call may only be sent while its key is surely still valid. */
   readonly isKeyed: boolean;
-  readonly priority: number;
+  /** Rank among all calls, 0 for the most urgent to 9: the organisation's priority, then the route's. */
+  readonly urgency: number;
   readonly prompt: PromptShape | undefined;
   readonly payload: CallPayload;
   /** The last event the caller has from an earlier answer. */
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -90,7 +90,7 @@
 
 function buildWaitingCall({ call }: Run): WaitingCall {
   return {
-    priority: call.priority,
+    urgency: call.urgency,
     receivedMs: call.receivedMs,
     targetMs: call.route.targetMs,
   };
@@ -178,7 +178,7 @@
     const { endpoint, readTokens } = placement;
     const { running, unreadTokens } = loads.get(endpoint.startId);
     return isHeldBack({
-      priority: call.priority,
+      priority: call.route.priority,
       readTokens,
       unreadMs: unreadTokens / loads.computePace(endpoint.startId, nowMs),
       running,
--- a/src/gateway/admit-call.ts
+++ b/src/gateway/admit-call.ts
@@ -95,7 +95,7 @@
     pool,
     organisation: organisation?.name,
     isKeyed,
-    priority: organisation?.priority ?? route.priority,
+    urgency: table.computeUrgency(route, organisation),
     prompt: request.prompt,
     payload: request.payload,
     lastEventId: request.lastEventId,
--- a/src/placement/hold-back.test.ts
+++ b/src/placement/hold-back.test.ts
@@ -48,8 +48,8 @@
   });
 
   block('in which order', ({ it }) => {
-    const build = (priority: number, receivedMs: number): WaitingCall => ({
-      priority,
+    const build = (urgency: number, receivedMs: number): WaitingCall => ({
+      urgency,
       receivedMs,
       targetMs: 1500,
     });
--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -23,7 +23,7 @@
 
 /** A call that is to be let in or held. */
 export interface HoldInput {
-  /** 0 is the most urgent. */
+  /** The route's; 0 is the most urgent. */
   readonly priority: number;
   /** Tokens that the engine has to read of the call itself. */
   readonly readTokens: number;
@@ -59,7 +59,8 @@
 
 /** What the order of waiting calls depends on. */
 export interface WaitingCall {
-  readonly priority: number;
+  /** Rank among all calls, 0 for the most urgent. */
+  readonly urgency: number;
   readonly receivedMs: number;
   /** Time to the first answer that is in time, from its arrival, in milliseconds. */
   readonly targetMs: number;
@@ -74,7 +75,7 @@
 
 /** The more urgent first; of equals those that can still be in time, the oldest of these first. */
 export function compareWaiting(a: WaitingCall, b: WaitingCall, nowMs: number): number {
-  if (a.priority !== b.priority) return a.priority - b.priority;
+  if (a.urgency !== b.urgency) return a.urgency - b.urgency;
   const lateness = Number(isLate(a, nowMs)) - Number(isLate(b, nowMs));
   return lateness !== 0 ? lateness : a.receivedMs - b.receivedMs;
 }
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -6,6 +6,7 @@
   TrafficPool,
 } from '../types/traffic.js';
 import { hashName } from '../utils/hash.js';
+import { createUrgencyRanks } from './urgency.js';
 
 /** One version of the configuration, indexed. */
 export interface RouteTable {
@@ -16,6 +17,8 @@
   findRoute(host: string, path: string): Route | undefined;
   findOrganisation(key: string): CallingOrganisation | undefined;
   findPool(name: string): TrafficPool | undefined;
+  /** 0, the most urgent, to 9. */
+  computeUrgency(route: Route, organisation: CallingOrganisation | undefined): number;
 }
 
 /** Indexes a configuration. */
@@ -33,6 +36,7 @@
   for (const organisation of configuration.organisations) {
     for (const key of organisation.keys) organisationOfKey.set(key, organisation);
   }
+  const urgency = createUrgencyRanks(configuration);
   const pools = new Map(configuration.pools.map((pool) => [pool.name, pool]));
   return {
     version: configuration.version,
@@ -41,6 +45,7 @@
       routesOfHost.get(host)?.find((route) => path.startsWith(route.pathPrefix)),
     findOrganisation: (key) => organisationOfKey.get(key),
     findPool: (name) => pools.get(name),
+    computeUrgency: (route, organisation) => urgency.compute(route, organisation),
   };
 }
 
--- /dev/null
+++ b/src/routes/urgency.test.ts
@@ -0,0 +1,78 @@
+import { describe } from '../test/describe.js';
+import { CALL_KIND } from '../types/traffic.js';
+import type { CallingOrganisation, Route, TrafficConfiguration } from '../types/traffic.js';
+import { createUrgencyRanks } from './urgency.js';
+
+function buildRoute(priority: number): Route {
+  return {
+    name: `route-${priority}`,
+    host: 'h',
+    pathPrefix: `/${priority}/`,
+    kind: CALL_KIND.Stream,
+    timeoutMs: 1000,
+    targetMs: 100,
+    gapTargetMs: 100,
+    priority,
+    attemptsMax: 1,
+    isPublic: false,
+    pools: [],
+  };
+}
+
+function buildOrganisation(priority: number | undefined): CallingOrganisation {
+  return { name: `o${priority}`, keys: [], priority };
+}
+
+function buildConfiguration(
+  routes: readonly number[],
+  organisations: readonly (number | undefined)[],
+): TrafficConfiguration {
+  return {
+    version: 1,
+    routes: routes.map(buildRoute),
+    pools: [],
+    organisations: organisations.map(buildOrganisation),
+    limits: { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+describe('urgency', ({ it }) => {
+  // A paralegal's suggestion stalls while a long draft goes on. Both are of organisations with the same
+  // priority; were it sent instead of the routes', the engine out of memory would put back the
+  // suggestion, which came last.
+  it('keeps the order of routes within organisations of one priority', (t) => {
+    const ranks = createUrgencyRanks(buildConfiguration([0, 1, 2], [1, 1, 1]));
+    const computed = [0, 1, 2].map((priority) =>
+      ranks.compute(buildRoute(priority), buildOrganisation(1)),
+    );
+    t.deepEqual(computed, [0, 1, 2]);
+  });
+
+  it('puts the organisation’s priority before the route’s', (t) => {
+    const ranks = createUrgencyRanks(buildConfiguration([0, 1, 2], [0, 1, 1]));
+    const urgent = ranks.compute(buildRoute(2), buildOrganisation(0));
+    t.true(urgent < ranks.compute(buildRoute(0), buildOrganisation(1)));
+  });
+
+  it('ranks calls without an organisation’s priority like most', (t) => {
+    const ranks = createUrgencyRanks(buildConfiguration([0, 2], [0, 3, 3, undefined]));
+    const most = ranks.compute(buildRoute(2), buildOrganisation(3));
+    t.is(ranks.compute(buildRoute(2), undefined), most);
+    t.is(ranks.compute(buildRoute(2), buildOrganisation(undefined)), most);
+    const plain = createUrgencyRanks(buildConfiguration([0, 2], []));
+    t.is(plain.compute(buildRoute(2), undefined), 1);
+  });
+
+  it('stays within what engines tell apart, in order', (t) => {
+    const priorities = [0, 1, 2, 3, 4, 5];
+    const ranks = createUrgencyRanks(buildConfiguration(priorities, priorities));
+    const computed = priorities.flatMap((organisation) =>
+      priorities.map((route) =>
+        ranks.compute(buildRoute(route), buildOrganisation(organisation)),
+      ),
+    );
+    t.deepEqual([...computed].sort((a, b) => a - b), computed);
+    t.is(computed[0], 0);
+    t.is(computed.at(-1), 9);
+  });
+});
