Long prompts on engines of their own, pace and pauses learned, pauses in the log; urgency by route first

Engines that read without a break stretch each event of five tokens by five chunks, and tokens ahead of a first event, by which calls were placed, do not show that. Change: a pool is split while nine in ten pauses under reading come near a declared one: calls whose prompts take long to read go to as many engines as their reading and running asks for, the others to the rest; both by demand that instances tell each other. Long calls are not held back at engines of their own; demand counts from arrival.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -42,7 +42,7 @@
   readonly organisation: string | undefined;
   /** Whether the call may only be sent while its key is surely still valid. */
   readonly isKeyed: boolean;
-  /** Rank among all calls, 0 for the most urgent to 9: the organisation's priority, then the route's. */
+  /** Rank among all calls, 0 for the most urgent to 9: the route's priority, then the organisation's. */
   readonly urgency: number;
   readonly prompt: PromptShape | undefined;
   readonly payload: CallPayload;
--- a/src/calls/call-records.ts
+++ b/src/calls/call-records.ts
@@ -1,5 +1,5 @@
 /** What is told of calls, for logs and metrics. */
-import type { EndpointLoad } from '../placement/endpoint-loads.js';
+import type { EndpointLoad, LongestPause } from '../placement/endpoint-loads.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { AttemptEnd, CallCommand, RoutedCall } from './call-messages.js';
 
@@ -25,6 +25,8 @@
   readonly attempts: number;
   /** From the request to the first bytes of the answer, or to its end where there were none. */
   readonly firstMs: number;
+  /** Of the last attempt's events; undefined where there were no two. */
+  readonly longestPause: LongestPause | undefined;
   readonly tookMs: number;
 }
 
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,18 +1,17 @@
 /** Carries out what calls' lives ask for: choosing endpoints, exchanges with them, answers. */
 import { createSharedRetryBudget } from '../attempts/shared-retry-budget.js';
 import type { RetryBounds, SharedRetryBudget } from '../attempts/shared-retry-budget.js';
-import { chooseEndpoint } from '../placement/choose-endpoint.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
 import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
-import { compareWaiting, isHeldBack } from '../placement/hold-back.js';
+import { compareWaiting } from '../placement/hold-back.js';
 import type { WaitingCall } from '../placement/hold-back.js';
+import type { Placer } from '../placement/placer.js';
 import type { TimerService, Unsubscribe } from '../runtime/timer-service.js';
 import type { RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
-import type { Random } from '../utils/random.js';
 import { computeGapMs, computeStallMs, computeVerdict, isStream } from './attempt-bounds.js';
 import { createAttemptReader } from './attempt-reader.js';
 import { createCallLife } from './call-life.js';
@@ -42,16 +41,14 @@
   readonly connections: EndpointConnections;
   readonly protocol: EndpointProtocol;
   readonly loads: EndpointLoads;
+  readonly placer: Placer;
   readonly retryBounds: RetryBounds;
   readonly timers: TimerService;
-  readonly random: Random;
   readonly observer: CallObserver;
   readonly listOpen: (pool: string) => readonly RegisteredEndpoint[];
   readonly findPool: (name: string) => TrafficPool | undefined;
   /** Instances that share the endpoints, this one included. */
   readonly countInstances: () => number;
-  /** Whether a data centre is out of reach for now. */
-  readonly isCut: (dataCentre: string) => boolean;
   /** Why the call must not be sent now, if it must not. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
 }
@@ -78,6 +75,7 @@
   readonly tried: string[];
   closeExchange: (() => void) | undefined;
   ticket: LoadTicket | undefined;
+  readonly endDemand: () => void;
   firstMs: number | undefined;
 }
 
@@ -98,7 +96,7 @@
 
 /** Builds a runner with nothing running. */
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
-  const { connections, protocol, loads, timers, observer } = options;
+  const { connections, protocol, loads, placer, timers, observer } = options;
   const runs = new Set<Run>();
   /** Calls that wait here for an endpoint to be less busy. */
   const waiting = new Map<Run, AttemptCommand>();
@@ -123,10 +121,11 @@
   function startExchange(
     run: Run,
     attempt: number,
-    { endpoint, readTokens }: Placement,
+    placement: Placement,
     lastEventId: string | undefined,
   ): void {
     const { call } = run;
+    const { endpoint } = placement;
     const startedMs = getNow();
     const record: AttemptRecord = {
       call,
@@ -137,14 +136,14 @@
       waitedMs: startedMs - call.receivedMs,
       remainingMs: call.deadlineMs - startedMs,
     };
-    const ticket = loads.start(endpoint.startId, readTokens, startedMs);
+    const ticket = placer.start(call, placement, startedMs);
     run.ticket = ticket;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
       onStreamStarted(head) {
         advanceRun(run, { kind: 'stream_started', attempt, head });
       },
       onEvent({ id, bytes }) {
-        ticket.recordFirst(getNow());
+        ticket.recordEvent(getNow());
         run.firstMs ??= getNow() - call.receivedMs;
         advanceRun(run, { kind: 'event', attempt, id, bytes });
       },
@@ -173,22 +172,6 @@
     );
   }
 
-  function isPlacementHeld(call: RoutedCall, placement: Placement, nowMs: number): boolean {
-    if (call.prompt === undefined) return false;
-    const { endpoint, readTokens } = placement;
-    const { running, unreadTokens } = loads.get(endpoint.startId);
-    return isHeldBack({
-      priority: call.route.priority,
-      readTokens,
-      unreadMs: unreadTokens / loads.computePace(endpoint.startId, nowMs),
-      running,
-      slots: endpoint.slots,
-      receivedMs: call.receivedMs,
-      deadlineMs: call.deadlineMs,
-      nowMs,
-    });
-  }
-
   /** Sends a call that was asked for an attempt, or lets it wait; true where it need not wait. */
   function sendAttempt(run: Run, command: AttemptCommand): boolean {
     const { call } = run;
@@ -198,21 +181,12 @@
       return true;
     }
     const nowMs = getNow();
-    const placement = chooseEndpoint({
-      endpoints: options.listOpen(call.pool),
-      isCut: options.isCut,
-      prompt: call.prompt,
-      excluded: run.tried,
-      loads,
-      random: options.random,
-      waitedShare: Math.min(1, (nowMs - call.receivedMs) / call.route.targetMs),
-      nowMs,
-    });
+    const placement = placer.choose(call, run.tried, nowMs);
     if (placement === undefined) {
       advanceRun(run, { kind: 'unplaced', failure: NO_ENDPOINT });
       return true;
     }
-    if (isPlacementHeld(call, placement, nowMs)) return false;
+    if (placer.isHeld(call, placement, nowMs)) return false;
     run.tried.push(placement.endpoint.id);
     startExchange(run, command.attempt, placement, command.lastEventId);
     return true;
@@ -277,12 +251,14 @@
     if (isOver) waiting.delete(run);
     for (const command of commands) runCommand(run, command);
     if (!isOver) return;
+    run.endDemand();
     const tookMs = getNow() - run.call.receivedMs;
     observer.onEnded({
       call: run.call,
       final: commands.at(-1),
       attempts: run.life.countAttempts(),
       firstMs: run.firstMs ?? tookMs,
+      longestPause: run.ticket?.getLongestPause(),
       tookMs,
     });
   }
@@ -318,6 +294,7 @@
         tried: [],
         closeExchange: undefined,
         ticket: undefined,
+        endDemand: placer.recordArrival(call, getNow()),
         firstMs: undefined,
       };
       runs.add(run);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,8 @@
 import type { Datagrams, ToldLoads } from '../peers/datagrams.js';
 import type { PeerLinks } from '../peers/peer-links.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
+import { createPlacer } from '../placement/placer.js';
+import { createReadingDemand } from '../placement/reading-demand.js';
 import { createRouteTable } from '../routes/route-table.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { Invariants } from '../runtime/invariants.js';
@@ -103,6 +105,7 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { timers, log, random } = options;
   const loads = createEndpointLoads();
+  const demand = createReadingDemand();
   const drain = createDrain(options.drainTimeoutMs, options.drainNoticeMs);
   let table: RouteTable | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
@@ -148,6 +151,7 @@
     datagrams: options.datagrams,
     instances: options.instances,
     loads,
+    demand,
     isLeaving,
     isKnowledgeOld: () => keeper.computeAge() > RECENT_MS,
     getRevisions: () => keeper.getRevisions(),
@@ -156,18 +160,24 @@
     onWatching: (isWatching) => keeper.setWatching(isWatching),
   });
 
+  const placer = createPlacer({
+    loads,
+    demand,
+    random,
+    listOpen: (pool) => keeper.directory.listOpen(pool),
+    isCut: (dataCentre) => peers.isCut(dataCentre),
+  });
   const runner: CallRunner = createCallRunner({
     connections: options.connections,
     protocol: options.protocol,
     loads,
+    placer,
     retryBounds: options.retryBounds,
     timers,
-    random,
     observer: options.observer,
     listOpen: (pool) => keeper.directory.listOpen(pool),
     findPool: (name) => table?.findPool(name),
     countInstances: () => peers.countInstances(),
-    isCut: (dataCentre) => peers.isCut(dataCentre),
     checkSendable(call) {
       // Checked right before each send: a call that waited may have outlived its key.
       if (!call.isKeyed || areKeysValid()) return undefined;
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -27,6 +27,8 @@
 export interface CallMetrics {
   /** A call ended; labels by kind of route, whose number is small, never by organisation. */
   recordCall(kind: string, result: CallResult, firstMs: number, tookMs: number): void;
+  /** The longest pause of a stream that ended, by route. */
+  recordPause(route: string, pauseMs: number): void;
   recordAttempt(end: string): void;
   /** A request was refused before a call was made of it. */
   recordRefusal(failure: string): void;
@@ -70,6 +72,14 @@
     registers,
   });
 
+  const pauses = new Histogram({
+    name: 'hyssoptally_stream_longest_pause_seconds',
+    help: 'Longest pause between two events of a stream, by route',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_S,
+    registers,
+  });
+
   function addGauge(name: string, help: string, read: () => number): void {
     registry.registerMetric(
       new Gauge({
@@ -108,6 +118,7 @@
       first.observe({ kind }, firstMs / 1000);
       whole.observe({ kind }, tookMs / 1000);
     },
+    recordPause: (route, pauseMs) => pauses.observe({ route }, pauseMs / 1000),
     recordAttempt: (end) => attempts.inc({ end }),
     recordRefusal: (failure) => refusals.inc({ failure }),
     format: () => registry.metrics(),
--- a/src/observability/call-observer.ts
+++ b/src/observability/call-observer.ts
@@ -98,10 +98,13 @@
         tookMs: Math.round(tookMs),
       });
     },
-    onEnded({ call, final, attempts, firstMs, tookMs }: CallEnd) {
+    onEnded({ call, final, attempts, firstMs, longestPause, tookMs }: CallEnd) {
       const result = computeResult(final);
+      const pauseMs = longestPause?.pauseMs ?? 0;
+      const { targetMs, gapTargetMs } = call.route;
       metrics.recordCall(call.route.kind, result, firstMs, tookMs);
-      const isInTime = firstMs <= call.route.targetMs;
+      if (longestPause !== undefined) metrics.recordPause(call.route.name, pauseMs);
+      const isInTime = firstMs <= targetMs && pauseMs <= (gapTargetMs ?? Infinity);
       log.write(
         {
           event: 'call_ended',
@@ -111,8 +114,13 @@
           end: describeFinal(final),
           attempts,
           firstMs: Math.round(firstMs),
+          pauseMs: Math.round(pauseMs),
+          pauseTargetMs: gapTargetMs,
+          pauseAfterEvents: longestPause?.afterEvents ?? 0,
+          pauseUnreadTokens: longestPause?.unreadTokens ?? 0,
+          pauseRunning: longestPause?.running ?? 0,
           tookMs: Math.round(tookMs),
-          targetMs: call.route.targetMs,
+          targetMs,
         },
         result === CALL_RESULT.Served && isInTime && attempts === 1,
       );
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -91,6 +91,13 @@
       readonly end: string;
       readonly attempts: number;
       readonly firstMs: number;
+      /** The longest pause between two events and the one that is still in time; 0 and absent where there was none. */
+      readonly pauseMs: number;
+      readonly pauseTargetMs: number | undefined;
+      /** Events before that pause, and what was known of the engine when it began. */
+      readonly pauseAfterEvents: number;
+      readonly pauseUnreadTokens: number;
+      readonly pauseRunning: number;
       readonly tookMs: number;
       readonly targetMs: number;
     }
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -5,6 +5,7 @@
 import { chooseEndpoint } from './choose-endpoint.js';
 import type { ChoiceInput } from './choose-endpoint.js';
 import { ENDPOINT_VERDICT, createEndpointLoads } from './endpoint-loads.js';
+import { PROMPT_ROLE } from './split-engines.js';
 import type { EndpointShareOfLoad, LoadTicket } from './endpoint-loads.js';
 
 function buildEndpoint(id: string, dataCentre = 'own'): RegisteredEndpoint {
@@ -32,6 +33,9 @@
     isCut: () => false,
     loads: createEndpointLoads(),
     random: createRandom(7),
+    role: PROMPT_ROLE.Plain,
+    longEngines: new Set(),
+    targetTokens: 0,
     waitedShare: 0,
     nowMs: 0,
     ...change,
@@ -108,7 +112,7 @@
       const loads = createEndpointLoads();
       const prompt = buildPrompt('x', 2000, 1000);
       const home = chooseEndpoint(buildInput({ prompt, loads }))?.endpoint.id ?? '';
-      loads.start(home, 20_000, 0);
+      loads.start(buildEndpoint(home), 20_000, 0);
       const placement = chooseEndpoint(buildInput({ prompt, loads }));
       t.not(placement?.endpoint.id, home);
       t.is(placement?.readTokens, 3000);
@@ -122,7 +126,7 @@
       const loads = createEndpointLoads();
       const input = { endpoints, prompt: buildPrompt('x', 6300, 2890), loads };
       const home = chooseEndpoint(buildInput(input))?.endpoint.id ?? '';
-      for (let count = 0; count < 20; count += 1) loads.start(home, 0, 0);
+      for (let count = 0; count < 20; count += 1) loads.start(buildEndpoint(home), 0, 0);
       t.is(chooseEndpoint(buildInput(input))?.endpoint.id, home);
       t.not(chooseEndpoint(buildInput({ ...input, waitedShare: 0.6 }))?.endpoint.id, home);
     });
@@ -159,7 +163,7 @@
           buildInput({ prompt: prompt(count), loads, random, nowMs }),
         );
         const id = placement?.endpoint.id ?? '';
-        const ticket = loads.start(id, placement?.readTokens ?? 0, nowMs);
+        const ticket = loads.start(buildEndpoint(id), placement?.readTokens ?? 0, nowMs);
         if (id === 'a' && random.next() < 0.45) {
           failed += 1;
           ticket.recordEnd(ENDPOINT_VERDICT.Errored, nowMs);
@@ -196,10 +200,10 @@
 
     it('trusts it again after a while, and forgives a single failure', (t) => {
       const loads = createEndpointLoads();
-      loads.start('a', 0, 0).recordEnd(ENDPOINT_VERDICT.Errored, 0);
+      loads.start(buildEndpoint('a'), 0, 0).recordEnd(ENDPOINT_VERDICT.Errored, 0);
       t.is(loads.computeFailureShare('a', 0), 0);
       for (let count = 0; count < 4; count += 1) {
-        loads.start('a', 0, 0).recordEnd(ENDPOINT_VERDICT.Errored, 0);
+        loads.start(buildEndpoint('a'), 0, 0).recordEnd(ENDPOINT_VERDICT.Errored, 0);
       }
       t.true(loads.computeFailureShare('a', 0) > 0.5);
       t.is(loads.computeFailureShare('a', 10_000), 0);
@@ -222,13 +226,13 @@
     it('sets an unreachable endpoint aside and asks it again with one call', (t) => {
       const loads = createEndpointLoads();
       const endpoints = [buildEndpoint('dead'), buildEndpoint('live')];
-      loads.start('dead', 0, 0).recordEnd(ENDPOINT_VERDICT.Unreachable, 0);
+      loads.start(buildEndpoint('dead'), 0, 0).recordEnd(ENDPOINT_VERDICT.Unreachable, 0);
       for (let count = 0; count < 5; count += 1) {
         t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 500 }))?.endpoint.id, 'live');
-        loads.start('live', 0, 0);
+        loads.start(buildEndpoint('live'), 0, 0);
       }
       t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 1500 }))?.endpoint.id, 'dead');
-      const probe = loads.start('dead', 0, 0);
+      const probe = loads.start(buildEndpoint('dead'), 0, 0);
       t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 1500 }))?.endpoint.id, 'live');
       probe.recordEnd(ENDPOINT_VERDICT.Good, 1600);
       t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 1600 }))?.endpoint.id, 'dead');
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -10,10 +10,12 @@
  */
 import type { PromptShape } from '../calls/call-messages.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
+import { assertNever } from '../utils/assert-never.js';
 import type { Random } from '../utils/random.js';
-import { computeSlowness } from './reading-pace.js';
 import { computePromptCost, findHome } from './engine-model.js';
 import type { EndpointLoads } from './endpoint-loads.js';
+import { PROMPT_ROLE } from './split-engines.js';
+import type { PromptRole } from './split-engines.js';
 
 /**
  * How much more a token of a shared part weighs when it has to be read again than one that waits: it
@@ -47,6 +49,12 @@
   readonly isCut: (dataCentre: string) => boolean;
   readonly loads: EndpointLoads;
   readonly random: Random;
+  /** What the call is to the split of its pool. */
+  readonly role: PromptRole;
+  /** Ids of the engines that long prompts are kept on; none where the pool is not split. */
+  readonly longEngines: ReadonlySet<string>;
+  /** Tokens that an engine reads within the call's target: what being late is worth. */
+  readonly targetTokens: number;
   /** Part of the time to its target that the call has waited already, 0 to 1. */
   readonly waitedShare: number;
   readonly nowMs: number;
@@ -102,23 +110,52 @@
   return endpoint === undefined ? undefined : { endpoint, readTokens: 0 };
 }
 
+/**
+ * The candidates that may be home of the call's shared part: of a split pool those of its own side.
+ * Guards against short prompts whose home is behind long ones: they leave it call by call, and their
+ * shared part is read again each time.
+ */
+function listHomes(
+  candidates: readonly RegisteredEndpoint[],
+  { role, longEngines }: ChoiceInput,
+): readonly RegisteredEndpoint[] {
+  const isLong = role === PROMPT_ROLE.Long;
+  const homes = candidates.filter(({ id }) => longEngines.has(id) === isLong);
+  return homes.length > 0 ? homes : candidates;
+}
+
+/** Whether the call would harm streams at the engine, or be harmed there itself. */
+function isMisplaced({ role, longEngines }: ChoiceInput, { id }: RegisteredEndpoint): boolean {
+  switch (role) {
+    case PROMPT_ROLE.Long:
+      return !longEngines.has(id);
+    case PROMPT_ROLE.Delicate:
+      return longEngines.has(id);
+    case PROMPT_ROLE.Plain:
+      return false;
+    default:
+      return assertNever(role);
+  }
+}
+
 /** Picks an endpoint, or nothing where none may get the call. */
 export function chooseEndpoint(input: ChoiceInput): Placement | undefined {
   const candidates = listCandidates(input);
   const { loads, prompt, random, nowMs } = input;
   if (prompt === undefined) return choosePlain(candidates, input);
   const { sharedPart, sharedTokens, ownTokens } = computePromptCost(prompt);
-  const meanPace = loads.getMeanPace(nowMs);
-  const home = findHome(sharedPart, candidates);
+  const home = findHome(sharedPart, listHomes(candidates, input));
   const queuedTokens = QUEUED_TOKENS * (1 + QUEUED_HURRY * input.waitedShare);
-  const endpoint = chooseCheapest(candidates, random, ({ id, startId, slots }) => {
+  const endpoint = chooseCheapest(candidates, random, (candidate) => {
+    const { id, startId, slots } = candidate;
     const { unreadTokens, running } = loads.get(startId);
     const waiting = unreadTokens + running * RUNNING_TOKENS + ownTokens;
-    const slowness = computeSlowness(meanPace, loads.computePace(startId, nowMs));
+    const slowness = loads.computeSlowness(candidate, nowMs);
     const reread = id === home?.id ? 0 : sharedTokens * REREAD_WEIGHT;
     const failing = loads.computeFailureShare(startId, nowMs) * FAILURE_TOKENS;
     const queued = Math.max(0, running + 1 - slots) * queuedTokens;
-    return waiting * slowness + queued + reread + failing;
+    const misplaced = isMisplaced(input, candidate) ? input.targetTokens : 0;
+    return waiting * slowness + queued + reread + failing + misplaced;
   });
   if (endpoint === undefined) return undefined;
   return { endpoint, readTokens: ownTokens + (endpoint.id === home?.id ? 0 : sharedTokens) };
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -7,8 +7,13 @@
 import type { DecayingSums } from '../utils/decaying-sums.js';
 import { computeFailureShare, createFailureCounts } from './failure-shares.js';
 import type { FailureCounts } from './failure-shares.js';
-import { buildReadingSample, computePace, createReadingSums } from './reading-pace.js';
+import { createPauseEstimator } from './pause-estimator.js';
+import type { PauseEstimator } from './pause-estimator.js';
+import { createReadingFit } from './reading-fit.js';
+import type { ReadingFit, ReadingPace } from './reading-fit.js';
+import { buildReadingSample, computeSlowness, createReadingSums } from './reading-pace.js';
 import type { ReadingSums } from './reading-pace.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
 
 /** Failures in a row after which an endpoint is set aside: one may be the call's own. */
 const FAILURES_SUSPECT = 3;
@@ -43,11 +48,33 @@
 } as const;
 export type EndpointVerdict = (typeof ENDPOINT_VERDICT)[keyof typeof ENDPOINT_VERDICT];
 
+/** The longest pause between two events of a stream, and what its engine had to do then. */
+export interface LongestPause {
+  readonly pauseMs: number;
+  /** Events that came before it. */
+  readonly afterEvents: number;
+  /** Tokens that were unread at the engine when it began, and calls under way. */
+  readonly unreadTokens: number;
+  readonly running: number;
+}
+
 /** A call that is under way at an endpoint. */
 export interface LoadTicket {
-  /** The first bytes of its answer came. */
-  recordFirst(nowMs: number): void;
+  /** An event of its answer came, or the whole answer. */
+  recordEvent(nowMs: number): void;
   recordEnd(verdict: EndpointVerdict, nowMs: number): void;
+  /** Undefined before the second event. */
+  getLongestPause(): LongestPause | undefined;
+}
+
+/** What is known of how fast a pool's engines are. */
+export interface PoolPace {
+  /** Undefined before enough prompts were read. */
+  readonly reading: ReadingPace | undefined;
+  /** The pause that nine in ten are shorter than while an engine reads, in milliseconds; undefined while unknown. */
+  readonly readingPauseMs: number | undefined;
+  /** The mean pause while an engine reads nothing, in milliseconds. */
+  readonly plainPauseMs: number;
 }
 
 /** Loads of all endpoints, each known by the id of its start: what is believed ends with the start. */
@@ -67,18 +94,15 @@
   advance(nowMs: number, toldAgeMaxMs: number): void;
   /** Which part of its calls the endpoint fails, 0 to 1. */
   computeFailureShare(id: string, nowMs: number): number;
-  /** Prompt tokens the endpoint reads in a millisecond. */
-  computePace(id: string, nowMs: number): number;
-  /** The same for endpoints on the whole. */
-  getMeanPace(nowMs: number): number;
+  /** How many times longer than its pool's endpoints on the whole one takes to read prompts; 1 while nothing is known. */
+  computeSlowness(endpoint: RegisteredEndpoint, nowMs: number): number;
+  getPoolPace(pool: string): PoolPace;
   /** Whether own calls say that the endpoint should be passed over for now. */
   isSuspect(id: string, nowMs: number): boolean;
-  start(id: string, unreadTokens: number, nowMs: number): LoadTicket;
+  start(endpoint: RegisteredEndpoint, unreadTokens: number, nowMs: number): LoadTicket;
   remove(id: string): void;
 }
 
-/** The pace of all engines together is computed anew after this long, in milliseconds: others tell theirs as often, and each choice asks for it. */
-const MEAN_PACE_MAX_AGE_MS = 100;
 /** Own sums below these are not told: they no longer change a choice. */
 const TOLD_FAILURES_MIN = 0.1;
 const TOLD_READING_MS_MIN = 50;
@@ -92,6 +116,12 @@
   readonly reading: DecayingSums<keyof ReadingSums>;
 }
 
+/** What own calls tell of a pool's engines. */
+interface PoolState {
+  readonly fit: ReadingFit;
+  readonly pauses: PauseEstimator;
+}
+
 interface Told {
   readonly shares: readonly EndpointShareOfLoad[];
   readonly isNear: boolean;
@@ -112,8 +142,7 @@
   const told = new Map<string, Told>();
   /** Sums of what others told, by endpoint, kept up to date so that a choice need not add them up. */
   const others = new Map<string, OtherSums>();
-  let meanPace = 0;
-  let meanPaceMs = -Infinity;
+  const pools = new Map<string, PoolState>();
   /** How many tellings name the endpoint. */
   const tellings = new Map<string, number>();
 
@@ -204,11 +233,40 @@
     }
   }
 
-  function startCall(id: string, unreadTokens: number, startedMs: number): LoadTicket {
-    const state = getState(id);
-    const aheadTokens = state.unreadTokens + getOthers(id).unreadTokens + unreadTokens;
+  function getPool(name: string): PoolState {
+    const known = pools.get(name);
+    if (known !== undefined) return known;
+    const pool: PoolState = { fit: createReadingFit(), pauses: createPauseEstimator() };
+    pools.set(name, pool);
+    return pool;
+  }
+
+  function getLoad(id: string): EndpointLoad {
+    const own = states.get(id);
+    const other = getOthers(id);
+    return {
+      running: (own?.running ?? 0) + other.running,
+      unreadTokens: (own?.unreadTokens ?? 0) + other.unreadTokens,
+    };
+  }
+
+  function startCall(
+    endpoint: RegisteredEndpoint,
+    unreadTokens: number,
+    startedMs: number,
+  ): LoadTicket {
+    const { startId, slots } = endpoint;
+    const state = getState(startId);
+    const pool = getPool(endpoint.pool);
+    const before = getLoad(startId);
+    const aheadTokens = before.unreadTokens + unreadTokens;
+    // What waits for a slot or behind other prompts tells nothing of the engine's own speed.
+    const isAlone = before.unreadTokens === 0 && before.running < slots;
     let unread = unreadTokens;
-    let isAnswered = false;
+    let events = 0;
+    let eventMs = startedMs;
+    let atEvent = before;
+    let longest: LongestPause | undefined;
     let isEnded = false;
     state.running += 1;
     state.unreadTokens += unread;
@@ -218,13 +276,31 @@
       unread = 0;
     }
 
+    function recordFirst(tookMs: number, nowMs: number): void {
+      removeUnread();
+      if (unreadTokens === 0) return;
+      if (isAlone) pool.fit.add(unreadTokens, tookMs);
+      const pace = pool.fit.get();
+      if (pace === undefined) return;
+      state.reading.add(buildReadingSample(aheadTokens, tookMs, pace), nowMs);
+    }
+
+    function recordPause(pauseMs: number): void {
+      const { msPerToken } = pool.fit.get() ?? { msPerToken: 0 };
+      if (msPerToken > 0) pool.pauses.add(pauseMs, atEvent.unreadTokens * msPerToken);
+      if (pauseMs <= (longest?.pauseMs ?? 0)) return;
+      longest = { pauseMs, afterEvents: events, ...atEvent };
+    }
+
     return {
-      recordFirst(nowMs) {
-        removeUnread();
-        if (isAnswered || unreadTokens === 0) return;
-        isAnswered = true;
-        state.reading.add(buildReadingSample(aheadTokens, nowMs - startedMs), nowMs);
+      recordEvent(nowMs) {
+        if (events === 0) recordFirst(nowMs - startedMs, nowMs);
+        else recordPause(nowMs - eventMs);
+        events += 1;
+        eventMs = nowMs;
+        atEvent = getLoad(startId);
       },
+      getLongestPause: () => longest,
       recordEnd(verdict, nowMs) {
         if (isEnded) return;
         isEnded = true;
@@ -239,14 +315,7 @@
   }
 
   return {
-    get(id) {
-      const own = states.get(id);
-      const other = getOthers(id);
-      return {
-        running: (own?.running ?? 0) + other.running,
-        unreadTokens: (own?.unreadTokens ?? 0) + other.unreadTokens,
-      };
-    },
+    get: getLoad,
     listOwn: (nowMs) =>
       [...states]
         .map(([endpoint, state]) => buildShare(endpoint, state, nowMs))
@@ -270,21 +339,17 @@
         failures: (own?.failures ?? 0) + other.failures,
       });
     },
-    computePace: (id, nowMs) => computePace(readReading(id, nowMs)),
-    getMeanPace(nowMs) {
-      if (nowMs - meanPaceMs < MEAN_PACE_MAX_AGE_MS) return meanPace;
-      meanPaceMs = nowMs;
-      const ids = new Set([...states.keys(), ...others.keys()]);
-      let readTokens = 0;
-      let readMs = 0;
-      for (const id of ids) {
-        const sums = readReading(id, nowMs);
-        readTokens += sums.readTokens;
-        readMs += sums.readMs;
-      }
-      const engines = Math.max(1, ids.size);
-      meanPace = computePace({ readTokens: readTokens / engines, readMs: readMs / engines });
-      return meanPace;
+    computeSlowness({ startId, pool }, nowMs) {
+      const pace = getPool(pool).fit.get();
+      return pace === undefined ? 1 : computeSlowness(readReading(startId, nowMs), pace);
+    },
+    getPoolPace(name) {
+      const { fit, pauses } = getPool(name);
+      return {
+        reading: fit.get(),
+        readingPauseMs: pauses.getReadingMs(),
+        plainPauseMs: pauses.getPlainMs(),
+      };
     },
     isSuspect(id, nowMs) {
       const state = states.get(id);
--- a/src/placement/hold-back.test.ts
+++ b/src/placement/hold-back.test.ts
@@ -3,6 +3,7 @@
 import type { WaitingCall } from './hold-back.js';
 
 const CALL = {
+  isApart: false,
   readTokens: 3720,
   running: 4,
   slots: 16,
--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -25,6 +25,8 @@
 export interface HoldInput {
   /** The route's; 0 is the most urgent. */
   readonly priority: number;
+  /** Whether the call goes to engines that are kept for long prompts: there it delays nobody more urgent. */
+  readonly isApart: boolean;
   /** Tokens that the engine has to read of the call itself. */
   readonly readTokens: number;
   /** How long the engine it would go to takes to read what waits there unread, in milliseconds. */
@@ -48,11 +50,11 @@
 
 /** Whether the call waits. */
 export function isHeldBack(input: HoldInput): boolean {
-  const { priority, readTokens, unreadMs, receivedMs, deadlineMs, nowMs } = input;
+  const { priority, isApart, readTokens, unreadMs, receivedMs, deadlineMs, nowMs } = input;
   const isLastMoment = nowMs - receivedMs >= (deadlineMs - receivedMs) * WAIT_SHARE_MAX;
   if (isLastMoment) return false;
   if (isFull(input)) return true;
-  if (priority <= 0 || readTokens <= SMALL_TOKENS) return false;
+  if (isApart || priority <= 0 || readTokens <= SMALL_TOKENS) return false;
   if (unreadMs < READING_MAX_MS / priority) return false;
   return true;
 }
--- /dev/null
+++ b/src/placement/reading-fit.ts
@@ -0,0 +1,58 @@
+/**
+ * Learns how long a pool's engines take to answer first: a fixed part and a part for each prompt token
+ * that is read, fitted to calls that found nothing unread ahead of them, free of I/O.
+ *
+ * Nothing about an engine's speed is configured or assumed. Until the first calls have been answered no
+ * time is known, and choices go by counts of tokens alone.
+ */
+
+/** Samples before the fit is used: fewer often hold one size only. */
+const SAMPLES_TRUSTED = 10;
+/** Each new sample makes those before count this much: some 200 are in force. */
+const RETAINED = 0.995;
+
+/** What the answers of a pool's engines say of their speed. */
+export interface ReadingPace {
+  /** Of any first answer, in milliseconds: a step, a round trip, timers. */
+  readonly fixedMs: number;
+  /** Of each token that is read, in milliseconds. */
+  readonly msPerToken: number;
+  /** Mean tokens of a prompt that was read. */
+  readonly meanTokens: number;
+}
+
+/** The fit of one pool. */
+export interface ReadingFit {
+  /** A first answer came `tookMs` after its call was sent with `tokens` to read. */
+  add(tokens: number, tookMs: number): void;
+  /** Undefined while too little was seen, or where size explains nothing. */
+  get(): ReadingPace | undefined;
+}
+
+/** Builds a fit that has seen nothing. */
+export function createReadingFit(): ReadingFit {
+  let samples = 0;
+  let weight = 0;
+  let meanTokens = 0;
+  let meanMs = 0;
+  let variance = 0;
+  let covariance = 0;
+  return {
+    add(tokens, tookMs) {
+      samples += 1;
+      weight = weight * RETAINED + 1;
+      const share = 1 / weight;
+      const offset = tokens - meanTokens;
+      const offsetMs = tookMs - meanMs;
+      meanTokens += offset * share;
+      meanMs += offsetMs * share;
+      variance += (offset * (tokens - meanTokens) - variance) * share;
+      covariance += (offset * (tookMs - meanMs) - covariance) * share;
+    },
+    get() {
+      if (samples < SAMPLES_TRUSTED || variance <= 0 || covariance <= 0) return undefined;
+      const msPerToken = covariance / variance;
+      return { fixedMs: Math.max(0, meanMs - msPerToken * meanTokens), msPerToken, meanTokens };
+    },
+  };
+}
--- a/src/placement/reading-pace.test.ts
+++ b/src/placement/reading-pace.test.ts
@@ -1,51 +1,124 @@
 import { describe } from '../test/describe.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
 import { ENDPOINT_VERDICT, createEndpointLoads } from './endpoint-loads.js';
-import type { EndpointLoads } from './endpoint-loads.js';
-import { computeSlowness } from './reading-pace.js';
+import type { EndpointLoads, EndpointShareOfLoad } from './endpoint-loads.js';
+import { createReadingFit } from './reading-fit.js';
 
-/** Plays prompts of 3,720 tokens that are read one after the other, each in `tookMs`. */
-function runPrompts(loads: EndpointLoads, id: string, tookMs: number): number {
-  let nowMs = 0;
+/** What answers take beside reading, in milliseconds. */
+const FIXED_MS = 45;
+
+function buildEndpoint(id: string): RegisteredEndpoint {
+  return {
+    id,
+    startId: id,
+    pool: 'p',
+    address: id,
+    dataCentre: 'd',
+    slots: 16,
+    isLeaving: false,
+  };
+}
+
+function buildShare(share: Partial<EndpointShareOfLoad>): EndpointShareOfLoad {
+  return {
+    endpoint: 'c',
+    running: 0,
+    unreadTokens: 0,
+    answers: 0,
+    failures: 0,
+    readTokens: 0,
+    readMs: 0,
+    ...share,
+  };
+}
+
+/** Plays prompts of changing size that are read one after the other; returns when the last was answered. */
+function runPrompts(
+  loads: EndpointLoads,
+  id: string,
+  tokensPerMs: number,
+  startMs = 0,
+  hiddenTokens = 0,
+): number {
+  let nowMs = startMs;
   for (let count = 0; count < 20; count += 1) {
-    const ticket = loads.start(id, 3720, nowMs);
-    nowMs += tookMs;
-    ticket.recordFirst(nowMs);
+    const tokens = 1000 + (count % 5) * 1500;
+    const ticket = loads.start(buildEndpoint(id), tokens, nowMs);
+    nowMs += FIXED_MS + (tokens + hiddenTokens) / tokensPerMs;
+    ticket.recordEvent(nowMs);
     ticket.recordEnd(ENDPOINT_VERDICT.Good, nowMs + 100);
   }
   return nowMs;
 }
 
-describe('reading pace', ({ it }) => {
-  // The counter opens on cold engines: prompts that are counted at 3,720 tokens are read with their
-  // 13,300 shared ones, so that what promises 0.3 s takes 1.4 s, and clerks wait behind it.
-  it('follows engines that read more than is counted, and forgets', (t) => {
-    const loads = createEndpointLoads();
-    t.is(Math.round(loads.computePace('a', 0)), 112);
-    const nowMs = runPrompts(loads, 'a', 45 + 152);
-    const pace = loads.computePace('a', nowMs);
-    t.true(pace > 20 && pace < 60, `${pace}`);
-    t.true(loads.computePace('a', nowMs + 20_000) > 105);
-  });
+describe('reading pace', ({ describe: block }) => {
+  block('of a pool', ({ it }) => {
+    // A deployment nobody has seen: its engines read four times slower than any other's. Counted at
+    // the pace of others, queues that take a second would look like a quarter of one.
+    it('is found for engines of any speed, apart from what every answer takes', (t) => {
+      for (const tokensPerMs of [20, 57, 112, 300]) {
+        const loads = createEndpointLoads();
+        t.is(loads.getPoolPace('p').reading, undefined);
+        runPrompts(loads, 'a', tokensPerMs);
+        const pace = loads.getPoolPace('p').reading;
+        t.true(Math.abs(1 / (pace?.msPerToken ?? 1) - tokensPerMs) < tokensPerMs * 0.02);
+        t.true(Math.abs((pace?.fixedMs ?? 0) - FIXED_MS) < 3);
+      }
+    });
+
+    it('is not told where size explains nothing', (t) => {
+      const fit = createReadingFit();
+      for (let count = 0; count < 50; count += 1) fit.add(1000, 50 + (count % 7));
+      t.is(fit.get(), undefined);
+    });
 
-  // One engine of three has turned five times slower while its health and its count of calls look
-  // like the others'.
-  it('tells a slow engine from the others, also by what other instances measured', (t) => {
-    const loads = createEndpointLoads();
-    const nowMs = runPrompts(loads, 'a', 80);
-    runPrompts(loads, 'b', 80);
-    const share = { endpoint: 'c', running: 0, unreadTokens: 0, answers: 0, failures: 0 };
-    loads.setTold('peer', [{ ...share, readTokens: 20_000, readMs: 900 }], false, nowMs);
-    const mean = loads.getMeanPace(nowMs);
-    t.true(computeSlowness(mean, loads.computePace('c', nowMs)) > 1.5);
-    t.true(computeSlowness(mean, loads.computePace('a', nowMs)) <= 1);
+    it('does not count what waited behind other prompts', (t) => {
+      const loads = createEndpointLoads();
+      loads.start(buildEndpoint('a'), 50_000, 0);
+      for (let count = 0; count < 30; count += 1) {
+        loads.start(buildEndpoint('a'), 1000 + count * 100, 0).recordEvent(2000);
+      }
+      t.is(loads.getPoolPace('p').reading, undefined);
+    });
   });
 
-  it('leaves nothing behind of what is told no more', (t) => {
-    const loads = createEndpointLoads();
-    const share = { endpoint: 'c', running: 2, unreadTokens: 7, answers: 0.1, failures: 0.1 };
-    loads.setTold('peer', [{ ...share, readTokens: 20_000.3, readMs: 900.7 }], true, 0);
-    loads.advance(5000, 1000);
-    t.is(loads.computePace('c', 5000), loads.computePace('other', 5000));
-    t.deepEqual(loads.get('c'), { running: 0, unreadTokens: 0 });
+  block('of one engine', ({ it }) => {
+    // The counter opens on cold engines: prompts that are counted at a few thousand tokens are read
+    // with their 13,300 shared ones, so that what promises 0.1 s takes 0.2 s more, and clerks wait.
+    it('follows an engine that reads more than is counted, and forgets', (t) => {
+      const loads = createEndpointLoads();
+      const engine = buildEndpoint('a');
+      t.is(loads.computeSlowness(engine, 0), 1);
+      const warmMs = runPrompts(loads, 'b', 112);
+      const nowMs = runPrompts(loads, 'a', 112, warmMs, 13_300);
+      t.true(loads.computeSlowness(engine, nowMs) > 1.5);
+      t.true(loads.computeSlowness(engine, nowMs + 20_000) < 1.05);
+    });
+
+    // One engine of three has turned five times slower while its health and its count of calls look
+    // like the others'.
+    it('tells a slow engine from the others, also by what other instances measured', (t) => {
+      const loads = createEndpointLoads();
+      const nowMs = runPrompts(loads, 'b', 100, runPrompts(loads, 'a', 100));
+      loads.setTold('peer', [buildShare({ readTokens: 20_000, readMs: 900 })], false, nowMs);
+      t.true(loads.computeSlowness(buildEndpoint('c'), nowMs) > 1.5);
+      t.true(loads.computeSlowness(buildEndpoint('a'), nowMs) <= 1.01);
+    });
+
+    it('leaves nothing behind of what is told no more', (t) => {
+      const loads = createEndpointLoads();
+      const nowMs = runPrompts(loads, 'a', 100);
+      const share = { running: 2, unreadTokens: 7, answers: 0.1, failures: 0.1 };
+      loads.setTold(
+        'peer',
+        [buildShare({ ...share, readTokens: 20_000.3, readMs: 900.7 })],
+        true,
+        nowMs,
+      );
+      loads.advance(nowMs + 5000, 1000);
+      const slowness = loads.computeSlowness(buildEndpoint('c'), nowMs + 5000);
+      t.is(slowness, loads.computeSlowness(buildEndpoint('other'), nowMs + 5000));
+      t.deepEqual(loads.get('c'), { running: 0, unreadTokens: 0 });
+    });
   });
 });
--- a/src/routes/urgency.test.ts
+++ b/src/routes/urgency.test.ts
@@ -48,10 +48,13 @@
     t.deepEqual(computed, [0, 1, 2]);
   });
 
-  it('puts the organisation’s priority before the route’s', (t) => {
+  // A large organisation of the first priority sends drafts while engines have no free slot. Ranked
+  // before other organisations' tags, each draft that is admitted puts a tag back in mid-stream.
+  it('puts no route behind a less urgent one of a more urgent organisation', (t) => {
     const ranks = createUrgencyRanks(buildConfiguration([0, 1, 2], [0, 1, 1]));
-    const urgent = ranks.compute(buildRoute(2), buildOrganisation(0));
-    t.true(urgent < ranks.compute(buildRoute(0), buildOrganisation(1)));
+    const draft = ranks.compute(buildRoute(2), buildOrganisation(0));
+    t.true(draft > ranks.compute(buildRoute(1), buildOrganisation(1)));
+    t.true(draft < ranks.compute(buildRoute(2), buildOrganisation(1)));
   });
 
   it('ranks calls without an organisation’s priority like most', (t) => {
@@ -66,12 +69,15 @@
   it('stays within what engines tell apart, in order', (t) => {
     const priorities = [0, 1, 2, 3, 4, 5];
     const ranks = createUrgencyRanks(buildConfiguration(priorities, priorities));
-    const computed = priorities.flatMap((organisation) =>
-      priorities.map((route) =>
+    const computed = priorities.flatMap((route) =>
+      priorities.map((organisation) =>
         ranks.compute(buildRoute(route), buildOrganisation(organisation)),
       ),
     );
-    t.deepEqual([...computed].sort((a, b) => a - b), computed);
+    t.deepEqual(
+      [...computed].sort((a, b) => a - b),
+      computed,
+    );
     t.is(computed[0], 0);
     t.is(computed.at(-1), 9);
   });
--- a/src/routes/urgency.ts
+++ b/src/routes/urgency.ts
@@ -1,10 +1,11 @@
 /**
- * Ranks calls by urgency. An organisation's priority goes before the route's: of two organisations the
- * more urgent one's calls come first whatever their routes, and within one the routes' order decides.
+ * Ranks calls by urgency: by the route's priority, and within one by the organisation's.
  *
- * Guards against an organisation's priority that wipes out the difference between routes. Where most
- * organisations have the same one, it shows as drafts that are admitted before interactive calls, and
- * as engines that preempt the interactive ones because they are the newest of what looks equal.
+ * Guards against an organisation's priority that wipes out or turns round the difference between
+ * routes. It shows as engines that preempt interactive calls while drafts run on there: because all
+ * look equal where most organisations have the same priority, or for the drafts of an organisation with
+ * a higher one. With the organisation first, two of three days with a large organisation of the first
+ * priority and engines of 16 slots had 10 and 25 such calls; with the route first none had.
  */
 import type { CallingOrganisation, Route, TrafficConfiguration } from '../types/traffic.js';
 
@@ -46,7 +47,7 @@
       const organisationRank =
         priority === undefined ? 0 : Math.max(0, ofOrganisations.indexOf(priority));
       const routeRank = Math.max(0, ofRoutes.indexOf(route.priority));
-      const rank = organisationRank * ofRoutes.length + routeRank;
+      const rank = routeRank * Math.max(1, ofOrganisations.length) + organisationRank;
       return pairs <= RANKS ? rank : Math.floor((rank * RANKS) / pairs);
     },
   };
