Engines of their own for long prompts are taken out again

A varied deployment that should not have been split was, since rereads are taken for slow reading. Conclusion: reverted. Pace, pauses in the log, costs in milliseconds and urgency stay.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -75,7 +75,6 @@
   readonly tried: string[];
   closeExchange: (() => void) | undefined;
   ticket: LoadTicket | undefined;
-  readonly endDemand: () => void;
   firstMs: number | undefined;
 }
 
@@ -252,7 +251,6 @@
     if (isOver) waiting.delete(run);
     for (const command of commands) runCommand(run, command);
     if (!isOver) return;
-    run.endDemand();
     const tookMs = getNow() - run.call.receivedMs;
     observer.onEnded({
       call: run.call,
@@ -295,7 +293,6 @@
         tried: [],
         closeExchange: undefined,
         ticket: undefined,
-        endDemand: placer.recordArrival(call, getNow()),
         firstMs: undefined,
       };
       runs.add(run);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,7 +20,6 @@
 import type { PeerLinks } from '../peers/peer-links.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { createPlacer } from '../placement/placer.js';
-import { createReadingDemand } from '../placement/reading-demand.js';
 import { createRouteTable } from '../routes/route-table.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { Invariants } from '../runtime/invariants.js';
@@ -105,7 +104,6 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { timers, log, random } = options;
   const loads = createEndpointLoads();
-  const demand = createReadingDemand();
   const drain = createDrain(options.drainTimeoutMs, options.drainNoticeMs);
   let table: RouteTable | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
@@ -151,7 +149,6 @@
     datagrams: options.datagrams,
     instances: options.instances,
     loads,
-    demand,
     isLeaving,
     isKnowledgeOld: () => keeper.computeAge() > RECENT_MS,
     getRevisions: () => keeper.getRevisions(),
@@ -162,7 +159,6 @@
 
   const placer = createPlacer({
     loads,
-    demand,
     random,
     listOpen: (pool) => keeper.directory.listOpen(pool),
     isCut: (dataCentre) => peers.isCut(dataCentre),
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -6,7 +6,6 @@
 import type { WatchDuty } from '../knowledge/watch-duty.js';
 import type { Datagrams, ToldLoads } from '../peers/datagrams.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
-import type { ReadingDemand } from '../placement/reading-demand.js';
 import type { FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import { FactState } from '../membership/facts.js';
 import { createReachability } from '../membership/reachability.js';
@@ -56,7 +55,6 @@
   readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip'>;
   readonly instances: InstanceListClient;
   readonly loads: EndpointLoads;
-  readonly demand: ReadingDemand;
   readonly isLeaving: () => boolean;
   /** Whether the own knowledge is so old that peers are asked. */
   readonly isKnowledgeOld: () => boolean;
@@ -82,7 +80,7 @@
 
 /** Starts the exchange. */
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
-  const { self, timers, random, log, links, loads, demand } = options;
+  const { self, timers, random, log, links, loads } = options;
   const reachability = createReachability(self.dataCentre);
   const watchDuty = createWatchDuty();
   let duty: WatchDuty = { kind: 'watch' };
@@ -134,7 +132,6 @@
       instance: self.name,
       dataCentre: self.dataCentre,
       shares: loads.listOwn(timers.clock.monotonicMs()),
-      demands: demand.listOwn(timers.clock.monotonicMs()),
       revisions: options.getRevisions(),
     };
     const text = JSON.stringify(told);
@@ -184,7 +181,6 @@
 
   timers.subscribe(TELL_PERIOD_MS, () => {
     loads.advance(timers.clock.monotonicMs(), computeToldAge());
-    demand.advance(timers.clock.monotonicMs(), computeToldAge());
     updateCut();
     sendLoads();
   });
@@ -238,12 +234,11 @@
 
   return {
     handleTold(told) {
-      const { instance, dataCentre, shares, demands } = told;
+      const { instance, dataCentre, shares } = told;
       const nowMs = timers.clock.monotonicMs();
       checkNews(told);
       reachability.recordHeard(instance, nowMs);
       loads.setTold(instance, shares, dataCentre === self.dataCentre, nowMs);
-      demand.setTold(instance, demands, nowMs);
     },
     isCut: (dataCentre) => cut.has(dataCentre),
     handleBodies(from, bodies) {
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -10,10 +10,9 @@
 import { DatagramSchema, TellLoadSchema } from '../gen/peer_pb.js';
 import type { Datagram, PeerMessage, TellLoad } from '../gen/peer_pb.js';
 import type { EndpointShareOfLoad } from '../placement/endpoint-loads.js';
-import type { PoolDemand } from '../placement/reading-demand.js';
 import type { KnownRevisions } from './peer-links.js';
 
-/** Shares in one datagram: about 50 bytes each, so that it fits an Ethernet frame with the demands. The largest go first. */
+/** Shares in one datagram: about 50 bytes each, so that it fits an Ethernet frame. The largest go first. */
 const SHARES_MAX = 26;
 
 /** What one instance tells the others. */
@@ -21,8 +20,6 @@
   readonly instance: string;
   readonly dataCentre: string;
   readonly shares: readonly EndpointShareOfLoad[];
-  /** What the instance's calls ask of each pool. */
-  readonly demands: readonly PoolDemand[];
   /** What the instance has of the source's tables. */
   readonly revisions: KnownRevisions;
 }
@@ -47,7 +44,7 @@
   readonly onError: (reason: string) => void;
 }
 
-function encodeLoads({ dataCentre, shares, demands, revisions }: ToldLoads): TellLoad {
+function encodeLoads({ dataCentre, shares, revisions }: ToldLoads): TellLoad {
   const largest = [...shares].sort((a, b) => b.unreadTokens - a.unreadTokens).slice(0, SHARES_MAX);
   return create(TellLoadSchema, {
     dataCentre,
@@ -60,14 +57,6 @@
     failures: largest.map(({ failures }) => failures),
     readTokens: largest.map(({ readTokens }) => readTokens),
     readMs: largest.map(({ readMs }) => readMs),
-    pools: demands.map(({ pool }) => pool),
-    longReading: demands.map(({ longReading }) => longReading),
-    shortReading: demands.map(({ shortReading }) => shortReading),
-    longRunning: demands.map(({ longRunning }) => longRunning),
-    shortRunning: demands.map(({ shortRunning }) => shortRunning),
-    longTokens: demands.map(({ longTokens }) => longTokens),
-    shortTokens: demands.map(({ shortTokens }) => shortTokens),
-    readingPauseMs: demands.map(({ readingPauseMs }) => readingPauseMs ?? 0),
   });
 }
 
@@ -88,16 +77,6 @@
       readTokens: load.readTokens[index] ?? 0,
       readMs: load.readMs[index] ?? 0,
     })),
-    demands: load.pools.map((pool, index) => ({
-      pool,
-      longReading: load.longReading[index] ?? 0,
-      shortReading: load.shortReading[index] ?? 0,
-      longRunning: load.longRunning[index] ?? 0,
-      shortRunning: load.shortRunning[index] ?? 0,
-      longTokens: load.longTokens[index] ?? 0,
-      shortTokens: load.shortTokens[index] ?? 0,
-      readingPauseMs: load.readingPauseMs[index] || undefined,
-    })),
   };
 }
 
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -5,7 +5,6 @@
 import { chooseEndpoint } from './choose-endpoint.js';
 import type { ChoiceInput } from './choose-endpoint.js';
 import { ENDPOINT_VERDICT, createEndpointLoads } from './endpoint-loads.js';
-import { PROMPT_ROLE } from './split-engines.js';
 import type { EndpointLoads, EndpointShareOfLoad, LoadTicket } from './endpoint-loads.js';
 
 function buildEndpoint(id: string, dataCentre = 'own'): RegisteredEndpoint {
@@ -33,8 +32,6 @@
     isCut: () => false,
     loads: createKnownLoads(),
     random: createRandom(7),
-    role: PROMPT_ROLE.Plain,
-    longEngines: new Set(),
     targetMs: 1500,
     waitedShare: 0,
     nowMs: 0,
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -10,13 +10,10 @@
  */
 import type { PromptShape } from '../calls/call-messages.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
-import { assertNever } from '../utils/assert-never.js';
 import type { Random } from '../utils/random.js';
 import { computePromptCost, findHome } from './engine-model.js';
 import type { PromptCost } from './engine-model.js';
 import type { EndpointLoads } from './endpoint-loads.js';
-import { PROMPT_ROLE } from './split-engines.js';
-import type { PromptRole } from './split-engines.js';
 
 /**
  * How much more a token of a shared part weighs when it has to be read again than one that waits: it
@@ -56,10 +53,6 @@
   readonly isCut: (dataCentre: string) => boolean;
   readonly loads: EndpointLoads;
   readonly random: Random;
-  /** What the call is to the split of its pool. */
-  readonly role: PromptRole;
-  /** Ids of the engines that long prompts are kept on; none where the pool is not split. */
-  readonly longEngines: ReadonlySet<string>;
   /** Time from the call's arrival to the first answer that is in time, in milliseconds. */
   readonly targetMs: number;
   /** Part of that time that the call has waited already, 0 to 1. */
@@ -117,34 +110,6 @@
   return endpoint === undefined ? undefined : { endpoint, readTokens: 0 };
 }
 
-/**
- * The candidates that may be home of the call's shared part: of a split pool those of its own side.
- * Guards against short prompts whose home is behind long ones: they leave it call by call, and their
- * shared part is read again each time.
- */
-function listHomes(
-  candidates: readonly RegisteredEndpoint[],
-  { role, longEngines }: ChoiceInput,
-): readonly RegisteredEndpoint[] {
-  const isLong = role === PROMPT_ROLE.Long;
-  const homes = candidates.filter(({ id }) => longEngines.has(id) === isLong);
-  return homes.length > 0 ? homes : candidates;
-}
-
-/** Whether the call would harm streams at the engine, or be harmed there itself. */
-function isMisplaced({ role, longEngines }: ChoiceInput, { id }: RegisteredEndpoint): boolean {
-  switch (role) {
-    case PROMPT_ROLE.Long:
-      return !longEngines.has(id);
-    case PROMPT_ROLE.Delicate:
-      return longEngines.has(id);
-    case PROMPT_ROLE.Plain:
-      return false;
-    default:
-      return assertNever(role);
-  }
-}
-
 /** What it costs to send a prompt to an engine, in milliseconds that its first answer is later or may as well be. */
 function computeCostMs(
   input: ChoiceInput,
@@ -164,10 +129,7 @@
   const queuedMs = (Math.max(0, running + 1 - slots) * meanRunMs) / slots;
   const rereadMs = isHome ? 0 : sharedTokens * msPerToken * REREAD_WEIGHT;
   const failingMs = loads.computeFailureShare(startId, nowMs) * targetMs * FAILURE_TARGETS;
-  const misplacedMs = isMisplaced(input, candidate) ? targetMs : 0;
-  return (
-    readMs + runningMs + Math.min(targetMs, queuedMs * hurry) + rereadMs + failingMs + misplacedMs
-  );
+  return readMs + runningMs + Math.min(targetMs, queuedMs * hurry) + rereadMs + failingMs;
 }
 
 /** Picks an endpoint, or nothing where none may get the call. */
@@ -176,7 +138,7 @@
   const { prompt, random } = input;
   if (prompt === undefined) return choosePlain(candidates, input);
   const cost = computePromptCost(prompt);
-  const home = findHome(cost.sharedPart, listHomes(candidates, input));
+  const home = findHome(cost.sharedPart, candidates);
   const endpoint = chooseCheapest(candidates, random, (candidate) =>
     computeCostMs(input, candidate, cost, candidate.id === home?.id),
   );
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -9,8 +9,6 @@
 import type { DecayingSums } from '../utils/decaying-sums.js';
 import { computeFailureShare, createFailureCounts } from './failure-shares.js';
 import type { FailureCounts } from './failure-shares.js';
-import { createPauseEstimator } from './pause-estimator.js';
-import type { PauseEstimator } from './pause-estimator.js';
 import { createReadingFit } from './reading-fit.js';
 import type { ReadingFit, ReadingPace } from './reading-fit.js';
 import { buildReadingSample, computeSlowness, createReadingSums } from './reading-pace.js';
@@ -73,10 +71,6 @@
 export interface PoolPace {
   /** Undefined before enough prompts were read. */
   readonly reading: ReadingPace | undefined;
-  /** The pause that nine in ten are shorter than while an engine reads, in milliseconds; undefined while unknown. */
-  readonly readingPauseMs: number | undefined;
-  /** The mean pause while an engine reads nothing, in milliseconds. */
-  readonly plainPauseMs: number;
   /** Mean time from a call's sending to the end of its answer, in milliseconds; 0 before the first. */
   readonly meanRunMs: number;
 }
@@ -125,7 +119,6 @@
 /** What own calls tell of a pool's engines. */
 interface PoolState {
   readonly fit: ReadingFit;
-  readonly pauses: PauseEstimator;
   readonly runMs: MovingAverage;
 }
 
@@ -245,7 +238,6 @@
     if (known !== undefined) return known;
     const pool: PoolState = {
       fit: createReadingFit(),
-      pauses: createPauseEstimator(),
       runMs: createMovingAverage(RUN_ALPHA),
     };
     pools.set(name, pool);
@@ -297,8 +289,6 @@
     }
 
     function recordPause(pauseMs: number): void {
-      const { msPerToken } = pool.fit.get() ?? { msPerToken: 0 };
-      if (msPerToken > 0) pool.pauses.add(pauseMs, atEvent.unreadTokens * msPerToken);
       if (pauseMs <= (longest?.pauseMs ?? 0)) return;
       longest = { pauseMs, afterEvents: events, ...atEvent };
     }
@@ -356,11 +346,9 @@
       return pace === undefined ? 1 : computeSlowness(readReading(startId, nowMs), pace);
     },
     getPoolPace(name) {
-      const { fit, pauses, runMs } = getPool(name);
+      const { fit, runMs } = getPool(name);
       return {
         reading: fit.get(),
-        readingPauseMs: pauses.getReadingMs(),
-        plainPauseMs: pauses.getPlainMs(),
         meanRunMs: runMs.get(0),
       };
     },
--- a/src/placement/hold-back.test.ts
+++ b/src/placement/hold-back.test.ts
@@ -3,7 +3,6 @@
 import type { WaitingCall } from './hold-back.js';
 
 const CALL = {
-  isApart: false,
   readMs: 33,
   shortestTargetMs: 300,
   running: 4,
--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -26,8 +26,6 @@
 export interface HoldInput {
   /** The route's; 0 is the most urgent. */
   readonly priority: number;
-  /** Whether the call goes to engines that are kept for long prompts: there it delays nobody more urgent. */
-  readonly isApart: boolean;
   /** How long the engine it would go to takes to read the call's own prompt, in milliseconds. */
   readonly readMs: number;
   /** The same for what waits there unread. */
@@ -53,12 +51,12 @@
 
 /** Whether the call waits. */
 export function isHeldBack(input: HoldInput): boolean {
-  const { priority, isApart, readMs, unreadMs, shortestTargetMs } = input;
+  const { priority, readMs, unreadMs, shortestTargetMs } = input;
   const { receivedMs, deadlineMs, nowMs } = input;
   const isLastMoment = nowMs - receivedMs >= (deadlineMs - receivedMs) * WAIT_SHARE_MAX;
   if (isLastMoment) return false;
   if (isFull(input)) return true;
-  if (isApart || priority <= 0 || readMs <= shortestTargetMs * SMALL_TARGETS) return false;
+  if (priority <= 0 || readMs <= shortestTargetMs * SMALL_TARGETS) return false;
   return unreadMs >= (shortestTargetMs * READING_TARGETS) / priority;
 }
 
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -1,6 +1,6 @@
 /**
- * Places calls: where each goes, whether it waits here first, and what its start and end say of loads
- * and demand. Free of I/O; the decisions themselves are in the modules beside it.
+ * Places calls: where each goes, whether it waits here first, and what its start says of loads and sizes.
+ * Free of I/O; the decisions themselves are in the modules beside it.
  */
 import type { RoutedCall } from '../calls/call-messages.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
@@ -8,19 +8,12 @@
 import { chooseEndpoint } from './choose-endpoint.js';
 import type { Placement } from './choose-endpoint.js';
 import type { EndpointLoads, LoadTicket } from './endpoint-loads.js';
-import { computePromptCost } from './engine-model.js';
 import { isHeldBack } from './hold-back.js';
-import type { ReadingDemand } from './reading-demand.js';
-import { PROMPT_ROLE, createPromptRoles, listLongEngines } from './split-engines.js';
-import type { PromptRole } from './split-engines.js';
-
-/** The split of a pool is computed anew after this long, in milliseconds: demand is told as often, and each choice asks for it. */
-const SPLIT_MAX_AGE_MS = 100;
+import { createRouteSizes } from './route-sizes.js';
 
 /** What a placer is built on. */
 export interface PlacerOptions {
   readonly loads: EndpointLoads;
-  readonly demand: ReadingDemand;
   readonly random: Random;
   readonly listOpen: (pool: string) => readonly RegisteredEndpoint[];
   /** Whether a data centre is out of reach for now. */
@@ -29,8 +22,6 @@
 
 /** Places the calls of one instance. */
 export interface Placer {
-  /** A call arrived; the returned function is called at its end. Counted from then, so that calls which wait here ask for engines too. */
-  recordArrival(call: RoutedCall, nowMs: number): () => void;
   /** Where a call goes that was tried at these endpoints; nothing where none may get it. */
   choose(call: RoutedCall, tried: readonly string[], nowMs: number): Placement | undefined;
   /** Whether the call waits here rather than at the endpoint it would go to. */
@@ -41,61 +32,18 @@
   start(call: RoutedCall, placement: Placement, nowMs: number): LoadTicket;
 }
 
-interface Split {
-  readonly engines: ReadonlySet<string>;
-  readonly endpoints: readonly RegisteredEndpoint[];
-  readonly computedMs: number;
-}
-
-const NO_ENGINES: ReadonlySet<string> = new Set();
-
 /** Builds a placer that has placed nothing. */
 export function createPlacer(options: PlacerOptions): Placer {
-  const { loads, demand } = options;
-  const roles = createPromptRoles();
-  const splits = new Map<string, Split>();
-
-  function findRole({ route, pool }: RoutedCall): PromptRole {
-    return roles.find(route, pool);
-  }
-
-  /** Looks anew at which engines in reach long prompts are kept on, the same on all instances that hear the same. */
-  function updateSplit(pool: string, nowMs: number): Split {
-    const endpoints = options.listOpen(pool);
-    const pace = loads.getPoolPace(pool);
-    demand.setReadingPause(pool, pace.readingPauseMs);
-    const asked = demand.get(pool, nowMs);
-    roles.update(pool, pace, asked.readingPauseMs);
-    const near = endpoints.filter(({ dataCentre }) => !options.isCut(dataCentre));
-    const engines = roles.isSplit(pool) ? listLongEngines(near, asked) : NO_ENGINES;
-    const split: Split = { engines, endpoints, computedMs: nowMs };
-    splits.set(pool, split);
-    return split;
-  }
-
-  function getLongEngines(pool: string, nowMs: number): ReadonlySet<string> {
-    const known = splits.get(pool);
-    const isCurrent =
-      known?.endpoints === options.listOpen(pool) && nowMs - known.computedMs < SPLIT_MAX_AGE_MS;
-    return (known !== undefined && isCurrent ? known : updateSplit(pool, nowMs)).engines;
-  }
+  const { loads } = options;
+  const sizes = createRouteSizes();
 
   function computeReadMs(pool: string, tokens: number): number {
     return tokens * (loads.getPoolPace(pool).reading?.msPerToken ?? 0);
   }
 
   return {
-    recordArrival(call, nowMs) {
-      const { route, pool, prompt } = call;
-      if (prompt === undefined) return () => undefined;
-      roles.record(route, pool, computePromptCost(prompt).ownTokens);
-      const isLong = findRole(call) === PROMPT_ROLE.Long;
-      const readMs = computeReadMs(pool, roles.getMeanTokens(route, pool));
-      return demand.start(pool, { isLong, readMs, promptTokens: prompt.inputTokens }, nowMs);
-    },
     choose(call, tried, nowMs) {
       const { route, pool, prompt } = call;
-      const role = prompt === undefined ? PROMPT_ROLE.Plain : findRole(call);
       return chooseEndpoint({
         endpoints: options.listOpen(pool),
         isCut: options.isCut,
@@ -103,8 +51,6 @@
         excluded: tried,
         loads,
         random: options.random,
-        role,
-        longEngines: getLongEngines(pool, nowMs),
         targetMs: route.targetMs,
         waitedShare: Math.min(1, (nowMs - call.receivedMs) / route.targetMs),
         nowMs,
@@ -116,10 +62,9 @@
       const slowness = loads.computeSlowness(endpoint, nowMs);
       return isHeldBack({
         priority: call.route.priority,
-        isApart: findRole(call) === PROMPT_ROLE.Long,
         readMs: computeReadMs(call.pool, readTokens) * slowness,
         unreadMs: computeReadMs(call.pool, unreadTokens) * slowness,
-        shortestTargetMs: roles.findShortestTarget(call.pool) ?? call.route.targetMs,
+        shortestTargetMs: sizes.findShortestTarget(call.pool) ?? call.route.targetMs,
         running,
         slots: endpoint.slots,
         receivedMs: call.receivedMs,
@@ -129,9 +74,10 @@
     },
     predictAnswerMs({ route, pool }) {
       const { fixedMs = 0 } = loads.getPoolPace(pool).reading ?? {};
-      return fixedMs + computeReadMs(pool, roles.getMeanTokens(route, pool));
+      return fixedMs + computeReadMs(pool, sizes.getMeanTokens(route, pool));
     },
     start(call, { endpoint, readTokens }, nowMs) {
+      if (call.prompt !== undefined) sizes.record(call.route, call.pool, readTokens);
       return loads.start(endpoint, readTokens, nowMs);
     },
   };
