Prompts are no longer held back for what waits unread; only for a slot

Cause: holding long prompts while much is unread at their engine was measured with every call at one rank. With urgency by route, engines admit the urgent first themselves.

--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -1,24 +1,13 @@
 /**
  * Decides whether a prompt goes to its engine now or waits at this instance, free of I/O.
  *
- * The load it answers: long, less urgent prompts arrive in a burst, more than the engines can read.
- * Engines read what they admitted in order, so each long prompt that was let in delays the urgent
- * short ones behind it by its reading time. Held back here, it lets them pass. The most urgent and
- * the shortest are never held.
+ * The load it answers: more calls than engines have slots for. An engine queues some of what comes
+ * beyond its slots and refuses the rest, and a refused call with a single try is lost to its caller for
+ * now. Held back here, it only waits, and the most urgent go first.
  */
 
-/**
- * Parts of the shortest target in the pool that a call of priority 1 may find to be read ahead of it
- * at its engine and yet be let in; less urgent ones get an equal part for each step down. A whole
- * target: the next urgent call would be late behind more. Of 1, 1.5 and 2.2 times a shortest target of
- * 300 ms, 1 served most: 90.1, 89.7 and 89.2% of what was owed, the mean of five heavy days simulated
- * with each.
- */
-const READING_TARGETS = 1;
 /** The most urgent calls are let in up to this many times an engine's slots. */
 const URGENT_QUEUE_FACTOR = 2;
-/** A prompt that takes no more than this part of the shortest target to read delays nobody by much, and is never held. */
-const SMALL_TARGETS = 0.06;
 /** A call that waited this share of the time it has is let in whatever is before it: waiting on would lose it, and no class may starve. */
 const WAIT_SHARE_MAX = 0.4;
 
@@ -26,12 +15,6 @@
 export interface HoldInput {
   /** The route's; 0 is the most urgent. */
   readonly priority: number;
-  /** How long the engine it would go to takes to read the call's own prompt, in milliseconds. */
-  readonly readMs: number;
-  /** The same for what waits there unread. */
-  readonly unreadMs: number;
-  /** The shortest target of the routes whose prompts go to the pool, in milliseconds. */
-  readonly shortestTargetMs: number;
   /** Calls under way at that engine, and how many it runs at once. */
   readonly running: number;
   readonly slots: number;
@@ -51,13 +34,9 @@
 
 /** Whether the call waits. */
 export function isHeldBack(input: HoldInput): boolean {
-  const { priority, readMs, unreadMs, shortestTargetMs } = input;
   const { receivedMs, deadlineMs, nowMs } = input;
   const isLastMoment = nowMs - receivedMs >= (deadlineMs - receivedMs) * WAIT_SHARE_MAX;
-  if (isLastMoment) return false;
-  if (isFull(input)) return true;
-  if (priority <= 0 || readMs <= shortestTargetMs * SMALL_TARGETS) return false;
-  return unreadMs >= (shortestTargetMs * READING_TARGETS) / priority;
+  return !isLastMoment && isFull(input);
 }
 
 /** What the order of waiting calls depends on. */
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -56,16 +56,11 @@
         nowMs,
       });
     },
-    isHeld(call, { endpoint, readTokens }, nowMs) {
+    isHeld(call, { endpoint }, nowMs) {
       if (call.prompt === undefined) return false;
-      const { running, unreadTokens } = loads.get(endpoint.startId);
-      const slowness = loads.computeSlowness(endpoint, nowMs);
       return isHeldBack({
         priority: call.route.priority,
-        readMs: computeReadMs(call.pool, readTokens) * slowness,
-        unreadMs: computeReadMs(call.pool, unreadTokens) * slowness,
-        shortestTargetMs: sizes.findShortestTarget(call.pool) ?? call.route.targetMs,
-        running,
+        running: loads.get(endpoint.startId).running,
         slots: endpoint.slots,
         receivedMs: call.receivedMs,
         deadlineMs: call.deadlineMs,
--- a/src/placement/route-sizes.ts
+++ b/src/placement/route-sizes.ts
@@ -12,32 +12,19 @@
   record(route: Route, pool: string, tokens: number): void;
   /** The mean of what was recorded; 0 while unknown. */
   getMeanTokens(route: Route, pool: string): number;
-  /** The shortest target among the routes whose prompts the pool was sent, in milliseconds. */
-  findShortestTarget(pool: string): number | undefined;
-}
-
-interface RouteSize {
-  readonly route: Route;
-  readonly tokens: MovingAverage;
 }
 
 /** Builds sizes of which nothing is known. */
 export function createRouteSizes(): RouteSizes {
-  const sizesOfPool = new Map<string, Map<string, RouteSize>>();
+  const sizesOfPool = new Map<string, Map<string, MovingAverage>>();
   return {
     record(route, pool, tokens) {
-      const sizes = sizesOfPool.get(pool) ?? new Map<string, RouteSize>();
+      const sizes = sizesOfPool.get(pool) ?? new Map<string, MovingAverage>();
       sizesOfPool.set(pool, sizes);
-      const mean = sizes.get(route.name)?.tokens ?? createMovingAverage(SIZE_ALPHA);
+      const mean = sizes.get(route.name) ?? createMovingAverage(SIZE_ALPHA);
       mean.add(tokens);
-      sizes.set(route.name, { route, tokens: mean });
-    },
-    getMeanTokens: (route, pool) => sizesOfPool.get(pool)?.get(route.name)?.tokens.get(0) ?? 0,
-    findShortestTarget(pool) {
-      const targets = [...(sizesOfPool.get(pool)?.values() ?? [])].map(
-        ({ route }) => route.targetMs,
-      );
-      return targets.length === 0 ? undefined : Math.min(...targets);
+      sizes.set(route.name, mean);
     },
+    getMeanTokens: (route, pool) => sizesOfPool.get(pool)?.get(route.name)?.get(0) ?? 0,
   };
 }
