Logs and metrics: urgency of calls, pace of streams, waits at the door

Cause: whether an urgent call was held, ranked low or paced by others' reading could not be told from the lines. Change: call_ended has urgency, events and meanPauseMs, attempt_started has urgency; calls are counted by urgency, waits before sending have a histogram by urgency. A stream's times are a part of their own (stream-times.ts). Ruled out: labels by organisation (35,000). Before, after: no decision is touched. Conclusion: the three hypotheses can be told apart.

--- a/src/calls/call-records.ts
+++ b/src/calls/call-records.ts
@@ -1,5 +1,6 @@
 /** What is told of calls, for logs and metrics. */
-import type { EndpointLoad, LongestPause } from '../placement/endpoint-loads.js';
+import type { EndpointLoad } from '../placement/endpoint-loads.js';
+import type { StreamRecord } from '../placement/stream-times.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { AttemptEnd, CallCommand, RoutedCall } from './call-messages.js';
 
@@ -25,8 +26,8 @@
   readonly attempts: number;
   /** From the request to the first bytes of the answer, or to its end where there were none. */
   readonly firstMs: number;
-  /** Of the last attempt's events; undefined where there were no two. */
-  readonly longestPause: LongestPause | undefined;
+  /** Of the last attempt; undefined where none was sent. */
+  readonly stream: StreamRecord | undefined;
   readonly tookMs: number;
 }
 
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -257,7 +257,7 @@
       final: commands.at(-1),
       attempts: run.life.countAttempts(),
       firstMs: run.firstMs ?? tookMs,
-      longestPause: run.ticket?.getLongestPause(),
+      stream: run.ticket?.getStream(),
       tookMs,
     });
   }
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -1,5 +1,6 @@
 /** Counters and latency histograms of routed calls, in the usual text format, by prom-client. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { RoutedCall } from '../calls/call-messages.js';
 
 /** Upper bounds of latency buckets, in seconds: around the declared targets of 0.12 to 1.5 s and deadlines of 0.6 to 10 s. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10];
@@ -25,8 +26,15 @@
 
 /** Metrics of one instance. */
 export interface CallMetrics {
-  /** A call ended; labels by kind of route, whose number is small, never by organisation. */
-  recordCall(kind: string, result: CallResult, firstMs: number, tookMs: number): void;
+  /** A call ended; labels by kind of route and urgency, whose numbers are small, never by organisation. */
+  recordCall(
+    call: Pick<RoutedCall, 'route' | 'urgency'>,
+    result: CallResult,
+    firstMs: number,
+    tookMs: number,
+  ): void;
+  /** A call was sent that had waited at this instance. */
+  recordWait(urgency: number, waitedMs: number): void;
   /** The longest pause of a stream that ended, by route. */
   recordPause(route: string, pauseMs: number): void;
   recordAttempt(end: string): void;
@@ -41,8 +49,8 @@
   const registers = [registry];
   const calls = new Counter({
     name: 'hyssoptally_calls_total',
-    help: 'Calls that ended, by kind of route and result',
-    labelNames: ['kind', 'result'],
+    help: 'Calls that ended, by kind of route, urgency and result',
+    labelNames: ['kind', 'urgency', 'result'],
     registers,
   });
   const attempts = new Counter({
@@ -72,6 +80,13 @@
     registers,
   });
 
+  const waits = new Histogram({
+    name: 'hyssoptally_call_wait_seconds',
+    help: 'Time from a request to its sending to an endpoint, by urgency',
+    labelNames: ['urgency'],
+    buckets: LATENCY_BUCKETS_S,
+    registers,
+  });
   const pauses = new Histogram({
     name: 'hyssoptally_stream_longest_pause_seconds',
     help: 'Longest pause between two events of a stream, by route',
@@ -112,12 +127,13 @@
   );
 
   return {
-    recordCall(kind, result, firstMs, tookMs) {
-      calls.inc({ kind, result });
+    recordCall({ route: { kind }, urgency }, result, firstMs, tookMs) {
+      calls.inc({ kind, urgency, result });
       if (result !== CALL_RESULT.Served) return;
       first.observe({ kind }, firstMs / 1000);
       whole.observe({ kind }, tookMs / 1000);
     },
+    recordWait: (urgency, waitedMs) => waits.observe({ urgency }, waitedMs / 1000),
     recordPause: (route, pauseMs) => pauses.observe({ route }, pauseMs / 1000),
     recordAttempt: (end) => attempts.inc({ end }),
     recordRefusal: (failure) => refusals.inc({ failure }),
--- a/src/observability/call-observer.ts
+++ b/src/observability/call-observer.ts
@@ -72,9 +72,11 @@
   return {
     onAttempt({ call, attempt, endpoint, load, candidates, waitedMs, remainingMs }: AttemptRecord) {
       const knowledge = options.getKnowledge();
+      metrics.recordWait(call.urgency, waitedMs);
       log.write({
         event: 'attempt_started',
         request: call.callId,
+        urgency: call.urgency,
         attempt,
         endpoint: endpoint.id,
         endpointRunning: load.running,
@@ -98,11 +100,12 @@
         tookMs: Math.round(tookMs),
       });
     },
-    onEnded({ call, final, attempts, firstMs, longestPause, tookMs }: CallEnd) {
+    onEnded({ call, final, attempts, firstMs, stream, tookMs }: CallEnd) {
       const result = computeResult(final);
+      const { longestPause } = stream ?? {};
       const pauseMs = longestPause?.pauseMs ?? 0;
       const { targetMs, gapTargetMs } = call.route;
-      metrics.recordCall(call.route.kind, result, firstMs, tookMs);
+      metrics.recordCall(call, result, firstMs, tookMs);
       if (longestPause !== undefined) metrics.recordPause(call.route.name, pauseMs);
       const isInTime = firstMs <= targetMs && pauseMs <= (gapTargetMs ?? Infinity);
       log.write(
@@ -110,10 +113,13 @@
           event: 'call_ended',
           request: call.callId,
           route: call.route.name,
+          urgency: call.urgency,
           organisation: call.organisation ?? '',
           end: describeFinal(final),
           attempts,
           firstMs: Math.round(firstMs),
+          events: stream?.events ?? 0,
+          meanPauseMs: Math.round(stream?.meanPauseMs ?? 0),
           pauseMs: Math.round(pauseMs),
           pauseTargetMs: gapTargetMs,
           pauseAfterEvents: longestPause?.afterEvents ?? 0,
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -63,6 +63,7 @@
   | {
       readonly event: 'attempt_started';
       readonly request: string;
+      readonly urgency: number;
       readonly attempt: number;
       readonly endpoint: string;
       /** Calls and unread prompt tokens that were known to be under way there. */
@@ -88,9 +89,13 @@
       readonly request: string;
       readonly route: string;
       readonly organisation: string;
+      readonly urgency: number;
       readonly end: string;
       readonly attempts: number;
       readonly firstMs: number;
+      /** Events that came, and the mean pause between two. */
+      readonly events: number;
+      readonly meanPauseMs: number;
       /** The longest pause between two events and the one that is still in time; 0 and absent where there was none. */
       readonly pauseMs: number;
       readonly pauseTargetMs: number | undefined;
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -13,6 +13,8 @@
 import type { ReadingFit, ReadingPace } from './reading-fit.js';
 import { buildReadingSample, computeSlowness, createReadingSums } from './reading-pace.js';
 import type { ReadingSums } from './reading-pace.js';
+import { createStreamTimes } from './stream-times.js';
+import type { StreamRecord } from './stream-times.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 
 /** Failures in a row after which an endpoint is set aside: one may be the call's own. */
@@ -48,23 +50,13 @@
 } as const;
 export type EndpointVerdict = (typeof ENDPOINT_VERDICT)[keyof typeof ENDPOINT_VERDICT];
 
-/** The longest pause between two events of a stream, and what its engine had to do then. */
-export interface LongestPause {
-  readonly pauseMs: number;
-  /** Events that came before it. */
-  readonly afterEvents: number;
-  /** Tokens that were unread at the engine when it began, and calls under way. */
-  readonly unreadTokens: number;
-  readonly running: number;
-}
-
 /** A call that is under way at an endpoint. */
 export interface LoadTicket {
   /** An event of its answer came, or the whole answer. */
   recordEvent(nowMs: number): void;
   recordEnd(verdict: EndpointVerdict, nowMs: number): void;
-  /** Undefined before the second event. */
-  getLongestPause(): LongestPause | undefined;
+  /** The events of the answer so far. */
+  getStream(): StreamRecord;
 }
 
 /** What is known of how fast a pool's engines are. */
@@ -266,10 +258,7 @@
     // What waits for a slot or behind other prompts tells nothing of the engine's own speed.
     const isAlone = before.unreadTokens === 0 && before.running < slots;
     let unread = unreadTokens;
-    let events = 0;
-    let eventMs = startedMs;
-    let atEvent = before;
-    let longest: LongestPause | undefined;
+    const stream = createStreamTimes();
     let isEnded = false;
     state.running += 1;
     state.unreadTokens += unread;
@@ -288,20 +277,12 @@
       state.reading.add(buildReadingSample(aheadTokens, tookMs, pace), nowMs);
     }
 
-    function recordPause(pauseMs: number): void {
-      if (pauseMs <= (longest?.pauseMs ?? 0)) return;
-      longest = { pauseMs, afterEvents: events, ...atEvent };
-    }
-
     return {
       recordEvent(nowMs) {
-        if (events === 0) recordFirst(nowMs - startedMs, nowMs);
-        else recordPause(nowMs - eventMs);
-        events += 1;
-        eventMs = nowMs;
-        atEvent = getLoad(startId);
+        if (stream.get().events === 0) recordFirst(nowMs - startedMs, nowMs);
+        stream.recordEvent(nowMs, getLoad(startId));
       },
-      getLongestPause: () => longest,
+      getStream: () => stream.get(),
       recordEnd(verdict, nowMs) {
         if (isEnded) return;
         isEnded = true;
