Failing tests: urgent streams in overload, by a play against simulated engines

Cause: not mended yet. One in twelve is allowed. Ruled out: the door for the first (every call is sent at once), the pace for the second (the engines' steps are short).

--- /dev/null
+++ b/src/calls/urgent-streams.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Plays of overload: more prompts come for some seconds than the engines can read and answer.
+ */
+import type { ExecutionContext } from 'ava';
+import { describe } from '../test/describe.js';
+import { buildPlayedRoute, runPlay } from '../test/overload-play.js';
+import type { PlayedCall, PlayedRoute, PlayOptions } from '../test/overload-play.js';
+
+const LOOKUP = buildPlayedRoute('lookup', {
+  priority: 0,
+  targetMs: 300,
+  gapTargetMs: 250,
+  timeoutMs: 10_000,
+});
+const DRAFT = buildPlayedRoute('draft', {
+  priority: 1,
+  targetMs: 500,
+  gapTargetMs: 400,
+  timeoutMs: 5000,
+});
+const HISTORY = buildPlayedRoute('history', {
+  priority: 2,
+  targetMs: 1500,
+  gapTargetMs: 1000,
+  timeoutMs: 8000,
+});
+
+function buildRoutes(lookups: number, drafts: number, histories: number): readonly PlayedRoute[] {
+  return [
+    {
+      route: LOOKUP,
+      sharedTokens: 350,
+      ownTokens: 1110,
+      answerTokens: 170,
+      callsPerSecond: lookups,
+    },
+    { route: DRAFT, sharedTokens: 6300, ownTokens: 2890, answerTokens: 50, callsPerSecond: drafts },
+    {
+      route: HISTORY,
+      sharedTokens: 13_300,
+      ownTokens: 3720,
+      answerTokens: 120,
+      callsPerSecond: histories,
+    },
+  ];
+}
+
+const WINDOW_MS = 5000;
+
+/** The largest part of lookups of any five seconds that got no whole answer. */
+function computeWorstLoss(calls: readonly PlayedCall[], lengthMs: number): number {
+  let worst = 0;
+  for (let fromMs = 0; fromMs + WINDOW_MS <= lengthMs; fromMs += 1000) {
+    const window = calls.filter(
+      ({ route, receivedMs }) =>
+        route === LOOKUP.name && receivedMs >= fromMs && receivedMs < fromMs + WINDOW_MS,
+    );
+    const lost = window.filter(({ end }) => end !== 'whole').length;
+    worst = Math.max(worst, lost / Math.max(1, window.length));
+  }
+  return worst;
+}
+
+function describeEnds(calls: readonly PlayedCall[]): string {
+  const counts = new Map<string, number>();
+  for (const { route, end } of calls) {
+    counts.set(`${route} ${end}`, (counts.get(`${route} ${end}`) ?? 0) + 1);
+  }
+  return [...counts]
+    .map(([name, count]) => `${name}: ${count}`)
+    .sort()
+    .join(', ');
+}
+
+const SEEDS = [1, 2, 3];
+/** Part of the urgent calls of five seconds that may get nothing while less urgent ones begin. */
+const LOSS_MAX = 1 / 12;
+
+/** Plays every seed and checks that no five seconds lost too many lookups. */
+async function checkLookups(
+  t: ExecutionContext,
+  options: Omit<PlayOptions, 'seed'>,
+): Promise<void> {
+  const plays = await Promise.all(SEEDS.map((seed) => runPlay({ ...options, seed })));
+  plays.forEach((calls, index) => {
+    const loss = computeWorstLoss(calls, options.lengthMs);
+    t.true(
+      loss <= LOSS_MAX,
+      `seed ${SEEDS[index]}: ${loss.toFixed(2)} of 5 s; ${describeEnds(calls)}`,
+    );
+  });
+}
+
+describe('urgent streams in overload', ({ it }) => {
+  // A clerk's lookup begins to answer at once, then crawls; at ten seconds the clerk leaves without the
+  // end. Traffic had tripled for some seconds. Every history that came was sent to an engine, up to 130
+  // at one, and each of its steps read a piece of one and gave a token to all of them: 46 ms a step
+  // where 5 are usual, 170 steps to a lookup. Proved by the record of a played day: lookups first
+  // answered after 0.1 to 0.4 s, left after 8.9 to 9.6 s, with longest pauses of 223 to 284 ms.
+  it('end in their time beside a burst of long prompts', (t) =>
+    checkLookups(t, {
+      engines: 3,
+      slots: 128,
+      queueMax: 128,
+      routes: buildRoutes(14, 7, 15),
+      burst: { fromMs: 5000, toMs: 11_000, factor: 3 },
+      lengthMs: 20_000,
+    }));
+
+  // Lookups are left unanswered for two seconds or turned away by full engines, and histories begin.
+  // Engines of few slots had been short of capacity for seconds. Histories held back were let in
+  // once they had waited 0.4 of their time, however full the engine was, and so filled its queue.
+  // Proved by a grown day: calls were sent to engines of 16 slots at 20 to 46 calls known to be under
+  // way, after waits of 2.8 to 4 s in one of ten; 577 of 4,000 lookups were turned away by full engines.
+  it('are not kept out by calls that waited long', (t) =>
+    checkLookups(t, {
+      engines: 6,
+      slots: 16,
+      queueMax: 16,
+      routes: buildRoutes(12, 7, 30),
+      burst: { fromMs: 3000, toMs: 20_000, factor: 2.5 },
+      lengthMs: 20_000,
+    }));
+});
--- /dev/null
+++ b/src/test/simulated-engine.ts
@@ -0,0 +1,130 @@
+/**
+ * A model engine in virtual time: a batch that reads one piece of a prompt in each step beside the
+ * tokens of all running calls. The more run, the longer a step takes. More urgent calls are admitted
+ * and read first; what comes beyond the queue is turned away unrun.
+ */
+import type { RoutedCall } from '../calls/call-messages.js';
+import type { ExchangeListener } from '../calls/endpoint-connections.js';
+import type { VirtualTime } from '../soak/virtual-time.js';
+
+/** What the engine is made of. */
+export interface SimulatedEngineOptions {
+  readonly slots: number;
+  /** Calls that may wait beyond the slots. */
+  readonly queueMax: number;
+}
+
+/** A call at the engine. */
+interface Sequence {
+  readonly call: RoutedCall;
+  readonly listener: ExchangeListener;
+  readonly arrivedMs: number;
+  unreadTokens: number;
+  tokens: number;
+}
+
+/** A running engine. */
+export interface SimulatedEngine {
+  /** Starts a call; the returned function takes it back. */
+  start(call: RoutedCall, listener: ExchangeListener): () => void;
+}
+
+/** A step without calls, what each running call adds, and reading, in milliseconds. */
+const STEP_MS = 3.4;
+const STEP_MS_PER_CALL = 0.2;
+const READ_TOKENS_PER_MS = 112;
+/** Prompt tokens read in one step. */
+const CHUNK_TOKENS = 2048;
+const OK_STATUS = 200;
+export const FULL_STATUS = 503;
+/** Tokens in one event of a stream. */
+const EVENT_TOKENS = 5;
+
+function compareSequences(a: Sequence, b: Sequence): number {
+  return a.call.urgency - b.call.urgency || a.arrivedMs - b.arrivedMs;
+}
+
+/** Builds an idle engine. */
+export function createSimulatedEngine(
+  time: VirtualTime,
+  { slots, queueMax }: SimulatedEngineOptions,
+): SimulatedEngine {
+  let queue: Sequence[] = [];
+  let running: Sequence[] = [];
+  const kept = new Set<string>();
+  let isStepping = false;
+
+  function countUnread({ prompt }: RoutedCall): number {
+    const parts = prompt?.parts ?? [];
+    const shared = parts.slice(0, -1);
+    const missing = shared.filter(({ id }) => !kept.has(id));
+    shared.forEach(({ id }) => kept.add(id));
+    return [...missing, ...parts.slice(-1)].reduce((sum, { tokens }) => sum + tokens, 0);
+  }
+
+  function startQueued(): void {
+    queue.sort(compareSequences);
+    const admitted = queue.splice(0, slots - running.length);
+    running.push(...admitted);
+  }
+
+  function readChunk(): number {
+    const next = running.filter(({ unreadTokens }) => unreadTokens > 0).sort(compareSequences)[0];
+    if (next === undefined) return 0;
+    const tokens = Math.min(CHUNK_TOKENS, next.unreadTokens);
+    next.unreadTokens -= tokens;
+    return tokens;
+  }
+
+  function advanceSequence(sequence: Sequence): void {
+    sequence.tokens += 1;
+    const isLast = sequence.tokens >= (sequence.call.prompt?.outputTokensMax ?? 0);
+    if (sequence.tokens % EVENT_TOKENS === 0 || isLast) {
+      sequence.listener.onData(Buffer.from(`id: ${sequence.tokens}\ndata: x\n\n`));
+    }
+    if (!isLast) return;
+    running = running.filter((other) => other !== sequence);
+    sequence.listener.onEnd();
+  }
+
+  function runStep(): void {
+    startQueued();
+    isStepping = running.length > 0;
+    if (!isStepping) return;
+    const decoding = running.filter(({ unreadTokens }) => unreadTokens === 0);
+    const read = readChunk();
+    const stepMs = STEP_MS + decoding.length * STEP_MS_PER_CALL + read / READ_TOKENS_PER_MS;
+    time.add(undefined, stepMs, () => {
+      decoding.filter((sequence) => running.includes(sequence)).forEach(advanceSequence);
+      runStep();
+    });
+  }
+
+  return {
+    start(call, listener) {
+      const sequence: Sequence = {
+        call,
+        listener,
+        arrivedMs: time.getNow(),
+        unreadTokens: 0,
+        tokens: 0,
+      };
+      const isFull = running.length + queue.length >= slots + queueMax;
+      time.add(undefined, 0, () => {
+        listener.onHead(isFull ? FULL_STATUS : OK_STATUS, [{ name: 'call', value: call.callId }]);
+        if (isFull) listener.onEnd();
+      });
+      if (isFull) return () => undefined;
+      sequence.unreadTokens = countUnread(call);
+      queue.push(sequence);
+      if (!isStepping) {
+        isStepping = true;
+        time.add(undefined, 0, runStep);
+      }
+      return () => {
+        queue = queue.filter((other) => other !== sequence);
+        running = running.filter((other) => other !== sequence);
+      };
+    },
+  };
+}
