--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -4,7 +4,7 @@
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
 import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
-import { compareWaiting } from '../placement/hold-back.js';
+import { ADMISSION, compareWaiting } from '../placement/hold-back.js';
 import type { WaitingCall } from '../placement/hold-back.js';
 import type { Placer } from '../placement/placer.js';
 import type { TimerService, Unsubscribe } from '../runtime/timer-service.js';
@@ -31,6 +31,8 @@
 const TICK_MS = 25;
 /** With no endpoint in sight a caller comes back after this long, in milliseconds: a registry's change takes less to arrive. */
 const NO_ENDPOINT_RETRY_MS = 1000;
+/** Turned away by overload a caller comes back after this long, in milliseconds: answers under way take one to a few seconds to make room. */
+const NO_ROOM_RETRY_MS = 1000;
 /** Connections to one endpoint where its pool states no bound. */
 const CONNECTIONS_UNSTATED = 64;
 /** Part of an endpoint's connections that one instance may take, over the number of instances. */
@@ -85,6 +87,13 @@
   retryAfterMs: NO_ENDPOINT_RETRY_MS,
 };
 
+const NO_ROOM: RequestFailure = {
+  type: FAILURE.Overloaded,
+  message: 'no engine had room in time; come back after the time given',
+  outcome: OUTCOME.NotRun,
+  retryAfterMs: NO_ROOM_RETRY_MS,
+};
+
 /** Builds a runner with nothing running. */
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
   const { connections, protocol, loads, placer, timers, observer } = options;
@@ -186,10 +195,20 @@
       advanceRun(run, { kind: 'unplaced', failure: NO_ENDPOINT });
       return true;
     }
-    if (placer.isHeld(call, placement, nowMs)) return false;
-    run.tried.push(placement.endpoint.id);
-    startExchange(run, command.attempt, placement, command.lastEventId);
-    return true;
+    const admission = placer.chooseAdmission(call, placement, nowMs);
+    switch (admission) {
+      case ADMISSION.Send:
+        run.tried.push(placement.endpoint.id);
+        startExchange(run, command.attempt, placement, command.lastEventId);
+        return true;
+      case ADMISSION.Wait:
+        return false;
+      case ADMISSION.Refuse:
+        advanceRun(run, { kind: 'unplaced', failure: NO_ROOM });
+        return true;
+      default:
+        return assertNever(admission);
+    }
   }
 
   function startAttempt(run: Run, command: AttemptCommand): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -161,6 +161,7 @@
     loads,
     random,
     listOpen: (pool) => keeper.directory.listOpen(pool),
+    listRoutes: (pool) => table?.listRoutes(pool) ?? [],
     isCut: (dataCentre) => peers.isCut(dataCentre),
   });
   const runner: CallRunner = createCallRunner({
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -13,6 +13,8 @@
 import type { ReadingFit, ReadingPace } from './reading-fit.js';
 import { buildReadingSample, computeSlowness, createReadingSums } from './reading-pace.js';
 import type { ReadingSums } from './reading-pace.js';
+import { createStreamPace } from './stream-pace.js';
+import type { StreamPace } from './stream-pace.js';
 import { createStreamTimes } from './stream-times.js';
 import type { StreamRecord } from './stream-times.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
@@ -87,6 +89,8 @@
   /** How many times longer than its pool's endpoints on the whole one takes to read prompts; 1 while nothing is known. */
   computeSlowness(endpoint: RegisteredEndpoint, nowMs: number): number;
   getPoolPace(pool: string): PoolPace;
+  /** The mean pause of streams at an engine of the pool with that many calls, in milliseconds; undefined while unknown. */
+  predictPauseMs(pool: string, running: number, nowMs: number): number | undefined;
   /** Whether own calls say that the endpoint should be passed over for now. */
   isSuspect(id: string, nowMs: number): boolean;
   start(endpoint: RegisteredEndpoint, unreadTokens: number, nowMs: number): LoadTicket;
@@ -112,6 +116,7 @@
 interface PoolState {
   readonly fit: ReadingFit;
   readonly runMs: MovingAverage;
+  readonly pace: StreamPace;
 }
 
 interface Told {
@@ -231,6 +236,7 @@
     const pool: PoolState = {
       fit: createReadingFit(),
       runMs: createMovingAverage(RUN_ALPHA),
+      pace: createStreamPace(),
     };
     pools.set(name, pool);
     return pool;
@@ -259,6 +265,7 @@
     const isAlone = before.unreadTokens === 0 && before.running < slots;
     let unread = unreadTokens;
     const stream = createStreamTimes();
+    let loadAtLast = before;
     let isEnded = false;
     state.running += 1;
     state.unreadTokens += unread;
@@ -280,7 +287,10 @@
     return {
       recordEvent(nowMs) {
         if (stream.get().events === 0) recordFirst(nowMs - startedMs, nowMs);
-        stream.recordEvent(nowMs, getLoad(startId));
+        const running = Math.min(slots, loadAtLast.running);
+        loadAtLast = getLoad(startId);
+        const pauseMs = stream.recordEvent(nowMs, loadAtLast);
+        if (pauseMs !== undefined) pool.pace.add(pauseMs, running, nowMs);
       },
       getStream: () => stream.get(),
       recordEnd(verdict, nowMs) {
@@ -333,6 +343,7 @@
         meanRunMs: runMs.get(0),
       };
     },
+    predictPauseMs: (name, running, nowMs) => getPool(name).pace.predictPauseMs(running, nowMs),
     isSuspect(id, nowMs) {
       const state = states.get(id);
       if (state === undefined || state.failuresInRow < FAILURES_SUSPECT) return false;
--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -1,42 +1,82 @@
 /**
- * Decides whether a prompt goes to its engine now or waits at this instance, free of I/O.
+ * Decides whether a prompt goes to its engine now, waits at this instance or is turned away, free of I/O.
  *
- * The load it answers: more calls than engines have slots for. An engine queues some of what comes
- * beyond its slots and refuses the rest, and a refused call with a single try is lost to its caller for
- * now. Held back here, it only waits, and the most urgent go first.
+ * The load it answers: more calls than engines can serve, for seconds. What is sent beyond an engine's
+ * means harms every call there: its queue fills and turns urgent calls away, and each call under way
+ * lengthens the steps of all streams, so that urgent ones begin in time and outlast their callers.
+ * Held back here, a less urgent call only waits, and the most urgent go first.
  */
 
 /** The most urgent calls are let in up to this many times an engine's slots. */
 const URGENT_QUEUE_FACTOR = 2;
-/** A call that waited this share of the time it has is let in whatever is before it: waiting on would lose it, and no class may starve. */
+/**
+ * Part of the pause that more urgent routes declare up to which less urgent calls are let in: pauses
+ * vary, and a stream of twice the usual length must still end before its caller leaves.
+ */
+const PAUSE_SHARE = 0.5;
+/** Part of an engine's slots that less urgent calls may fill whatever the pace: below it, fewer calls would not mend a slow engine. */
+const SLOTS_FLOOR = 0.25;
+/** A call that waited this share of the time it has is no longer held: what is left must do for its answer. */
 const WAIT_SHARE_MAX = 0.4;
+/**
+ * Times the usual bounds that an engine may be filled by calls which waited that long. No class may
+ * starve; without a bound, though, a lasting overload lets everything in this way, and urgent calls are
+ * turned away by queues full of it.
+ */
+const OVERFLOW_FACTOR = 1.25;
 
-/** A call that is to be let in or held. */
-export interface HoldInput {
-  /** The route's; 0 is the most urgent. */
-  readonly priority: number;
+/** What becomes of a call for now. */
+export const ADMISSION = {
+  Send: 'send',
+  Wait: 'wait',
+  /** Nothing was free in time; it has not run. */
+  Refuse: 'refuse',
+} as const;
+export type Admission = (typeof ADMISSION)[keyof typeof ADMISSION];
+
+/** A call that is to be let in, held or turned away. */
+export interface AdmissionInput {
+  /** Whether no route of the same pool is more urgent. */
+  readonly isUrgent: boolean;
   /** Calls under way at that engine, and how many it runs at once. */
   readonly running: number;
   readonly slots: number;
+  /** The mean pause of streams there if the call is let in, in milliseconds; undefined while unknown. */
+  readonly pauseMs: number | undefined;
+  /** The shortest pause that a more urgent route declares, in milliseconds; undefined where none does. */
+  readonly pauseTargetMs: number | undefined;
   readonly receivedMs: number;
   readonly deadlineMs: number;
   readonly nowMs: number;
 }
 
+/** Whether letting the call in would slow down more urgent streams too much. */
+function isPaced(
+  { running, slots, pauseMs, pauseTargetMs }: AdmissionInput,
+  factor: number,
+): boolean {
+  if (pauseMs === undefined || pauseTargetMs === undefined) return false;
+  return running >= slots * SLOTS_FLOOR && pauseMs > pauseTargetMs * PAUSE_SHARE * factor;
+}
+
 /**
  * Whether the engine has no place for the call. An engine queues about twice its slots and refuses
  * what comes beyond; the most urgent may use half of that queue, where it puts them first, and
  * everybody else waits here, where nothing is lost.
  */
-function isFull({ priority, running, slots }: HoldInput): boolean {
-  return priority <= 0 ? running >= slots * URGENT_QUEUE_FACTOR : running >= slots;
+function isFull(input: AdmissionInput, factor: number): boolean {
+  const { isUrgent, running, slots } = input;
+  if (isUrgent) return running >= slots * URGENT_QUEUE_FACTOR;
+  return running >= slots * factor || isPaced(input, factor);
 }
 
-/** Whether the call waits. */
-export function isHeldBack(input: HoldInput): boolean {
-  const { receivedMs, deadlineMs, nowMs } = input;
+/** Whether the call goes, waits or is turned away. */
+export function chooseAdmission(input: AdmissionInput): Admission {
+  const { isUrgent, receivedMs, deadlineMs, nowMs } = input;
   const isLastMoment = nowMs - receivedMs >= (deadlineMs - receivedMs) * WAIT_SHARE_MAX;
-  return !isLastMoment && isFull(input);
+  if (!isLastMoment) return isFull(input, 1) ? ADMISSION.Wait : ADMISSION.Send;
+  if (isUrgent || !isFull(input, OVERFLOW_FACTOR)) return ADMISSION.Send;
+  return ADMISSION.Refuse;
 }
 
 /** What the order of waiting calls depends on. */
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -3,12 +3,13 @@
  * Free of I/O; the decisions themselves are in the modules beside it.
  */
 import type { RoutedCall } from '../calls/call-messages.js';
-import type { RegisteredEndpoint } from '../types/traffic.js';
+import type { RegisteredEndpoint, Route } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
 import { chooseEndpoint } from './choose-endpoint.js';
 import type { Placement } from './choose-endpoint.js';
 import type { EndpointLoads, LoadTicket } from './endpoint-loads.js';
-import { isHeldBack } from './hold-back.js';
+import { ADMISSION, chooseAdmission } from './hold-back.js';
+import type { Admission } from './hold-back.js';
 import { createRouteSizes } from './route-sizes.js';
 
 /** What a placer is built on. */
@@ -16,6 +17,8 @@
   readonly loads: EndpointLoads;
   readonly random: Random;
   readonly listOpen: (pool: string) => readonly RegisteredEndpoint[];
+  /** The routes whose calls may go to the pool. */
+  readonly listRoutes: (pool: string) => readonly Route[];
   /** Whether a data centre is out of reach for now. */
   readonly isCut: (dataCentre: string) => boolean;
 }
@@ -24,8 +27,8 @@
 export interface Placer {
   /** Where a call goes that was tried at these endpoints; nothing where none may get it. */
   choose(call: RoutedCall, tried: readonly string[], nowMs: number): Placement | undefined;
-  /** Whether the call waits here rather than at the endpoint it would go to. */
-  isHeld(call: RoutedCall, placement: Placement, nowMs: number): boolean;
+  /** Whether the call goes to the endpoint it would go to, waits here or is turned away. */
+  chooseAdmission(call: RoutedCall, placement: Placement, nowMs: number): Admission;
   /** How long the call's first answer takes once it is sent to an engine with nothing else to read, in milliseconds; 0 while unknown. */
   predictAnswerMs(call: RoutedCall): number;
   /** The call is sent. */
@@ -56,12 +59,19 @@
         nowMs,
       });
     },
-    isHeld(call, { endpoint }, nowMs) {
-      if (call.prompt === undefined) return false;
-      return isHeldBack({
-        priority: call.route.priority,
-        running: loads.get(endpoint.startId).running,
-        slots: endpoint.slots,
+    chooseAdmission(call, { endpoint }, nowMs) {
+      const { route, pool } = call;
+      if (call.prompt === undefined) return ADMISSION.Send;
+      const { running } = loads.get(endpoint.startId);
+      const { slots } = endpoint;
+      const urgent = options.listRoutes(pool).filter(({ priority }) => priority < route.priority);
+      const pauses = urgent.map(({ gapTargetMs }) => gapTargetMs ?? Infinity);
+      return chooseAdmission({
+        isUrgent: urgent.length === 0,
+        running,
+        slots,
+        pauseMs: loads.predictPauseMs(pool, Math.min(slots, running + 1), nowMs),
+        pauseTargetMs: Math.min(...pauses),
         receivedMs: call.receivedMs,
         deadlineMs: call.deadlineMs,
         nowMs,
--- a/src/placement/reading-fit.ts
+++ b/src/placement/reading-fit.ts
@@ -6,6 +6,8 @@
  * time is known, and choices go by counts of tokens alone.
  */
 
+import { createLinearFit } from '../utils/linear-fit.js';
+
 /** Samples before the fit is used: fewer often hold one size only. */
 const SAMPLES_TRUSTED = 10;
 /** Each new sample makes those before count this much: some 200 are in force. */
@@ -31,28 +33,14 @@
 
 /** Builds a fit that has seen nothing. */
 export function createReadingFit(): ReadingFit {
-  let samples = 0;
-  let weight = 0;
-  let meanTokens = 0;
-  let meanMs = 0;
-  let variance = 0;
-  let covariance = 0;
+  const fit = createLinearFit({ retained: RETAINED, samplesTrusted: SAMPLES_TRUSTED });
   return {
-    add(tokens, tookMs) {
-      samples += 1;
-      weight = weight * RETAINED + 1;
-      const share = 1 / weight;
-      const offset = tokens - meanTokens;
-      const offsetMs = tookMs - meanMs;
-      meanTokens += offset * share;
-      meanMs += offsetMs * share;
-      variance += (offset * (tokens - meanTokens) - variance) * share;
-      covariance += (offset * (tookMs - meanMs) - covariance) * share;
-    },
+    add: (tokens, tookMs) => fit.add(tokens, tookMs),
     get() {
-      if (samples < SAMPLES_TRUSTED || variance <= 0 || covariance <= 0) return undefined;
-      const msPerToken = covariance / variance;
-      return { fixedMs: Math.max(0, meanMs - msPerToken * meanTokens), msPerToken, meanTokens };
+      const line = fit.get();
+      if (line === undefined || line.slope <= 0) return undefined;
+      const { slope, meanX, meanY } = line;
+      return { fixedMs: Math.max(0, meanY - slope * meanX), msPerToken: slope, meanTokens: meanX };
     },
   };
 }
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -17,6 +17,8 @@
   findRoute(host: string, path: string): Route | undefined;
   findOrganisation(key: string): CallingOrganisation | undefined;
   findPool(name: string): TrafficPool | undefined;
+  /** The routes whose calls may go to a pool. */
+  listRoutes(pool: string): readonly Route[];
   /** 0, the most urgent, to 9. */
   computeUrgency(route: Route, organisation: CallingOrganisation | undefined): number;
 }
@@ -38,6 +40,12 @@
   }
   const urgency = createUrgencyRanks(configuration);
   const pools = new Map(configuration.pools.map((pool) => [pool.name, pool]));
+  const routesOfPool = new Map<string, Route[]>();
+  for (const route of configuration.routes) {
+    for (const { pool } of route.pools) {
+      routesOfPool.set(pool, [...(routesOfPool.get(pool) ?? []), route]);
+    }
+  }
   return {
     version: configuration.version,
     hasOrganisations: configuration.organisations.length > 0,
@@ -45,6 +53,7 @@
       routesOfHost.get(host)?.find((route) => path.startsWith(route.pathPrefix)),
     findOrganisation: (key) => organisationOfKey.get(key),
     findPool: (name) => pools.get(name),
+    listRoutes: (pool) => routesOfPool.get(pool) ?? [],
     computeUrgency: (route, organisation) => urgency.compute(route, organisation),
   };
 }
--- a/src/test/overload-play.ts
+++ b/src/test/overload-play.ts
@@ -162,7 +162,13 @@
       }),
     },
     loads,
-    placer: createPlacer({ loads, random, listOpen: () => endpoints, isCut: () => false }),
+    placer: createPlacer({
+      loads,
+      random,
+      listOpen: () => endpoints,
+      listRoutes: () => options.routes.map(({ route }) => route),
+      isCut: () => false,
+    }),
     retryBounds: { windowMs: 10_000, ratio: 0.2, slack: 50 },
     timers,
     observer: {
