Begun answers are not turned away; where a route stands is computed once a configuration

Its test fails without the exception (turned away). A waiting call asked for all routes forty times a second; standings are now kept for each configuration, over routes with declared pauses only, so that plain routes or routes added without streams do not change anybody's rank. Ruled out: exempting every second try (those of full engines are what overload is made of).

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -195,7 +195,8 @@
       advanceRun(run, { kind: 'unplaced', failure: NO_ENDPOINT });
       return true;
     }
-    const admission = placer.chooseAdmission(call, placement, nowMs);
+    const isBegun = command.lastEventId !== undefined;
+    const admission = placer.chooseAdmission(call, placement, isBegun, nowMs);
     switch (admission) {
       case ADMISSION.Send:
         run.tried.push(placement.endpoint.id);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import type { PeerLinks } from '../peers/peer-links.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { createPlacer } from '../placement/placer.js';
+import { FIRST_STANDING } from '../routes/route-standing.js';
 import { createRouteTable } from '../routes/route-table.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { Invariants } from '../runtime/invariants.js';
@@ -161,7 +162,7 @@
     loads,
     random,
     listOpen: (pool) => keeper.directory.listOpen(pool),
-    listRoutes: (pool) => table?.listRoutes(pool) ?? [],
+    getStanding: (route, pool) => table?.getStanding(route, pool) ?? FIRST_STANDING,
     isCut: (dataCentre) => peers.isCut(dataCentre),
   });
   const runner: CallRunner = createCallRunner({
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -152,7 +152,7 @@
     // Lookups end after ten seconds or never, all at one engine. In a burst it had fewest prompts
     // unread, which a lookup never waits behind, and 60 to 130 calls under way where the others had 35
     // to 50: each call adds to every step, and a lookup takes 170 of them. Proved by a played day: 205 of
-    // 250 logged lookups of a burst went to one of three engines.
+    // 248 logged lookups of a burst went to one of three engines.
     it('keeps long answers from an engine where many calls lengthen each step', (t) => {
       const loads = createKnownLoads();
       const endpoints = ['a', 'b'].map((id) => buildEndpoint(id));
--- a/src/placement/hold-back.test.ts
+++ b/src/placement/hold-back.test.ts
@@ -8,7 +8,7 @@
   running: 4,
   slots: 16,
   pauseMs: 40,
-  pauseTargetMs: 200,
+  urgentPauseMs: 200,
   receivedMs: 0,
   deadlineMs: 8000,
   nowMs: 100,
@@ -43,13 +43,13 @@
         slots: 128,
         running: 60,
         pauseMs: 76,
-        pauseTargetMs: 250,
+        urgentPauseMs: 250,
       };
       t.is(chooseAdmission(slow), ADMISSION.Wait);
       t.is(chooseAdmission({ ...slow, pauseMs: 74 }), ADMISSION.Send);
       t.is(chooseAdmission({ ...slow, rank: 0, pauseMs: 240 }), ADMISSION.Send);
       t.is(chooseAdmission({ ...slow, pauseMs: undefined }), ADMISSION.Send);
-      t.is(chooseAdmission({ ...slow, pauseTargetMs: undefined }), ADMISSION.Send);
+      t.is(chooseAdmission({ ...slow, urgentPauseMs: Infinity }), ADMISSION.Send);
       t.is(chooseAdmission({ ...slow, nowMs: LAST_MS }), ADMISSION.Refuse);
     });
 
@@ -57,7 +57,7 @@
     // cannot put what waits at each of them in one order. Proved by a played day: 16 of 87 drafts of
     // five seconds were turned away, none with graded bounds.
     it('lets a middle rank in where the last has to wait', (t) => {
-      const slow: AdmissionInput = { ...CALL, slots: 128, running: 60, pauseTargetMs: 250 };
+      const slow: AdmissionInput = { ...CALL, slots: 128, running: 60, urgentPauseMs: 250 };
       t.is(chooseAdmission({ ...slow, rank: 1, pauseMs: 149 }), ADMISSION.Send);
       t.is(chooseAdmission({ ...slow, rank: 1, pauseMs: 151 }), ADMISSION.Wait);
       t.is(chooseAdmission({ ...slow, rank: 2, pauseMs: 149 }), ADMISSION.Wait);
--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -48,8 +48,8 @@
   readonly slots: number;
   /** The mean pause of streams there if the call is let in, in milliseconds; undefined while unknown. */
   readonly pauseMs: number | undefined;
-  /** The shortest pause that a more urgent route declares, in milliseconds; undefined where none does. */
-  readonly pauseTargetMs: number | undefined;
+  /** The shortest pause that a more urgent route declares, in milliseconds; infinite where none does. */
+  readonly urgentPauseMs: number;
   readonly receivedMs: number;
   readonly deadlineMs: number;
   readonly nowMs: number;
@@ -68,10 +68,10 @@
 
 /** Whether letting the call in would slow down more urgent streams too much. */
 function isPaced(input: AdmissionInput): boolean {
-  const { running, slots, pauseMs, pauseTargetMs } = input;
-  if (pauseMs === undefined || pauseTargetMs === undefined) return false;
+  const { running, slots, pauseMs, urgentPauseMs } = input;
+  if (pauseMs === undefined) return false;
   const factor = 1 + (PAUSE_FACTOR_FIRST - 1) * computeStanding(input);
-  return running >= slots * SLOTS_FLOOR && pauseMs > pauseTargetMs * PAUSE_SHARE_LAST * factor;
+  return running >= slots * SLOTS_FLOOR && pauseMs > urgentPauseMs * PAUSE_SHARE_LAST * factor;
 }
 
 /** Whether the engine has a slot for a call that more urgent ones go before. */
--- /dev/null
+++ b/src/placement/placer.test.ts
@@ -0,0 +1,51 @@
+import type { RoutedCall } from '../calls/call-messages.js';
+import { describe } from '../test/describe.js';
+import { buildPlayedRoute } from '../test/overload-play.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import { createRandom } from '../utils/random.js';
+import { createEndpointLoads } from './endpoint-loads.js';
+import { ADMISSION } from './hold-back.js';
+import { createPlacer } from './placer.js';
+
+const ENGINE: RegisteredEndpoint = {
+  id: 'a',
+  startId: 'a',
+  pool: 'p',
+  address: 'a:1',
+  dataCentre: 'd',
+  slots: 16,
+  isLeaving: false,
+};
+const CALL: RoutedCall = {
+  callId: 'c',
+  route: buildPlayedRoute('draft', { priority: 1 }),
+  pool: ENGINE.pool,
+  organisation: undefined,
+  isKeyed: false,
+  urgency: 1,
+  prompt: { model: 'm', inputTokens: 10, outputTokensMax: 10, parts: [{ id: 'x', tokens: 10 }] },
+  payload: { method: 'POST', target: '/', headers: [], body: Buffer.alloc(0) },
+  lastEventId: undefined,
+  receivedMs: 0,
+  deadlineMs: 5000,
+};
+
+describe('placer', ({ it }) => {
+  // A draft stops in the middle for good, though another engine could go on with it. Its engine had
+  // crashed in an overload, after more of its time than a call may wait, and the others had no slot
+  // free: turned away like a call that has not begun, what the caller had read was of no use.
+  it('lets an answer that has begun go on where a new call is turned away', (t) => {
+    const loads = createEndpointLoads();
+    for (let count = 0; count < 24; count += 1) loads.start(ENGINE, 0, 0);
+    const placer = createPlacer({
+      loads,
+      random: createRandom(1),
+      listOpen: () => [ENGINE],
+      getStanding: () => ({ rank: 1, ranks: 3, urgentPauseMs: 250 }),
+      isCut: () => false,
+    });
+    const placement = { endpoint: ENGINE, readTokens: 10 };
+    t.is(placer.chooseAdmission(CALL, placement, false, 3000), ADMISSION.Refuse);
+    t.is(placer.chooseAdmission(CALL, placement, true, 3000), ADMISSION.Send);
+  });
+});
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -3,6 +3,7 @@
  * Free of I/O; the decisions themselves are in the modules beside it.
  */
 import type { RoutedCall } from '../calls/call-messages.js';
+import type { RouteStanding } from '../routes/route-standing.js';
 import type { RegisteredEndpoint, Route } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
 import { chooseEndpoint } from './choose-endpoint.js';
@@ -18,8 +19,8 @@
   readonly loads: EndpointLoads;
   readonly random: Random;
   readonly listOpen: (pool: string) => readonly RegisteredEndpoint[];
-  /** The routes whose calls may go to the pool. */
-  readonly listRoutes: (pool: string) => readonly Route[];
+  /** Where a route stands among those whose streams come from the same pool. */
+  readonly getStanding: (route: Route, pool: string) => RouteStanding;
   /** Whether a data centre is out of reach for now. */
   readonly isCut: (dataCentre: string) => boolean;
 }
@@ -28,18 +29,22 @@
 export interface Placer {
   /** Where a call goes that was tried at these endpoints; nothing where none may get it. */
   choose(call: RoutedCall, tried: readonly string[], nowMs: number): Placement | undefined;
-  /** Whether the call goes to the endpoint it would go to, waits here or is turned away. */
-  chooseAdmission(call: RoutedCall, placement: Placement, nowMs: number): Admission;
+  /**
+   * Whether the call goes to the endpoint it would go to, waits here or is turned away. What has begun
+   * at another endpoint goes on like the most urgent: given up, what was delivered is of no use.
+   */
+  chooseAdmission(
+    call: RoutedCall,
+    placement: Placement,
+    isBegun: boolean,
+    nowMs: number,
+  ): Admission;
   /** How long the call's first answer takes once it is sent to an engine with nothing else to read, in milliseconds; 0 while unknown. */
   predictAnswerMs(call: RoutedCall): number;
   /** The call is sent. */
   start(call: RoutedCall, placement: Placement, nowMs: number): LoadTicket;
 }
 
-function countPriorities(routes: readonly Route[]): number {
-  return new Set(routes.map(({ priority }) => priority)).size;
-}
-
 /** Builds a placer that has placed nothing. */
 export function createPlacer(options: PlacerOptions): Placer {
   const { loads } = options;
@@ -65,21 +70,19 @@
         nowMs,
       });
     },
-    chooseAdmission(call, { endpoint }, nowMs) {
+    chooseAdmission(call, { endpoint }, isBegun, nowMs) {
       const { route, pool } = call;
       if (call.prompt === undefined) return ADMISSION.Send;
       const { running } = loads.get(endpoint.startId);
       const { slots } = endpoint;
-      const routes = options.listRoutes(pool);
-      const urgent = routes.filter(({ priority }) => priority < route.priority);
-      const pauses = urgent.map(({ gapTargetMs }) => gapTargetMs ?? Infinity);
+      const { rank, ranks, urgentPauseMs } = options.getStanding(route, pool);
       return chooseAdmission({
-        rank: countPriorities(urgent),
-        ranks: countPriorities(routes),
+        rank: isBegun ? 0 : rank,
+        ranks,
         running,
         slots,
         pauseMs: loads.predictPauseMs(pool, Math.min(slots, running + 1), nowMs),
-        pauseTargetMs: Math.min(...pauses),
+        urgentPauseMs,
         receivedMs: call.receivedMs,
         deadlineMs: call.deadlineMs,
         nowMs,
--- /dev/null
+++ b/src/routes/route-standing.test.ts
@@ -0,0 +1,24 @@
+import { describe } from '../test/describe.js';
+import { buildPlayedRoute } from '../test/overload-play.js';
+import { createRouteStandings } from './route-standing.js';
+
+const LOOKUP = buildPlayedRoute('lookup', { priority: 2, gapTargetMs: 250 });
+const OTHER = buildPlayedRoute('other', { priority: 2, gapTargetMs: 300 });
+const DRAFT = buildPlayedRoute('draft', { priority: 5, gapTargetMs: 400 });
+const HISTORY = buildPlayedRoute('history', { priority: 7, gapTargetMs: 1000 });
+const PLAIN = buildPlayedRoute('plain', { priority: 0, gapTargetMs: undefined });
+const POOL = LOOKUP.pools[0]?.pool ?? '';
+
+describe('standing of routes', ({ it }) => {
+  it('counts distinct priorities of streams, whatever numbers are declared', (t) => {
+    const standings = createRouteStandings([HISTORY, PLAIN, OTHER, LOOKUP, DRAFT]);
+    t.deepEqual(standings.get(LOOKUP, POOL), { rank: 0, ranks: 3, urgentPauseMs: Infinity });
+    t.deepEqual(standings.get(DRAFT, POOL), { rank: 1, ranks: 3, urgentPauseMs: 250 });
+    t.deepEqual(standings.get(HISTORY, POOL), { rank: 2, ranks: 3, urgentPauseMs: 250 });
+  });
+
+  it('is the first at a pool with no other streams', (t) => {
+    const standings = createRouteStandings([LOOKUP, HISTORY]);
+    t.like(standings.get(HISTORY, 'elsewhere'), { rank: 0, urgentPauseMs: Infinity });
+  });
+});
--- /dev/null
+++ b/src/routes/route-standing.ts
@@ -0,0 +1,58 @@
+/** Where each route stands among the routes whose streams come from the same pool. */
+import type { Route } from '../types/traffic.js';
+
+/** The place of one route at one pool. */
+export interface RouteStanding {
+  /** Distinct priorities that are more urgent; 0 for the most urgent. */
+  readonly rank: number;
+  /** Distinct priorities there are. */
+  readonly ranks: number;
+  /** The shortest pause that a more urgent route declares, in milliseconds; infinite where none does. */
+  readonly urgentPauseMs: number;
+}
+
+/** Places of all routes of one configuration. */
+export interface RouteStandings {
+  get(route: Route, pool: string): RouteStanding;
+}
+
+/** The most urgent: nothing is known that goes before. */
+export const FIRST_STANDING: RouteStanding = { rank: 0, ranks: 1, urgentPauseMs: Infinity };
+
+function countPriorities(routes: readonly Route[]): number {
+  return new Set(routes.map(({ priority }) => priority)).size;
+}
+
+function computeStanding(route: Route, routes: readonly Route[]): RouteStanding {
+  const urgent = routes.filter(({ priority }) => priority < route.priority);
+  return {
+    rank: countPriorities(urgent),
+    ranks: Math.max(1, countPriorities(routes)),
+    urgentPauseMs: Math.min(...urgent.map(({ gapTargetMs }) => gapTargetMs ?? Infinity)),
+  };
+}
+
+/** Computes places as they are asked for: calls that wait ask forty times a second, configurations have hundreds of routes. */
+export function createRouteStandings(routes: readonly Route[]): RouteStandings {
+  const streamsOfPool = new Map<string, Route[]>();
+  for (const route of routes) {
+    // Routes without declared pauses have no streams that others could slow down.
+    const pools = route.gapTargetMs === undefined ? [] : route.pools;
+    for (const { pool } of pools) {
+      const streams = streamsOfPool.get(pool) ?? [];
+      streams.push(route);
+      streamsOfPool.set(pool, streams);
+    }
+  }
+  const known = new Map<string, WeakMap<Route, RouteStanding>>();
+
+  return {
+    get(route, pool) {
+      const ofPool = known.get(pool) ?? new WeakMap<Route, RouteStanding>();
+      known.set(pool, ofPool);
+      const standing = ofPool.get(route) ?? computeStanding(route, streamsOfPool.get(pool) ?? []);
+      ofPool.set(route, standing);
+      return standing;
+    },
+  };
+}
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -6,6 +6,8 @@
   TrafficPool,
 } from '../types/traffic.js';
 import { hashName } from '../utils/hash.js';
+import { createRouteStandings } from './route-standing.js';
+import type { RouteStanding } from './route-standing.js';
 import { createUrgencyRanks } from './urgency.js';
 
 /** One version of the configuration, indexed. */
@@ -17,8 +19,8 @@
   findRoute(host: string, path: string): Route | undefined;
   findOrganisation(key: string): CallingOrganisation | undefined;
   findPool(name: string): TrafficPool | undefined;
-  /** The routes whose calls may go to a pool. */
-  listRoutes(pool: string): readonly Route[];
+  /** Where a route stands among those whose streams come from the same pool. */
+  getStanding(route: Route, pool: string): RouteStanding;
   /** 0, the most urgent, to 9. */
   computeUrgency(route: Route, organisation: CallingOrganisation | undefined): number;
 }
@@ -40,12 +42,7 @@
   }
   const urgency = createUrgencyRanks(configuration);
   const pools = new Map(configuration.pools.map((pool) => [pool.name, pool]));
-  const routesOfPool = new Map<string, Route[]>();
-  for (const route of configuration.routes) {
-    for (const { pool } of route.pools) {
-      routesOfPool.set(pool, [...(routesOfPool.get(pool) ?? []), route]);
-    }
-  }
+  const standings = createRouteStandings(configuration.routes);
   return {
     version: configuration.version,
     hasOrganisations: configuration.organisations.length > 0,
@@ -53,7 +50,7 @@
       routesOfHost.get(host)?.find((route) => path.startsWith(route.pathPrefix)),
     findOrganisation: (key) => organisationOfKey.get(key),
     findPool: (name) => pools.get(name),
-    listRoutes: (pool) => routesOfPool.get(pool) ?? [],
+    getStanding: (route, pool) => standings.get(route, pool),
     computeUrgency: (route, organisation) => urgency.compute(route, organisation),
   };
 }
--- a/src/test/overload-play.ts
+++ b/src/test/overload-play.ts
@@ -4,6 +4,7 @@
 import type { EndpointConnections } from '../calls/endpoint-connections.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { createPlacer } from '../placement/placer.js';
+import { createRouteStandings } from '../routes/route-standing.js';
 import { createActor, createVirtualTime } from '../soak/virtual-time.js';
 import { CALL_KIND } from '../types/traffic.js';
 import type { RegisteredEndpoint, Route } from '../types/traffic.js';
@@ -118,6 +119,7 @@
   const timers = time.createTimers(createActor('instance'), 0);
   const random = createRandom(options.seed);
   const loads = createEndpointLoads();
+  const standings = createRouteStandings(options.routes.map(({ route }) => route));
   const engines = new Map<string, SimulatedEngine>();
   const callsUnderWay = new Map<string, RoutedCall>();
   const endpoints: RegisteredEndpoint[] = Array.from({ length: options.engines }, (_, index) => {
@@ -166,7 +168,7 @@
       loads,
       random,
       listOpen: () => endpoints,
-      listRoutes: () => options.routes.map(({ route }) => route),
+      getStanding: (route, pool) => standings.get(route, pool),
       isCut: () => false,
     }),
     retryBounds: { windowMs: 10_000, ratio: 0.2, slack: 50 },
