Failing play of a whole fleet: what choosers believe of engines at 70 and 195 instances

Cause: an instance tells six others, drawn anew, what it has under way; of 195 each hears of each other once in 3.2 s, engines turn over in a fraction of that. The overload play of one instance is the same play with a fleet of one; its checks, loads and seeds are unchanged.

--- a/src/calls/urgent-streams.test.ts
+++ b/src/calls/urgent-streams.test.ts
@@ -3,8 +3,8 @@
  */
 import type { ExecutionContext } from 'ava';
 import { describe } from '../test/describe.js';
-import { runPlay } from '../test/overload-play.js';
-import type { PlayedCall, PlayOptions } from '../test/overload-play.js';
+import { runPlay } from '../test/fleet-play.js';
+import type { PlayedCall, PlayOptions } from '../test/fleet-play.js';
 import { buildPlayedRoute } from '../test/played-routes.js';
 import type { PlayedRoute } from '../test/played-routes.js';
 
--- /dev/null
+++ b/src/test/fleet-play.ts
@@ -0,0 +1,306 @@
+/** Plays calls of several routes against simulated engines, in virtual time, through the call runners of a fleet. */
+import type { CallSink, RoutedCall } from '../calls/call-messages.js';
+import type { CallRunner } from '../calls/call-runner.js';
+import type { AttemptRecord } from '../calls/call-records.js';
+import type { EndpointConnections } from '../calls/endpoint-connections.js';
+import type { Contact } from '../membership/membership-messages.js';
+import { createRouteStandings } from '../routes/route-standing.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import { createActor, createVirtualTime } from '../soak/virtual-time.js';
+import type { VirtualTime } from '../soak/virtual-time.js';
+import type { RegisteredEndpoint, Route } from '../types/traffic.js';
+import { createRandom } from '../utils/random.js';
+import type { Random } from '../utils/random.js';
+import { createPlayedInstance } from './played-instance.js';
+import type { PlayedInstance } from './played-instance.js';
+import { createPlayedNetwork } from './played-network.js';
+import type { PlayedNetwork } from './played-network.js';
+import { POOL, buildCall } from './played-routes.js';
+import type { PlayedRoute } from './played-routes.js';
+import { createSimulatedEngine } from './simulated-engine.js';
+import type { SimulatedEngine } from './simulated-engine.js';
+
+/** A time in which more calls come. */
+export interface PlayedBurst {
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly factor: number;
+}
+
+/** What is played. */
+export interface PlayOptions {
+  readonly seed: number;
+  readonly engines: number;
+  readonly slots: number;
+  readonly queueMax: number;
+  readonly routes: readonly PlayedRoute[];
+  /** Counted from the first arrival. */
+  readonly burst: PlayedBurst;
+  /** How long calls arrive. */
+  readonly lengthMs: number;
+  /**
+   * Instances of the fleet.
+   * @default 1
+   */
+  readonly instances?: number;
+  /**
+   * Data centres that instances and engines are spread over.
+   * @default 1
+   */
+  readonly dataCentres?: number;
+  /**
+   * Time for the fleet to find itself before calls arrive.
+   * @default 0
+   */
+  readonly settlingMs?: number;
+}
+
+/** What one caller saw. */
+export interface PlayedCall {
+  readonly route: string;
+  /** Counted from the first arrival. */
+  readonly receivedMs: number;
+  firstMs: number | undefined;
+  /** The longest pause between two events, in milliseconds. */
+  pauseMs: number;
+  end: 'whole' | 'refused' | 'left' | 'failed' | 'none';
+  /** Whole, begun within the target and without a pause over what the route declares. */
+  isInTime: boolean;
+}
+
+/** What a play showed. */
+export interface PlayRecord {
+  readonly calls: readonly PlayedCall[];
+  /** Mean difference between the calls that a chooser held for under way at an engine and those that were. */
+  readonly meanBeliefError: number;
+  /** Attempts that a full engine turned away. */
+  readonly turnedAway: number;
+  /** Datagrams that an instance sent in a second, in the mean. */
+  readonly datagramsPerSecond: number;
+}
+
+/** A caller leaves an answer that does not begin within the longest of this, in milliseconds, and these multiples of what the route declares. */
+const PATIENCE_MIN_MS = 2000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
+/** Time after the last arrival in which everything ends, in milliseconds. */
+const REST_MS = 12_000;
+/** Instances start within this time, in milliseconds. */
+const START_SPREAD_MS = 300;
+
+/** What the parts of a play share. */
+interface Play {
+  readonly options: PlayOptions;
+  readonly time: VirtualTime;
+  readonly random: Random;
+  readonly network: PlayedNetwork;
+  readonly engines: ReadonlyMap<string, SimulatedEngine>;
+  readonly endpoints: readonly RegisteredEndpoint[];
+  /** Calls by id: an exchange with an engine names its call only. */
+  readonly calls: Map<string, RoutedCall>;
+  /** When the first calls arrive. */
+  readonly fromMs: number;
+}
+
+function computePatienceMs({ targetMs, gapTargetMs = 0 }: Route): number {
+  return Math.max(PATIENCE_MIN_MS, targetMs * PATIENCE_TARGETS, gapTargetMs * PATIENCE_GAPS);
+}
+
+function buildDataCentre(index: number, { dataCentres = 1 }: PlayOptions): string {
+  return `dc-${index % dataCentres}`;
+}
+
+function buildEndpoints(options: PlayOptions): readonly RegisteredEndpoint[] {
+  const { engines, slots } = options;
+  return Array.from({ length: engines }, (_, index) => {
+    const id = `engine-${index + 1}`;
+    const dataCentre = buildDataCentre(index, options);
+    return { id, startId: id, pool: POOL, address: id, dataCentre, slots, isLeaving: false };
+  });
+}
+
+function buildContacts(options: PlayOptions): readonly Contact[] {
+  return Array.from({ length: options.instances ?? 1 }, (_, index) => {
+    const name = `instance-${index + 1}`;
+    return { name, address: `${name}:1`, dataCentre: buildDataCentre(index, options) };
+  });
+}
+
+function createConnections({ engines, calls }: Play): EndpointConnections {
+  return {
+    open(address, _connectionsMax, { target }, listener) {
+      const call = calls.get(target) as RoutedCall;
+      return (engines.get(address) as SimulatedEngine).start(call, listener);
+    },
+    closeAll: () => undefined,
+    countMade: () => 0,
+    close: () => Promise.resolve(),
+  };
+}
+
+/** Starts the instances of a fleet, one after the other within a moment. */
+function startFleet(
+  play: Play,
+  onAttempt: (record: AttemptRecord) => void,
+): { readonly instances: readonly PlayedInstance[]; readonly timers: readonly TimerService[] } {
+  const { options, time, network, endpoints } = play;
+  const contacts = buildContacts(options);
+  const instances: PlayedInstance[] = [];
+  const timers: TimerService[] = [];
+  const startOne = (self: Contact, index: number): void => {
+    const own = time.createTimers(createActor(self.name), 0);
+    timers.push(own);
+    const instance = createPlayedInstance({
+      self,
+      contacts,
+      timers: own,
+      random: createRandom(options.seed * 1000 + index),
+      network,
+      endpoints,
+      standings: createRouteStandings(options.routes.map(({ route }) => route)),
+      connections: createConnections(play),
+      onAttempt,
+    });
+    network.add(self.address, instance.exchange);
+    instances.push(instance);
+  };
+  contacts.forEach((self, index) => {
+    if (index === 0) startOne(self, index);
+    else
+      time.add(undefined, (START_SPREAD_MS * index) / contacts.length, () => startOne(self, index));
+  });
+  return { instances, timers };
+}
+
+/** Records what the caller of one call sees. */
+function createCaller(
+  { time, fromMs }: Play,
+  { name, targetMs, gapTargetMs = Infinity }: Route,
+): { readonly result: PlayedCall; readonly sink: CallSink; setEnd(end: PlayedCall['end']): void } {
+  const startedMs = time.getNow();
+  let lastMs: number | undefined;
+  const result: PlayedCall = {
+    route: name,
+    receivedMs: startedMs - fromMs,
+    firstMs: undefined,
+    pauseMs: 0,
+    end: 'none',
+    isInTime: false,
+  };
+  const setEnd = (end: PlayedCall['end']): void => {
+    if (result.end !== 'none') return;
+    const { firstMs = Infinity, pauseMs } = result;
+    result.end = end;
+    result.isInTime = end === 'whole' && firstMs <= targetMs && pauseMs <= gapTargetMs;
+  };
+  return {
+    result,
+    setEnd,
+    sink: {
+      onHead: () => undefined,
+      onEvent() {
+        const nowMs = time.getNow();
+        result.firstMs ??= nowMs - startedMs;
+        result.pauseMs = Math.max(result.pauseMs, nowMs - (lastMs ?? nowMs));
+        lastMs = nowMs;
+      },
+      onEnd: () => setEnd('whole'),
+      onAnswer: () => setEnd('failed'),
+      onBroken: () => setEnd('failed'),
+      onFailure: () => setEnd('refused'),
+    },
+  };
+}
+
+/** Starts one call and its caller, who leaves an answer that is too late. */
+function startCall(play: Play, runner: CallRunner, played: PlayedRoute): PlayedCall {
+  const { time, calls } = play;
+  const { route } = played;
+  const call = buildCall(played, `call-${calls.size}`, time.getNow(), play.random);
+  calls.set(call.callId, call);
+  const { result, sink, setEnd } = createCaller(play, route);
+  const running = runner.run(call, sink);
+  const leave = (): void => {
+    if (result.end !== 'none') return;
+    setEnd('left');
+    running.close();
+  };
+  time.add(undefined, computePatienceMs(route), () => {
+    if (result.firstMs === undefined) leave();
+  });
+  time.add(undefined, route.timeoutMs, leave);
+  return result;
+}
+
+/** Lets the calls of a route arrive at random. */
+function addArrivals(
+  { options, time, random, fromMs }: Play,
+  played: PlayedRoute,
+  start: () => void,
+): void {
+  const { burst } = options;
+  const addNext = (): void => {
+    const nowMs = time.getNow() - fromMs;
+    if (nowMs >= options.lengthMs) return;
+    const isBurst = nowMs >= burst.fromMs && nowMs < burst.toMs;
+    const rate = played.callsPerSecond * (isBurst ? burst.factor : 1);
+    time.add(undefined, (-Math.log(1 - random.next()) * 1000) / rate, () => {
+      start();
+      addNext();
+    });
+  };
+  addNext();
+}
+
+function createPlay(options: PlayOptions): Play {
+  const time = createVirtualTime();
+  const endpoints = buildEndpoints(options);
+  return {
+    options,
+    time,
+    random: createRandom(options.seed),
+    network: createPlayedNetwork(time, createRandom(options.seed + 1)),
+    engines: new Map(
+      endpoints.map(({ address }) => [address, createSimulatedEngine(time, options)]),
+    ),
+    endpoints,
+    calls: new Map(),
+    fromMs: options.settlingMs ?? 0,
+  };
+}
+
+/** Plays it and returns what callers and choosers saw. */
+export async function runFleetPlay(options: PlayOptions): Promise<PlayRecord> {
+  const play = createPlay(options);
+  const { time, network, engines, random, fromMs } = play;
+  let attempts = 0;
+  let error = 0;
+  const { instances, timers } = startFleet(play, ({ endpoint, load }) => {
+    const engine = engines.get(endpoint.address) as SimulatedEngine;
+    attempts += 1;
+    error += Math.abs(load.running - engine.count());
+  });
+  await time.runUntil(fromMs);
+  const seen: PlayedCall[] = [];
+  for (const played of options.routes) {
+    addArrivals(play, played, () => {
+      const { runner } = instances[random.nextIndex(instances.length)] as PlayedInstance;
+      seen.push(startCall(play, runner, played));
+    });
+  }
+  await time.runUntil(fromMs + options.lengthMs + REST_MS);
+  timers.forEach((own) => own.stop());
+  const playedSeconds = (fromMs + options.lengthMs + REST_MS) / 1000;
+  return {
+    calls: seen,
+    meanBeliefError: error / Math.max(1, attempts),
+    turnedAway: [...engines.values()].reduce((sum, engine) => sum + engine.countTurnedAway(), 0),
+    datagramsPerSecond: network.countSent() / instances.length / playedSeconds,
+  };
+}
+
+/** Plays it and returns what every caller saw. */
+export async function runPlay(options: PlayOptions): Promise<readonly PlayedCall[]> {
+  const { calls } = await runFleetPlay(options);
+  return calls;
+}
--- /dev/null
+++ b/src/test/played-instance.ts
@@ -0,0 +1,107 @@
+/** One instance of a play: the decisions and the exchange with peers that ship, on played engines and links. */
+import { createCallRunner } from '../calls/call-runner.js';
+import type { CallRunner } from '../calls/call-runner.js';
+import type { AttemptRecord } from '../calls/call-records.js';
+import type { EndpointConnections } from '../calls/endpoint-connections.js';
+import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
+import { createPeerExchange } from '../gateway/peer-exchange.js';
+import type { PeerExchange } from '../gateway/peer-exchange.js';
+import type { Contact } from '../membership/membership-messages.js';
+import { createEndpointLoads } from '../placement/endpoint-loads.js';
+import { createPlacer } from '../placement/placer.js';
+import type { RouteStandings } from '../routes/route-standing.js';
+import { createInvariants } from '../runtime/invariants.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import type { Random } from '../utils/random.js';
+import { Ok } from '../utils/result.js';
+import type { PlayedNetwork } from './played-network.js';
+import { FULL_STATUS } from './simulated-engine.js';
+
+/** What an instance is played with. */
+export interface PlayedInstanceOptions {
+  readonly self: Contact;
+  /** The whole fleet, as the platform lists it. */
+  readonly contacts: readonly Contact[];
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly network: PlayedNetwork;
+  readonly endpoints: readonly RegisteredEndpoint[];
+  readonly standings: RouteStandings;
+  readonly connections: EndpointConnections;
+  readonly onAttempt: (record: AttemptRecord) => void;
+}
+
+/** An instance that runs calls. */
+export interface PlayedInstance {
+  readonly runner: CallRunner;
+  readonly exchange: PeerExchange;
+}
+
+/** Instances whose addresses all know when they start. */
+const SEEDS = 3;
+
+/** Engines of a play name the call in the one header of their answer. */
+const PROTOCOL: EndpointProtocol = {
+  encode: ({ callId }) => ({ method: 'POST', target: callId, headers: [], body: Buffer.alloc(0) }),
+  decode: (status, [callId]) => ({
+    callId: callId?.value,
+    isUnrun: status === FULL_STATUS,
+    isWrongEndpoint: false,
+    isSigned: true,
+    isEventStream: true,
+    headers: [],
+  }),
+};
+
+/** Starts an instance. */
+export function createPlayedInstance(options: PlayedInstanceOptions): PlayedInstance {
+  const { self, timers, random, network, endpoints, standings } = options;
+  const loads = createEndpointLoads();
+  const exchange = createPeerExchange({
+    self,
+    incarnation: 1,
+    seeds: options.contacts.slice(0, SEEDS).map(({ address }) => address),
+    timers,
+    random,
+    invariants: createInvariants(() => undefined),
+    log: { write: () => undefined },
+    links: network.createLinks(self),
+    datagrams: network.createDatagrams(self),
+    instances: {
+      list: async () => Ok(options.contacts.map((contact) => ({ ...contact, state: 'live' }))),
+      set: async () => Ok(undefined),
+    },
+    loads,
+    isLeaving: () => false,
+    isKnowledgeOld: () => false,
+    getRevisions: () => ({ configurationRevision: 1, endpointsRevision: 1 }),
+    onKnowledge: () => undefined,
+    getKnowledgeAge: () => 0,
+    onWatching: () => undefined,
+  });
+  const runner = createCallRunner({
+    connections: options.connections,
+    protocol: PROTOCOL,
+    loads,
+    placer: createPlacer({
+      loads,
+      random,
+      listOpen: () => endpoints,
+      getStanding: (route, pool) => standings.get(route, pool),
+      isCut: (dataCentre) => exchange.isCut(dataCentre),
+    }),
+    retryBounds: { windowMs: 10_000, ratio: 0.2, slack: 50 },
+    timers,
+    observer: {
+      onAttempt: options.onAttempt,
+      onAttemptEnded: () => undefined,
+      onEnded: () => undefined,
+    },
+    listOpen: () => endpoints,
+    findPool: () => undefined,
+    countInstances: () => exchange.countInstances(),
+    checkSendable: () => undefined,
+  });
+  return { runner, exchange };
+}
--- /dev/null
+++ b/src/test/played-network.ts
@@ -0,0 +1,66 @@
+/** Links between the instances of a play: late, and datagrams now and then lost. */
+import type { PeerMessage } from '../gen/peer_pb.js';
+import type { Contact } from '../membership/membership-messages.js';
+import type { Datagrams } from '../peers/datagrams.js';
+import type { PeerLinks } from '../peers/peer-links.js';
+import type { VirtualTime } from '../soak/virtual-time.js';
+import type { Random } from '../utils/random.js';
+import type { PeerExchange } from '../gateway/peer-exchange.js';
+
+/** The way between two instances, in milliseconds: between data centres of one region, and an event loop that has other work. */
+const DELAY_MIN_MS = 1;
+const DELAY_SPREAD_MS = 3;
+/** Part of the datagrams that is lost. */
+const LOSS = 0.01;
+
+/** The network of a play. */
+export interface PlayedNetwork {
+  add(address: string, exchange: PeerExchange): void;
+  createLinks(self: Contact): PeerLinks;
+  createDatagrams(self: Contact): Pick<Datagrams, 'sendLoads' | 'sendGossip'>;
+  /** Datagrams that were sent so far. */
+  countSent(): number;
+}
+
+/** Builds a network without anybody on it. */
+export function createPlayedNetwork(time: VirtualTime, random: Random): PlayedNetwork {
+  const peers = new Map<string, PeerExchange>();
+  let sent = 0;
+
+  function send(address: string, deliver: (peer: PeerExchange) => void): void {
+    time.add(undefined, DELAY_MIN_MS + random.next() * DELAY_SPREAD_MS, () => {
+      const peer = peers.get(address);
+      if (peer !== undefined) deliver(peer);
+    });
+  }
+
+  function sendDatagram(address: string, deliver: (peer: PeerExchange) => void): void {
+    sent += 1;
+    if (random.next() >= LOSS) send(address, deliver);
+  }
+
+  const refuse = (): Promise<never> => Promise.reject(new Error('not played'));
+
+  return {
+    add(address, exchange) {
+      peers.set(address, exchange);
+    },
+    createLinks: ({ name }) => ({
+      send(address, body: PeerMessage['body']) {
+        send(address, (peer) => peer.handleBodies(name, [body]));
+      },
+      fetchConfiguration: refuse,
+      fetchKnowledge: refuse,
+      queryAttempt: refuse,
+    }),
+    createDatagrams: ({ name }) => ({
+      sendLoads(addresses, told) {
+        for (const address of addresses) sendDatagram(address, (peer) => peer.handleTold(told));
+      },
+      sendGossip(address, body) {
+        sendDatagram(address, (peer) => peer.handleBodies(name, [body]));
+      },
+    }),
+    countSent: () => sent,
+  };
+}
