An idle instance wakes once a period, calls that run are looked at ten times a second

Each part of a process had a timer of its own, five of them ten times a second, and a call under way was looked at forty times a second, nearly always at an instance of hundreds. Change: one timer serves all subscriptions of a period; deadlines and stalls are looked at every 100 ms, calls that wait are placed every 25 ms only while there are any; the order of waiting calls is predicted once a call, not in each comparison.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -27,8 +27,10 @@
 import type { EndpointConnections } from './endpoint-connections.js';
 import type { EndpointProtocol } from './endpoint-protocol.js';
 
-/** Calls' deadlines and stalls are looked at this often, in milliseconds: an eighth of the shortest slack a deadline has. */
-const TICK_MS = 25;
+/** Calls' deadlines and stalls are looked at this often, in milliseconds: a fifth of the shortest slack a deadline has. Each look wakes the process, and an instance of hundreds nearly always has a call. */
+const TICK_MS = 100;
+/** Calls that wait are placed anew this often, in milliseconds: slots come free every few. */
+const WAITING_TICK_MS = 25;
 /** With no endpoint in sight a caller comes back after this long, in milliseconds: a registry's change takes less to arrive. */
 const NO_ENDPOINT_RETRY_MS = 1000;
 /** Turned away by overload a caller comes back after this long, in milliseconds: answers under way take one to a few seconds to make room. */
@@ -102,6 +104,7 @@
   const waiting = new Map<Run, AttemptCommand>();
   const budgets = new Map<string, SharedRetryBudget>();
   let stopTicking: Unsubscribe | undefined;
+  let stopPlacing: Unsubscribe | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
 
   function buildWaitingCall({ call }: Run): WaitingCall {
@@ -213,15 +216,17 @@
   }
 
   function startAttempt(run: Run, command: AttemptCommand): void {
-    if (!sendAttempt(run, command)) waiting.set(run, command);
+    if (sendAttempt(run, command)) return;
+    waiting.set(run, command);
+    startPlacing();
   }
 
   function advanceWaiting(): void {
     const nowMs = getNow();
-    const ordered = [...waiting].sort(([a], [b]) =>
-      compareWaiting(buildWaitingCall(a), buildWaitingCall(b), nowMs),
-    );
-    for (const [run, command] of ordered) {
+    const ordered = [...waiting]
+      .map(([run, command]) => ({ run, command, order: buildWaitingCall(run) }))
+      .sort((a, b) => compareWaiting(a.order, b.order, nowMs));
+    for (const { run, command } of ordered) {
       if (sendAttempt(run, command)) waiting.delete(run);
     }
   }
@@ -282,11 +287,20 @@
     });
   }
 
-  /** Ticks only while calls run: an idle instance need not wake forty times a second. */
+  /** Looks for room only while calls wait for it. */
+  function startPlacing(): void {
+    stopPlacing ??= timers.subscribe(WAITING_TICK_MS, () => {
+      advanceWaiting();
+      if (waiting.size > 0) return;
+      stopPlacing?.();
+      stopPlacing = undefined;
+    });
+  }
+
+  /** Ticks only while calls run: an idle instance need not wake. */
   function startTicking(): void {
     stopTicking ??= timers.subscribe(TICK_MS, () => {
       for (const run of [...runs]) advanceRun(run, { kind: 'tick' });
-      if (waiting.size > 0) advanceWaiting();
       if (runs.size > 0) return;
       stopTicking?.();
       stopTicking = undefined;
--- a/src/runtime/timer-service.ts
+++ b/src/runtime/timer-service.ts
@@ -28,17 +28,44 @@
   stop(): void;
 }
 
-/** Builds the service on the machine's timers. */
+/** Everybody who is called with one period. */
+interface Interval {
+  readonly timer: NodeJS.Timeout;
+  readonly handlers: Set<() => void>;
+}
+
+/**
+ * Builds the service on the machine's timers. One timer serves all subscriptions of a period, so that a
+ * process with nothing to do wakes ten times a second and not once for each of its parts; the first call
+ * may come sooner than a period after the subscription.
+ */
 export function createTimerService(clock: Clock): TimerService {
   const events = new Emittery<TimerEvents>();
   const active = new Set<NodeJS.Timeout>();
+  const intervals = new Map<number, Interval>();
 
-  function subscribe(periodMs: number, handler: () => void): Unsubscribe {
-    const timer = setInterval(handler, periodMs);
+  function startInterval(periodMs: number): Interval {
+    const handlers = new Set<() => void>();
+    const timer = setInterval(() => {
+      for (const handler of [...handlers]) if (handlers.has(handler)) handler();
+    }, periodMs);
+    const interval: Interval = { timer, handlers };
     active.add(timer);
+    intervals.set(periodMs, interval);
+    return interval;
+  }
+
+  function subscribe(periodMs: number, handler: () => void): Unsubscribe {
+    const interval = intervals.get(periodMs) ?? startInterval(periodMs);
+    // The same function may be subscribed twice.
+    const call = (): void => handler();
+    interval.handlers.add(call);
     return () => {
-      clearInterval(timer);
-      active.delete(timer);
+      interval.handlers.delete(call);
+      if (interval.handlers.size > 0 || intervals.get(periodMs) !== interval) return;
+      clearInterval(interval.timer);
+      active.delete(interval.timer);
+      intervals.delete(periodMs);
     };
   }
 
@@ -70,6 +97,7 @@
     stop() {
       for (const timer of active) clearTimeout(timer);
       active.clear();
+      intervals.clear();
       events.clearListeners();
     },
   };
