A list of the source is news to those who follow this instance

Cause: a list that showed nothing new did not raise the revision that is told. A row that came and went between two lists of one watcher, told by another, stayed with the follower until the other told more. It is a test now, which failed before. Also found on the way: where a list had raised the revision without rows, a follower asked again and again, since it kept its own lower one; what a teller says it lacks now brings it to the teller's. Ruled out: rows' own revisions (it failed without them).

--- a/src/gateway/knowledge-keeper.ts
+++ b/src/gateway/knowledge-keeper.ts
@@ -12,7 +12,7 @@
 import { createSourceClock } from '../knowledge/source-clock.js';
 import { createSuspensionDetector } from '../knowledge/suspension-detector.js';
 import { createTableMirror } from '../knowledge/table-mirror.js';
-import type { MirrorChanges } from '../knowledge/table-mirror.js';
+import type { MirrorChanges, MirroredRow } from '../knowledge/table-mirror.js';
 import type { WatchDuty } from '../knowledge/watch-duty.js';
 import type { KnowledgeSummary } from '../peers/peer-links.js';
 import type { DecisionLog } from '../observability/decision-log.js';
@@ -73,7 +73,7 @@
   stop(): void;
 }
 
-function parseTableRow({ key, value, revision }: TableRow): FeedRow {
+function parseTableRow({ key, value, revision }: TableRow): MirroredRow {
   return { key, value, revision };
 }
 
@@ -91,8 +91,6 @@
   let duty: WatchDuty = { kind: 'follow' };
   /** Since when others are ahead of the own feed of endpoints. */
   let behindSinceMs: number | undefined;
-  /** The highest revision of endpoints that others told of. */
-  let toldEndpointsRevision = 0;
   const getNow = (): number => timers.clock.monotonicMs();
 
   /** Distrusts what is known after a suspension: how long it lasted this process cannot know. */
@@ -217,7 +215,7 @@
     isPaused: true,
     listener: {
       onListed(rows, answer) {
-        configurationRows.setAll(rows, answer.revision, 0);
+        configurationRows.setAll(rows, answer.revision);
         handleConfigurationList(rows);
       },
       onChanged(rows, answer) {
@@ -238,7 +236,7 @@
       onListed(rows, answer) {
         handleSourceAnswer('endpoints');
         if (isBehindPeers(answer)) return;
-        endpointRows.setAll(rows, answer.revision, toldEndpointsRevision);
+        endpointRows.setAll(rows, answer.revision);
         handleEndpointList(rows, 'source');
       },
       onChanged(rows, answer) {
@@ -297,7 +295,7 @@
     const { knownAtMs = -Infinity } = table;
     if (table.hasRows) {
       const rows = table.rows.map(parseTableRow);
-      configurationRows.setAll(rows, configurationRows.getRevision(), 0);
+      configurationRows.setAll(rows, configurationRows.getRevision());
       recordConfiguration(rows, knownAtMs, peer);
     } else {
       knowledge.record({ version: table.revision, configuration: undefined, knownAtMs });
@@ -309,16 +307,14 @@
     renewalLeftMs: number,
     peer: string,
   ): void {
-    if (!table.hasRows || table.revision <= endpointRows.getContentRevision()) return;
+    if (table.revision <= endpointRows.getContentRevision()) return;
+    // A table without any row is no table: its teller has just begun.
+    if (table.isComplete && !table.hasRows) return;
     applyDirectory({ kind: 'renewing', forMs: renewalLeftMs }, peer);
     const rows = table.rows.map(parseTableRow);
-    if (table.isComplete) {
-      endpointRows.setAll(rows, table.revision, 0);
-      handleEndpointList(rows, peer);
-    } else {
-      endpointRows.apply(rows, table.revision);
-      handleEndpointRows(rows, peer);
-    }
+    endpointRows.applyTold({ kind: table.isComplete ? 'all' : 'changed', rows }, table.revision);
+    if (table.isComplete) handleEndpointList(rows, peer);
+    else handleEndpointRows(rows, peer);
   }
 
   function stopWatching(): void {
@@ -366,7 +362,6 @@
       if (confirmedAtMs !== undefined && !isNewer) {
         knowledge.record({ version, configuration: undefined, knownAtMs: confirmedAtMs });
       }
-      toldEndpointsRevision = Math.max(toldEndpointsRevision, endpointsRevision);
       checkBehind(endpointsRevision);
       const isNews = isNewer || endpointsRevision > endpointRows.getContentRevision();
       return isNews && (duty.kind === 'follow' || isSourceLost);
--- a/src/knowledge/table-mirror.test.ts
+++ b/src/knowledge/table-mirror.test.ts
@@ -12,9 +12,7 @@
 function applyChanges(follower: TableMirror, watcher: TableMirror): void {
   const revision = watcher.getContentRevision();
   if (revision <= follower.getContentRevision()) return;
-  const changes = watcher.listSince(follower.getContentRevision());
-  if (changes.kind === 'all') follower.setAll(changes.rows, revision, 0);
-  else follower.apply(changes.rows, revision);
+  follower.applyTold(watcher.listSince(follower.getContentRevision()), revision);
 }
 
 describe('table mirror', ({ it }) => {
@@ -26,7 +24,6 @@
         { key: 'b', value: '1' },
       ],
       5,
-      0,
     );
     mirror.apply([{ key: 'a', value: undefined }], 8);
     mirror.apply([], 9);
@@ -48,9 +45,8 @@
   it('stands at the same revision as any other that knows the same', (t) => {
     const mirrors = [9, 12].map((answerRevision) => {
       const mirror = createTableMirror();
-      mirror.setAll([{ key: 'a', value: '1', revision: 3 }], 5, 0);
+      mirror.setAll([{ key: 'a', value: '1', revision: 3 }], 5);
       mirror.apply([{ key: 'a', value: '2', revision: 7 }], answerRevision);
-      mirror.setAll([{ key: 'a', value: '2', revision: 7 }], answerRevision + 20, 7);
       return mirror;
     });
     t.deepEqual(
@@ -61,15 +57,32 @@
 
   it('takes what a later list lacks for removed', (t) => {
     const mirror = createTableMirror();
-    mirror.setAll([{ key: 'a', value: '1', revision: 3 }], 5, 0);
-    mirror.setAll([], 9, 5);
+    mirror.setAll([{ key: 'a', value: '1', revision: 3 }], 5);
+    mirror.setAll([], 9);
     t.is(mirror.getContentRevision(), 9);
     t.deepEqual(mirror.listSince(5), { kind: 'all', rows: [] });
   });
 
+  // An engine registers, one watcher tells of it, and it is gone before the other watcher lists: that one
+  // never knew it. The first watcher dies. Who was told would send prompts to an engine that is gone
+  // until something else changes, unless the list is news to it.
+  it('lets a follower drop what came and went between two lists', (t) => {
+    const [first, second, follower] = [1, 1, 1].map((revision) => {
+      const mirror = createTableMirror();
+      mirror.setAll([], revision);
+      return mirror;
+    }) as [TableMirror, TableMirror, TableMirror];
+    first.apply([{ key: 'a', value: '0', revision: 2 }], 2);
+    second.setAll([], 3);
+    applyChanges(follower, first);
+    t.deepEqual(listSorted(follower.list()), [{ key: 'a', value: '0' }]);
+    applyChanges(follower, second);
+    t.deepEqual(follower.list(), []);
+  });
+
   it('remembers a bounded number of removals, and gives everything to who lacks an older one', (t) => {
     const mirror = createTableMirror();
-    mirror.setAll([], 1, 0);
+    mirror.setAll([], 1);
     for (let revision = 2; revision < 1000; revision += 1) {
       mirror.apply([{ key: `k${revision}`, value: undefined }], revision);
     }
@@ -95,12 +108,12 @@
         const log: { row: FeedRow; revision: number }[] = [];
         const watchers = [createTableMirror(), createTableMirror()];
         const follower = createTableMirror();
-        for (const watcher of watchers) watcher.setAll([], 1, 0);
+        for (const watcher of watchers) watcher.setAll([], 1);
         const updateWatcher = (watcher: TableMirror, isList: boolean): void => {
           const revision = log.length + 1;
           const rows = [...source.values()];
           const missed = log.filter((entry) => entry.revision > watcher.getRevision());
-          if (isList) watcher.setAll(rows, revision, follower.getContentRevision());
+          if (isList) watcher.setAll(rows, revision);
           else
             watcher.apply(
               missed.map(({ row }) => row),
--- a/src/knowledge/table-mirror.ts
+++ b/src/knowledge/table-mirror.ts
@@ -21,9 +21,12 @@
 
 /** Rows in hand. */
 export interface TableMirror {
-  /** Takes every row there is as of a revision, where others hold rows of up to `heldElsewhere`. */
-  setAll(rows: readonly FeedRow[], revision: number, heldElsewhere: number): void;
+  /** Takes every row there is as of a revision of the source. */
+  setAll(rows: readonly FeedRow[], revision: number): void;
+  /** Takes what changed up to a revision of the source. */
   apply(rows: readonly FeedRow[], revision: number): void;
+  /** Takes what another instance, whose rows last changed at a revision, says that this one lacks. */
+  applyTold(changes: MirrorChanges, contentRevision: number): void;
   /** Everything up to this revision is in the rows; 0 before the first list. */
   getRevision(): number;
   /** The revision at which the rows last changed: whoever knows everything up to it lacks nothing. */
@@ -71,24 +74,32 @@
     return row.revision === undefined ? known.value === row.value : known.revision === row.revision;
   }
 
+  function setAll(listed: readonly FeedRow[], revision: number): void {
+    revisionInHand = Math.max(revisionInHand, revision);
+    // What came and went since the list before is not known: whoever has less gets every row.
+    forgottenRevision = revisionInHand;
+    // Guards against a row that came and went between two lists of this instance, while another heard of
+    // its coming and has since died: it shows as an endpoint that is gone and still gets calls of those
+    // whom that one told. A list is news to all, so that they ask once more.
+    contentRevision = Math.max(contentRevision, revision);
+    const keys = new Set(listed.map(({ key }) => key));
+    const vanished = [...rows.keys()].filter((key) => !keys.has(key));
+    for (const key of vanished) applyRow({ key, value: undefined }, revision);
+    for (const row of listed) if (!isKnown(row)) applyRow(row, revision);
+  }
+
+  function apply(changed: readonly FeedRow[], revision: number): void {
+    for (const row of changed) applyRow(row, revision);
+    revisionInHand = Math.max(revisionInHand, revision);
+  }
+
   return {
-    setAll(listed, revision, heldElsewhere) {
-      // Guards against a row that came and went between two lists of this instance while others heard of
-      // its coming: it shows as an endpoint that is gone and still gets their calls. They ask once more.
-      const mayLack = heldElsewhere > revisionInHand || revisionInHand === 0;
-      if (mayLack) contentRevision = Math.max(contentRevision, revision);
-      revisionInHand = Math.max(revisionInHand, revision);
-      // What came and went since the list before is not known: whoever has less gets every row.
-      forgottenRevision = revisionInHand;
-      // A list that only confirms what is held is no news to those who follow this instance.
-      const keys = new Set(listed.map(({ key }) => key));
-      const vanished = [...rows.keys()].filter((key) => !keys.has(key));
-      for (const key of vanished) applyRow({ key, value: undefined }, revision);
-      for (const row of listed) if (!isKnown(row)) applyRow(row, revision);
-    },
-    apply(changed, revision) {
-      for (const row of changed) applyRow(row, revision);
-      revisionInHand = Math.max(revisionInHand, revision);
+    setAll,
+    apply,
+    applyTold(changes, revision) {
+      if (changes.kind === 'all') setAll(changes.rows, revision);
+      else apply(changes.rows, revision);
+      contentRevision = Math.max(contentRevision, revision);
     },
     getRevision: () => revisionInHand,
     getContentRevision: () => contentRevision,
