Sight: contents of calls, and crashes of endpoints told from lost connections

Logs could not tell whether two calls ask for the same, nor whether a broken answer was the end of its endpoint. No decision changes.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -1,6 +1,7 @@
 /** A routed call, its answer, and what a call's life is told and asks for. */
 import type { Route } from '../types/traffic.js';
 import type { RequestFailure } from '../types/outcomes.js';
+import type { ContentId } from './content-id.js';
 
 /** A header as it came: name and value. */
 export interface HeaderField {
@@ -36,6 +37,8 @@
 export interface RoutedCall {
   /** Named by the caller, one for each of its attempts. */
   readonly callId: string;
+  /** The same for every attempt of any caller at the same request. */
+  readonly contentId: ContentId;
   readonly route: Route;
   readonly pool: string;
   /** Undefined on public routes. */
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -53,6 +53,8 @@
   readonly findPool: (name: string) => TrafficPool | undefined;
   /** Instances that share the endpoints, this one included. */
   readonly countInstances: () => number;
+  /** An answer of the endpoint broke off before it was whole. */
+  readonly onBroken: (call: RoutedCall, endpoint: RegisteredEndpoint) => void;
   /** Why the call must not be sent now, if it must not. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
 }
@@ -162,6 +164,7 @@
       onEnded(end) {
         ticket.recordEnd(computeVerdict(end), getNow());
         observer.onAttemptEnded(record, end, getNow() - startedMs);
+        if (end.kind === 'broken') options.onBroken(call, endpoint);
         advanceRun(run, { kind: 'ended', attempt, end });
       },
     });
--- /dev/null
+++ b/src/calls/check-acceptance.ts
@@ -0,0 +1,29 @@
+/** Asks whether somebody accepts connections at an address, with a connection that carries nothing. */
+import { connect } from 'node:net';
+import { ACCEPTANCE } from '../quarantine/crash-detector.js';
+import type { Acceptance } from '../quarantine/crash-detector.js';
+
+/** No answer within this time, in milliseconds, is silence: a hundred times a round trip between data centres. */
+const ANSWER_TIMEOUT_MS = 300;
+const REFUSED_CODE = 'ECONNREFUSED';
+
+/** Tries a connection to `HOST:PORT`. */
+export function checkAcceptance(address: string): Promise<Acceptance> {
+  const separator = address.lastIndexOf(':');
+  return new Promise((resolve) => {
+    const socket = connect({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      timeout: ANSWER_TIMEOUT_MS,
+    });
+    const close = (acceptance: Acceptance): void => {
+      socket.destroy();
+      resolve(acceptance);
+    };
+    socket.once('connect', () => close(ACCEPTANCE.Accepted));
+    socket.once('timeout', () => close(ACCEPTANCE.Silent));
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      close(error.code === REFUSED_CODE ? ACCEPTANCE.Refused : ACCEPTANCE.Silent);
+    });
+  });
+}
--- a/src/gateway/admit-call.ts
+++ b/src/gateway/admit-call.ts
@@ -1,4 +1,5 @@
 /** Checks what a caller asks for against the configuration in hand, and makes a routed call of it. */
+import { hashContent } from '../calls/content-id.js';
 import type { CallPayload, PromptShape, RoutedCall } from '../calls/call-messages.js';
 import { choosePool } from '../routes/route-table.js';
 import type { RouteTable } from '../routes/route-table.js';
@@ -89,8 +90,16 @@
     return Err(createNotReady('the route has no pool yet; come back'));
   }
   const waitsMs = Math.min(request.waitsMs ?? route.timeoutMs, route.timeoutMs);
+  const { method, target, body } = request.payload;
   return Ok({
     callId,
+    contentId: hashContent({
+      method,
+      host: request.host,
+      target,
+      organisation: organisation?.name,
+      body,
+    }),
     route,
     pool,
     organisation: organisation?.name,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,8 @@
 import type { PeerTelling } from '../peers/peer-telling.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { createPlacer } from '../placement/placer.js';
+import { createCrashDetector } from '../quarantine/crash-detector.js';
+import type { Acceptance, EndpointCrash } from '../quarantine/crash-detector.js';
 import { FIRST_STANDING } from '../routes/route-standing.js';
 import { createRouteTable } from '../routes/route-table.js';
 import type { RouteTable } from '../routes/route-table.js';
@@ -64,6 +66,8 @@
   readonly endpointFeed: FeedReader;
   readonly decoder: RowDecoder;
   readonly connections: EndpointConnections;
+  /** Whether somebody accepts connections at an endpoint's address. */
+  readonly checkAcceptance: (address: string) => Promise<Acceptance>;
   readonly protocol: EndpointProtocol;
   readonly observer: CallObserver;
   readonly retryBounds: RetryBounds;
@@ -73,6 +77,8 @@
   readonly drainTimeoutMs: number;
   /** How long callers that still come are served after this instance began to leave, in milliseconds. */
   readonly drainNoticeMs: number;
+  /** An endpoint ended while calls of this instance ran there. */
+  readonly onEndpointCrashed: (crash: EndpointCrash) => void;
   readonly onConfiguration: (configuration: TrafficConfiguration) => void;
   readonly onStopAccepting: () => void;
   readonly onDrained: () => void;
@@ -124,11 +130,17 @@
     },
     onEndpointEnded(endpoint, isRestarted) {
       loads.remove(endpoint.startId);
+      crashes.recordEnded(endpoint);
       if (isRestarted) closeConnectionsOf(endpoint);
     },
     onSuspended: () => peers.postQuestions(),
   });
 
+  const crashes = createCrashDetector({
+    checkAcceptance: options.checkAcceptance,
+    onCrash: options.onEndpointCrashed,
+  });
+
   /** Closes what the earlier start left open, unless another endpoint has its address by now. */
   function closeConnectionsOf({ id, address }: RegisteredEndpoint): void {
     const isTaken = keeper.directory
@@ -175,6 +187,12 @@
     listOpen: (pool) => keeper.directory.listOpen(pool),
     findPool: (name) => table?.findPool(name),
     countInstances: () => peers.countInstances(),
+    onBroken(call, { id, startId }) {
+      const endpoint = keeper.directory.find(id);
+      // What has left or leaves has planned its end.
+      const isExpected = endpoint?.startId !== startId || endpoint.isLeaving;
+      if (!isExpected) crashes.recordBroken(endpoint, call.contentId, getNow());
+    },
     checkSendable(call) {
       // Checked right before each send: a call that waited may have outlived its key.
       if (!call.isKeyed || areKeysValid()) return undefined;
@@ -211,7 +229,10 @@
     for (const command of drain.handle(message, getNow())) runDrainCommand(command);
   }
 
-  timers.subscribe(TICK_MS, () => runDrain({ kind: 'tick', inFlight: runner.count() }));
+  timers.subscribe(TICK_MS, () => {
+    crashes.advance(getNow());
+    runDrain({ kind: 'tick', inFlight: runner.count() });
+  });
 
   return {
     resolve(request) {
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -38,6 +38,8 @@
   /** The longest pause of a stream that ended, by route. */
   recordPause(route: string, pauseMs: number): void;
   recordAttempt(end: string): void;
+  /** An endpoint ended while calls of this instance ran there. */
+  recordCrash(evidence: string): void;
   /** A request was refused before a call was made of it. */
   recordRefusal(failure: string): void;
   format(): Promise<string>;
@@ -65,6 +67,12 @@
     labelNames: ['failure'],
     registers,
   });
+  const crashes = new Counter({
+    name: 'hyssoptally_endpoint_crashes_total',
+    help: 'Endpoints that ended while calls of this instance ran there, by what proved it',
+    labelNames: ['evidence'],
+    registers,
+  });
   const first = new Histogram({
     name: 'hyssoptally_call_first_seconds',
     help: 'Time from a request to the first bytes of its answer',
@@ -136,6 +144,7 @@
     recordWait: (urgency, waitedMs) => waits.observe({ urgency }, waitedMs / 1000),
     recordPause: (route, pauseMs) => pauses.observe({ route }, pauseMs / 1000),
     recordAttempt: (end) => attempts.inc({ end }),
+    recordCrash: (evidence) => crashes.inc({ evidence }),
     recordRefusal: (failure) => refusals.inc({ failure }),
     format: () => registry.metrics(),
   };
--- a/src/observability/call-observer.ts
+++ b/src/observability/call-observer.ts
@@ -94,6 +94,7 @@
       log.write({
         event: 'attempt_failed',
         request: call.callId,
+        content: call.contentId,
         attempt,
         endpoint: endpoint.id,
         end: describeAttemptEnd(end),
@@ -112,6 +113,7 @@
         {
           event: 'call_ended',
           request: call.callId,
+          content: call.contentId,
           route: call.route.name,
           urgency: call.urgency,
           organisation: call.organisation ?? '',
--- a/src/observability/explain.ts
+++ b/src/observability/explain.ts
@@ -12,6 +12,7 @@
 const BELIEFS = new Set([
   'configuration_reported',
   'endpoint_changed',
+  'endpoint_crashed',
   'source_lost',
   'source_back',
   'watching_changed',
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -36,6 +36,14 @@
       readonly change: string;
       readonly source: string;
     }
+  | {
+      /** An endpoint ended while calls of this instance ran there. */
+      readonly event: 'endpoint_crashed';
+      readonly endpoint: string;
+      readonly pool: string;
+      readonly evidence: string;
+      readonly contents: readonly string[];
+    }
   | {
       readonly event: 'endpoint_judged';
       readonly endpoint: string;
@@ -79,6 +87,8 @@
   | {
       readonly event: 'attempt_failed';
       readonly request: string;
+      /** The same for every call that asks for the same. */
+      readonly content: string;
       readonly attempt: number;
       readonly endpoint: string;
       readonly end: string;
@@ -87,6 +97,8 @@
   | {
       readonly event: 'call_ended';
       readonly request: string;
+      /** The same for every call that asks for the same. */
+      readonly content: string;
       readonly route: string;
       readonly organisation: string;
       readonly urgency: number;
--- a/src/placement/placer.test.ts
+++ b/src/placement/placer.test.ts
@@ -18,6 +18,7 @@
 };
 const CALL: RoutedCall = {
   callId: 'c',
+  contentId: 'c',
   route: buildPlayedRoute('draft', { priority: 1 }),
   pool: ENGINE.pool,
   organisation: undefined,
--- /dev/null
+++ b/src/quarantine/crash-detector.test.ts
@@ -0,0 +1,83 @@
+import { describe } from '../test/describe.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import { ACCEPTANCE, createCrashDetector } from './crash-detector.js';
+import type { Acceptance, CrashDetector, EndpointCrash } from './crash-detector.js';
+
+const ENGINE: RegisteredEndpoint = {
+  id: 'a',
+  startId: 'a@1',
+  pool: 'p',
+  address: '10.0.0.1:80',
+  dataCentre: 'd',
+  slots: 16,
+  isLeaving: false,
+};
+
+interface Trial {
+  readonly detector: CrashDetector;
+  readonly crashes: EndpointCrash[];
+  countQuestions(): number;
+}
+
+function createTrial(acceptance: Acceptance): Trial {
+  const crashes: EndpointCrash[] = [];
+  let questions = 0;
+  const detector = createCrashDetector({
+    checkAcceptance: () => {
+      questions += 1;
+      return Promise.resolve(acceptance);
+    },
+    onCrash: (crash) => crashes.push(crash),
+  });
+  return { detector, crashes, countQuestions: () => questions };
+}
+
+/** Lets what was asked be answered. */
+async function waitForAnswers(): Promise<void> {
+  await new Promise(setImmediate);
+}
+
+describe('crash detector', ({ it }) => {
+  it('names all that broke off at an endpoint that refuses connections, and asks once', async (t) => {
+    const { detector, crashes, countQuestions } = createTrial(ACCEPTANCE.Refused);
+    detector.recordBroken(ENGINE, 'x', 0);
+    detector.recordBroken(ENGINE, 'y', 1);
+    await waitForAnswers();
+    t.deepEqual(crashes, [
+      { endpoint: ENGINE, contents: ['x', 'y'], evidence: 'connection refused' },
+    ]);
+    t.is(countQuestions(), 1);
+  });
+
+  it('blames nothing for connections that were reset', async (t) => {
+    const { detector, crashes } = createTrial(ACCEPTANCE.Accepted);
+    detector.recordBroken(ENGINE, 'x', 0);
+    await waitForAnswers();
+    t.deepEqual(crashes, []);
+  });
+
+  // An engine crashes and is back within milliseconds, or the way to it is cut just then: a new
+  // connection does not show the crash, and the registry names the new start seconds later.
+  it('takes the word of the registry where a connection proved nothing', async (t) => {
+    for (const acceptance of [ACCEPTANCE.Accepted, ACCEPTANCE.Silent]) {
+      const { detector, crashes } = createTrial(acceptance);
+      detector.recordBroken(ENGINE, 'x', 0);
+      // eslint-disable-next-line no-await-in-loop
+      await waitForAnswers();
+      detector.recordEnded(ENGINE);
+      t.deepEqual(crashes, [{ endpoint: ENGINE, contents: ['x'], evidence: 'start ended' }]);
+    }
+  });
+
+  it('blames nothing for an end that was planned, nor long after a connection was lost', async (t) => {
+    const { detector, crashes } = createTrial(ACCEPTANCE.Accepted);
+    detector.recordBroken(ENGINE, 'x', 0);
+    await waitForAnswers();
+    detector.recordEnded({ ...ENGINE, isLeaving: true });
+    detector.recordBroken(ENGINE, 'x', 0);
+    await waitForAnswers();
+    detector.advance(10_001);
+    detector.recordEnded(ENGINE);
+    t.deepEqual(crashes, []);
+  });
+});
--- a/src/test/played-instance.ts
+++ b/src/test/played-instance.ts
@@ -104,6 +104,7 @@
     listOpen: () => endpoints,
     findPool: () => undefined,
     countInstances: () => exchange.countInstances(),
+    onBroken: () => undefined,
     checkSendable: () => undefined,
   });
   return { runner, exchange };
--- a/src/test/played-routes.ts
+++ b/src/test/played-routes.ts
@@ -57,6 +57,7 @@
   const size = SIZE_MIN + random.next() * SIZE_SPREAD;
   return {
     callId,
+    contentId: callId,
     route,
     pool: POOL,
     organisation: undefined,
