--- /dev/null
+++ b/src/test/crashing-engines.ts
@@ -0,0 +1,152 @@
+/**
+ * Engines of a play that end under some contents: all that runs there breaks off, connections are refused,
+ * and after some seconds another start is at the address.
+ */
+import type { RoutedCall } from '../calls/call-messages.js';
+import type { ContentId } from '../calls/content-id.js';
+import type { EndpointConnections, ExchangeListener } from '../calls/endpoint-connections.js';
+import { ACCEPTANCE } from '../quarantine/crash-detector.js';
+import type { Acceptance } from '../quarantine/crash-detector.js';
+import type { VirtualTime } from '../soak/virtual-time.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import { POOL } from './played-routes.js';
+import { createSimulatedEngine } from './simulated-engine.js';
+import type { SimulatedEngine } from './simulated-engine.js';
+
+/** The registry misses an engine this long after its end, in milliseconds. */
+const LAPSE_MS = 2700;
+/** Another start is there this long after an end, in milliseconds. */
+const RETURN_MS = 3300;
+/** A connection to a dead engine is refused, and a broken one seen, after this long, in milliseconds. */
+const NETWORK_MS = 1;
+
+/** What the pool is made of. */
+export interface CrashingEnginesOptions {
+  readonly time: VirtualTime;
+  readonly engines: number;
+  readonly slots: number;
+  readonly queueMax: number;
+  readonly dataCentres: number;
+  /** Contents under which an engine ends at their first token. */
+  readonly culprits: ReadonlySet<ContentId>;
+  /** Calls by id: an exchange with an engine names its call only. */
+  readonly calls: ReadonlyMap<string, RoutedCall>;
+  readonly onRegistered: (endpoint: RegisteredEndpoint) => void;
+  readonly onRemoved: (endpoint: RegisteredEndpoint) => void;
+}
+
+/** A culprit that was sent to an engine. */
+export interface CulpritSend {
+  readonly content: ContentId;
+  readonly atMs: number;
+}
+
+/** The pool. */
+export interface CrashingEngines {
+  readonly connections: EndpointConnections;
+  checkAcceptance(address: string): Promise<Acceptance>;
+  /** Every time that a culprit reached an engine. */
+  readonly sends: readonly CulpritSend[];
+  /** Every end of an engine, with the content under which it ended; an end that the play asks for has none. */
+  readonly ends: readonly { readonly content: ContentId | undefined; readonly atMs: number }[];
+  /** Ends an engine for reasons of its own. */
+  crash(index: number): void;
+}
+
+/** One start of an engine. */
+interface EngineStart {
+  readonly endpoint: RegisteredEndpoint;
+  readonly engine: SimulatedEngine;
+  /** Answers under way. */
+  readonly listeners: Set<ExchangeListener>;
+}
+
+/** Builds the pool and registers its first starts. */
+export function createCrashingEngines(options: CrashingEnginesOptions): CrashingEngines {
+  const { time } = options;
+  const starts = new Map<string, EngineStart>();
+  const sends: CulpritSend[] = [];
+  const ends: { content: ContentId | undefined; atMs: number }[] = [];
+  let started = 0;
+
+  function startEngine(index: number): void {
+    started += 1;
+    const id = `engine-${started}`;
+    const endpoint: RegisteredEndpoint = {
+      id,
+      startId: id,
+      pool: POOL,
+      address: `address-${index}`,
+      dataCentre: `dc-${index % options.dataCentres}`,
+      slots: options.slots,
+      isLeaving: false,
+    };
+    const engine = createSimulatedEngine(time, options);
+    starts.set(endpoint.address, { endpoint, engine, listeners: new Set() });
+    options.onRegistered(endpoint);
+  }
+
+  function stopEngine(index: number, content: ContentId | undefined): void {
+    const address = `address-${index}`;
+    const start = starts.get(address);
+    if (start === undefined) return;
+    starts.delete(address);
+    ends.push({ content, atMs: time.getNow() });
+    for (const listener of start.listeners) {
+      time.add(undefined, NETWORK_MS, () => listener.onError(true, 'other side closed'));
+    }
+    start.listeners.clear();
+    time.add(undefined, LAPSE_MS, () => options.onRemoved(start.endpoint));
+    time.add(undefined, RETURN_MS, () => startEngine(index));
+  }
+
+  function open(address: string, callId: string, listener: ExchangeListener): () => void {
+    const call = options.calls.get(callId) as RoutedCall;
+    const start = starts.get(address);
+    if (start === undefined) {
+      time.add(undefined, NETWORK_MS, () => listener.onError(false, 'refused'));
+      return () => undefined;
+    }
+    const isCulprit = options.culprits.has(call.contentId);
+    if (isCulprit) sends.push({ content: call.contentId, atMs: time.getNow() });
+    start.listeners.add(listener);
+    const isOpen = (): boolean => start.listeners.has(listener);
+    const cancel = start.engine.start(call, {
+      onHead: (status, headers) => isOpen() && listener.onHead(status, headers),
+      onData(bytes) {
+        if (!isOpen()) return false;
+        if (!isCulprit) return listener.onData(bytes);
+        stopEngine(Number(address.split('-')[1]), call.contentId);
+        return false;
+      },
+      onEnd() {
+        if (start.listeners.delete(listener)) listener.onEnd();
+      },
+      onError: (isSent, reason) => listener.onError(isSent, reason),
+    });
+    return () => {
+      start.listeners.delete(listener);
+      cancel();
+    };
+  }
+
+  for (let index = 0; index < options.engines; index += 1) startEngine(index);
+
+  return {
+    connections: {
+      open: (address, _connectionsMax, { target }, listener) => open(address, target, listener),
+      closeAll: () => undefined,
+      countMade: () => 0,
+      close: () => Promise.resolve(),
+    },
+    checkAcceptance: (address) =>
+      new Promise((resolve) => {
+        time.add(undefined, NETWORK_MS, () =>
+          resolve(starts.has(address) ? ACCEPTANCE.Accepted : ACCEPTANCE.Refused),
+        );
+      }),
+    sends,
+    ends,
+    crash: (index) => stopEngine(index, undefined),
+  };
+}
--- a/src/test/fleet-play.ts
+++ b/src/test/fleet-play.ts
@@ -156,7 +156,7 @@
       timers: own,
       random: createRandom(options.seed * 1000 + index),
       network,
-      endpoints,
+      listOpen: () => endpoints,
       standings: createRouteStandings(options.routes.map(({ route }) => route)),
       connections: createConnections(play),
       onAttempt,
--- a/src/test/played-instance.ts
+++ b/src/test/played-instance.ts
@@ -26,7 +26,8 @@
   readonly timers: TimerService;
   readonly random: Random;
   readonly network: PlayedNetwork;
-  readonly endpoints: readonly RegisteredEndpoint[];
+  /** What the registry lists. */
+  readonly listOpen: () => readonly RegisteredEndpoint[];
   readonly standings: RouteStandings;
   readonly connections: EndpointConnections;
   readonly onAttempt: (record: AttemptRecord) => void;
@@ -56,7 +57,7 @@
 
 /** Starts an instance. */
 export function createPlayedInstance(options: PlayedInstanceOptions): PlayedInstance {
-  const { self, timers, random, network, endpoints, standings } = options;
+  const { self, timers, random, network, listOpen, standings } = options;
   const loads = createEndpointLoads();
   const exchange = createPeerExchange({
     self,
@@ -90,7 +91,7 @@
     placer: createPlacer({
       loads,
       random,
-      listOpen: () => endpoints,
+      listOpen,
       getStanding: (route, pool) => standings.get(route, pool),
       isCut: (dataCentre) => exchange.isCut(dataCentre),
     }),
@@ -101,7 +102,7 @@
       onAttemptEnded: () => undefined,
       onEnded: () => undefined,
     },
-    listOpen: () => endpoints,
+    listOpen,
     findPool: () => undefined,
     countInstances: () => exchange.countInstances(),
     onBroken: () => undefined,
