A trial that reached no endpoint keeps its lease; tests of the quarantine's parts

Found by the test through the platform's stand-ins: the third run went to a runner that had just ended too, whose refused connection used up the fleet's only lease, so that the request was neither tried nor judged until the lease ran out. What was not begun gives the lease back. Crashes remembered as cleared are bounded. Tests: the ledger merges in any order, counts a crash once, forgives crashes of one moment, is bounded by organisation; popular requests in random overlaps are never condemned (property); news, leases, rows, backoff.

--- /dev/null
+++ b/src/quarantine/case-ledger.test.ts
@@ -0,0 +1,169 @@
+import fc from 'fast-check';
+import { describe } from '../test/describe.js';
+import { createCaseLedger } from './case-ledger.js';
+import type { CaseLedger, FoundCrash, ToldCase } from './case-ledger.js';
+import { buildToldCase } from './case-outbox.js';
+import { STANDING, computeStanding } from './crash-case.js';
+import type { CrashCase, Standing } from './crash-case.js';
+
+const ORGANISATION = 7;
+const DAY_MS = 24 * 60 * 60 * 1000;
+
+/** A crash whose content was sent `sentMs` before it. */
+function buildCrash(content: string, start: number, crashedMs: number, sentMs: number): FoundCrash {
+  return { content, organisation: ORGANISATION, start, sentMs, crashedMs };
+}
+
+function getStanding(ledger: CaseLedger, content: string): Standing {
+  const subject = ledger.find(content);
+  return subject === undefined ? STANDING.Clear : computeStanding(subject);
+}
+
+/** Crashes one after the other, each of a run that began after the one before. */
+function recordInTurn(ledger: CaseLedger, content: string, starts: readonly number[]): void {
+  starts.forEach((start, index) => {
+    const crashedMs = 1000 * (index + 1);
+    ledger.recordCrash(buildCrash(content, start, crashedMs, crashedMs - 500), crashedMs);
+  });
+}
+
+/** What is known, whatever the order in which it was learned. */
+function describeEvidence({ content, strikes, cleared }: CrashCase): string {
+  const counted = [...strikes.keys()].sort((a, b) => a - b).join(',');
+  return `${content}: ${counted} without ${[...cleared].sort((a, b) => a - b).join(',')}`;
+}
+
+describe('case ledger', ({ describe: block }) => {
+  block('a content', ({ it }) => {
+    it('is suspect after one crash, tried once more after two, condemned after three', (t) => {
+      const ledger = createCaseLedger();
+      const standings = [1, 2, 3].map((start) => {
+        recordInTurn(ledger, 'x', [1, 2, 3].slice(0, start));
+        return getStanding(ledger, 'x');
+      });
+      t.deepEqual(standings, [STANDING.Suspect, STANDING.LastTrial, STANDING.Condemned]);
+    });
+
+    // Three engines lose power together, and a popular request ran on each. It must not be refused for
+    // one moment's loss: one more run decides.
+    it('is not condemned by crashes of one moment, only by another run after them', (t) => {
+      const ledger = createCaseLedger();
+      for (const start of [1, 2, 3, 4]) ledger.recordCrash(buildCrash('x', start, 1000, 900), 1000);
+      t.is(getStanding(ledger, 'x'), STANDING.LastTrial);
+      ledger.recordCrash(buildCrash('x', 5, 3000, 2000), 3000);
+      t.is(getStanding(ledger, 'x'), STANDING.Condemned);
+    });
+
+    it('counts one crash once, however many of its copies ran there', (t) => {
+      const ledger = createCaseLedger();
+      for (let copy = 0; copy < 5; copy += 1)
+        ledger.recordCrash(buildCrash('x', 1, 1000, 900), 1000);
+      t.is(getStanding(ledger, 'x'), STANDING.Suspect);
+    });
+
+    it('is clear again after a whole answer, also where a late telling names its crashes', (t) => {
+      const ledger = createCaseLedger();
+      recordInTurn(ledger, 'x', [1, 2, 3]);
+      const told = buildToldCase(ledger.find('x') as CrashCase, 3000);
+      ledger.release('x', 4000);
+      ledger.merge(told, 5000);
+      t.is(getStanding(ledger, 'x'), STANDING.Clear);
+      ledger.recordCrash(buildCrash('x', 4, 6000, 5500), 6000);
+      t.is(getStanding(ledger, 'x'), STANDING.Suspect);
+    });
+
+    // A data centre is cut off by resets: connections to its engines are refused as if they had ended,
+    // and everything that ran across the cut is blamed. The engines go on answering those beside them.
+    it('is clear again when the endpoint answers what was sent to it later', (t) => {
+      const ledger = createCaseLedger();
+      ledger.recordCrash(buildCrash('x', 1, 1000, 900), 1000);
+      t.deepEqual(ledger.releaseStart(1, 900, 1500), []);
+      t.is(getStanding(ledger, 'x'), STANDING.Suspect);
+      t.is(ledger.releaseStart(1, 1200, 1500).length, 1);
+      t.is(getStanding(ledger, 'x'), STANDING.Clear);
+    });
+
+    it('is forgotten a day after it last mattered', (t) => {
+      const ledger = createCaseLedger();
+      recordInTurn(ledger, 'x', [1, 2, 3]);
+      ledger.advance(3000 + DAY_MS);
+      t.is(getStanding(ledger, 'x'), STANDING.Condemned);
+      ledger.advance(3001 + DAY_MS);
+      t.true(ledger.isEmpty());
+    });
+  });
+
+  block('what instances tell each other', ({ it }) => {
+    it('comes to the same evidence in any order, any number of times', (t) => {
+      const event = fc.record({
+        content: fc.constantFrom('x', 'y'),
+        start: fc.integer({ min: 1, max: 6 }),
+        isRelease: fc.boolean(),
+      });
+      fc.assert(
+        fc.property(
+          fc.array(event, { maxLength: 20 }),
+          fc.infiniteStream(fc.nat()),
+          (events, order) => {
+            const teller = createCaseLedger();
+            const tellings: ToldCase[] = [];
+            events.forEach(({ content, start, isRelease }, index) => {
+              const nowMs = 1000 * (index + 1);
+              if (isRelease) teller.release(content, nowMs);
+              else teller.recordCrash(buildCrash(content, start, nowMs, nowMs - 500), nowMs);
+              const subject = teller.find(content);
+              if (subject !== undefined) tellings.push(buildToldCase(subject, nowMs));
+            });
+            const shuffled = [...tellings, ...tellings]
+              .map((told) => ({ told, rank: order.next().value ?? 0 }))
+              .sort((a, b) => a.rank - b.rank);
+            const listener = createCaseLedger();
+            for (const { told } of shuffled) listener.merge(told, 100_000);
+            const list = (ledger: CaseLedger): string[] =>
+              ledger.list().map(describeEvidence).sort();
+            t.deepEqual(list(listener), list(teller));
+          },
+        ),
+      );
+    });
+  });
+
+  block('popular requests', ({ it }) => {
+    // Aim: nobody's requests are refused for what another's did. Each crash takes a random part of the
+    // popular requests with it; each of them comes to a whole answer somewhere between two crashes.
+    it('are never condemned while they come to whole answers between crashes', (t) => {
+      const crash = fc.array(fc.integer({ min: 0, max: 9 }), { minLength: 1, maxLength: 10 });
+      fc.assert(
+        fc.property(fc.array(crash, { maxLength: 30 }), (crashes) => {
+          const ledger = createCaseLedger();
+          crashes.forEach((popular, index) => {
+            const nowMs = 1000 * (index + 1);
+            const fallen = [...new Set(popular)].map((one) => `popular-${one}`);
+            for (const content of [...fallen, 'culprit']) {
+              ledger.recordCrash(buildCrash(content, index, nowMs, nowMs - 500), nowMs);
+              if (content !== 'culprit') {
+                t.not(getStanding(ledger, content), STANDING.Condemned);
+                ledger.release(content, nowMs + 100);
+              }
+            }
+          });
+          return crashes.length < 3 || getStanding(ledger, 'culprit') === STANDING.Condemned;
+        }),
+      );
+    });
+  });
+
+  block('its memory', ({ it }) => {
+    // Someone sends ever new requests under which engines end: the cases of others must not give way.
+    it('is bounded, and one organisation pushes out only its own cases', (t) => {
+      const ledger = createCaseLedger();
+      recordInTurn(ledger, 'theirs', [1, 2, 3]);
+      for (let count = 0; count < 5000; count += 1) {
+        const crash = buildCrash(`own-${count}`, 1000 + count, 5000 + count, 4000);
+        ledger.recordCrash({ ...crash, organisation: 8 }, 5000 + count);
+      }
+      t.is(getStanding(ledger, 'theirs'), STANDING.Condemned);
+      t.is(ledger.list().length, 513);
+    });
+  });
+});
--- a/src/quarantine/case-ledger.ts
+++ b/src/quarantine/case-ledger.ts
@@ -19,6 +19,8 @@
 const ORGANISATION_CASES_MAX = 512;
 /** Crashes that are kept of one content. */
 const STRIKES_MAX = 12;
+/** Crashes of one content that are remembered as cleared; the oldest give way, of which nobody tells any more. */
+const CLEARED_MAX = 16;
 
 /** A crash at which contents of this instance's calls ran. */
 export interface FoundCrash extends Strike {
@@ -129,6 +131,8 @@
     if (strikes.delete(start)) removeStart(start, content);
     if (cleared.has(start)) return false;
     cleared.add(start);
+    const [oldest] = cleared;
+    if (cleared.size > CLEARED_MAX && oldest !== undefined) cleared.delete(oldest);
     return true;
   }
 
--- /dev/null
+++ b/src/quarantine/case-outbox.test.ts
@@ -0,0 +1,53 @@
+import { describe } from '../test/describe.js';
+import { createCaseLedger } from './case-ledger.js';
+import type { CaseLedger } from './case-ledger.js';
+import { createCaseOutbox } from './case-outbox.js';
+
+function addCrashes(ledger: CaseLedger, content: string, crashes: number): void {
+  for (let start = 1; start <= crashes; start += 1) {
+    const crashedMs = start * 1000;
+    ledger.recordCrash(
+      { content, organisation: 1, start, sentMs: crashedMs - 10, crashedMs },
+      crashedMs,
+    );
+  }
+}
+
+describe('case outbox', ({ it }) => {
+  it('tells news four times in short order', (t) => {
+    const ledger = createCaseLedger();
+    const outbox = createCaseOutbox();
+    outbox.take(ledger.list(), 0);
+    addCrashes(ledger, 'x', 1);
+    outbox.recordNews('x');
+    let told = 0;
+    for (let ms = 100; ms < 1000; ms += 100) told += outbox.take(ledger.list(), ms).length;
+    t.is(told, 4);
+  });
+
+  // An instance starts anew while the fleet holds hundreds of cases: it must hear of what it must not
+  // send within a moment, and of all the rest in time.
+  it('tells the condemned every second and everything in turn', (t) => {
+    const ledger = createCaseLedger();
+    const outbox = createCaseOutbox();
+    addCrashes(ledger, 'condemned', 3);
+    for (let count = 0; count < 30; count += 1) addCrashes(ledger, `suspect-${count}`, 1);
+    const heard = new Set<string>();
+    for (let ms = 0; ms < 12_000; ms += 1000) {
+      const contents = outbox.take(ledger.list(), ms).map(({ content }) => content);
+      t.true(contents.includes('condemned'));
+      for (const content of contents) heard.add(content);
+    }
+    t.is(heard.size, 31);
+  });
+
+  it('fits a datagram', (t) => {
+    const ledger = createCaseLedger();
+    const outbox = createCaseOutbox();
+    for (let count = 0; count < 100; count += 1) {
+      addCrashes(ledger, `suspect-${count}`, 1);
+      outbox.recordNews(`suspect-${count}`);
+    }
+    t.true(outbox.take(ledger.list(), 0).length <= 14);
+  });
+});
--- /dev/null
+++ b/src/quarantine/case-rows.test.ts
@@ -0,0 +1,100 @@
+import { createActor, createVirtualTime } from '../soak/virtual-time.js';
+import { describe } from '../test/describe.js';
+import { createCaseLedger } from './case-ledger.js';
+import type { ToldCase } from './case-ledger.js';
+import { CASE_STATE, createCaseRows } from './case-rows.js';
+import type { CaseRow, CaseStore } from './case-rows.js';
+import { STANDING, computeStanding } from './crash-case.js';
+import type { CrashCase } from './crash-case.js';
+
+const ROW: CaseRow = {
+  content: 'x',
+  organisation: 1,
+  starts: [11, 12, 13],
+  state: CASE_STATE.Condemned,
+  who: '',
+  reason: '',
+};
+const SUBJECT: CrashCase = {
+  content: 'x',
+  organisation: 1,
+  strikes: new Map(ROW.starts.map((start) => [start, { start, sentMs: 0, crashedMs: 1 }])),
+  cleared: new Set(),
+  trial: undefined,
+  changedMs: 0,
+  seenMs: 0,
+};
+
+function createStore(rows: CaseRow[], isAway: () => boolean): CaseStore {
+  return {
+    list: () => Promise.resolve(isAway() ? undefined : rows),
+    set(row) {
+      if (!isAway()) rows.push(row);
+      return Promise.resolve(!isAway());
+    },
+    takeTrialLease: () => Promise.resolve(false),
+  };
+}
+
+describe('case rows', ({ it }) => {
+  // All instances are restarted at once, and the request that had ended three engines comes again: it
+  // must be refused by instances that have never seen it.
+  it('condemn a content at instances that know nothing', async (t) => {
+    const time = createVirtualTime();
+    const timers = time.createTimers(createActor('a'), 0);
+    const told: ToldCase[] = [];
+    const rows = createCaseRows({
+      store: createStore([ROW], () => false),
+      timers,
+      onCondemned: (one) => told.push(one),
+      onReleased: () => undefined,
+    });
+    await time.runUntil(2000);
+    t.deepEqual(told, [], 'an instance that does not follow the source has read it');
+    rows.setReading(true);
+    await time.runUntil(4000);
+    t.is(told.length, 1);
+    const ledger = createCaseLedger();
+    ledger.merge(told[0] as ToldCase, 4000);
+    t.is(computeStanding(ledger.find('x') as CrashCase), STANDING.Condemned);
+    timers.stop();
+  });
+
+  it('are written as soon as the source takes them', async (t) => {
+    const time = createVirtualTime();
+    const timers = time.createTimers(createActor('a'), 0);
+    const stored: CaseRow[] = [];
+    const rows = createCaseRows({
+      store: createStore(stored, () => time.getNow() < 5000),
+      timers,
+      onCondemned: () => undefined,
+      onReleased: () => undefined,
+    });
+    rows.add(SUBJECT, CASE_STATE.Condemned, '', '');
+    await time.runUntil(8000);
+    t.deepEqual(stored, [ROW]);
+    timers.stop();
+  });
+
+  it('say who released a content and why', async (t) => {
+    const time = createVirtualTime();
+    const timers = time.createTimers(createActor('a'), 0);
+    const released: CaseRow[] = [];
+    const row: CaseRow = {
+      ...ROW,
+      state: CASE_STATE.Released,
+      who: 'mara',
+      reason: 'engine mended',
+    };
+    const rows = createCaseRows({
+      store: createStore([row], () => false),
+      timers,
+      onCondemned: () => undefined,
+      onReleased: (one) => released.push(one),
+    });
+    rows.setReading(true);
+    await time.runUntil(2000);
+    t.deepEqual(released, [row]);
+    timers.stop();
+  });
+});
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -200,8 +200,8 @@
     return subject;
   }
 
-  function stopTrial(subject: CrashCase | undefined): void {
-    if (subject !== undefined) trials.stop(subject);
+  function stopTrial(subject: CrashCase | undefined, isRun: boolean): void {
+    if (subject !== undefined) trials.stop(subject, isRun);
   }
 
   function recordBroken(
@@ -237,7 +237,7 @@
     return {
       recordStarted: () => recordAlive(start, sentMs),
       recordEnd(end) {
-        stopTrial(trialOf);
+        stopTrial(trialOf, end.kind !== 'unsent' && end.kind !== 'rejected');
         switch (end.kind) {
           case 'broken':
             recordBroken(call, endpoint, sentMs);
@@ -251,7 +251,7 @@
             break;
         }
       },
-      recordCancelled: () => stopTrial(trialOf),
+      recordCancelled: () => stopTrial(trialOf, true),
     };
   }
 
--- /dev/null
+++ b/src/quarantine/trials.test.ts
@@ -0,0 +1,111 @@
+import { describe } from '../test/describe.js';
+import { STANDING } from './crash-case.js';
+import type { CrashCase } from './crash-case.js';
+import { createTrials } from './trials.js';
+import type { Trials } from './trials.js';
+
+const SUBJECT: CrashCase = {
+  content: 'x',
+  organisation: 1,
+  strikes: new Map(),
+  cleared: new Set(),
+  trial: undefined,
+  changedMs: 0,
+  seenMs: 0,
+};
+const START = 5;
+
+interface Bench {
+  readonly trials: Trials;
+  readonly subject: CrashCase;
+  readonly asked: string[];
+  setNow(ms: number): void;
+}
+
+function createBench(isGranted: boolean): Bench {
+  let nowMs = 0;
+  const asked: string[] = [];
+  const trials = createTrials({
+    takeLease(content) {
+      asked.push(content);
+      return Promise.resolve(isGranted);
+    },
+    getNow: () => nowMs,
+    onNews: () => undefined,
+  });
+  return {
+    trials,
+    subject: { ...SUBJECT },
+    asked,
+    setNow(ms) {
+      nowMs = ms;
+    },
+  };
+}
+
+async function waitForAnswers(): Promise<void> {
+  await new Promise(setImmediate);
+}
+
+describe(`trials of a content whose standing is '${STANDING.LastTrial}'`, ({ it }) => {
+  it('begin with the lease and keep others off their endpoint until they end', async (t) => {
+    const { trials, subject, asked, setNow } = createBench(true);
+    t.false(trials.isDue(subject));
+    await waitForAnswers();
+    t.true(trials.isDue(subject));
+    trials.start(subject, START);
+    t.false(trials.isDue(subject), 'a copy would run beside it');
+    setNow(1000);
+    trials.advance();
+    setNow(2000);
+    t.true(trials.isInTrial(START), 'it was not renewed');
+    trials.stop(subject, true);
+    t.false(trials.isInTrial(START));
+    t.deepEqual(asked, ['x']);
+  });
+
+  // The source is down, or another instance has the lease: nobody may try, however long a call waits.
+  it('do not begin without the lease, which is asked for now and then', async (t) => {
+    const { trials, subject, asked, setNow } = createBench(false);
+    for (let ms = 0; ms <= 1000; ms += 25) {
+      setNow(ms);
+      t.false(trials.isDue(subject));
+      // eslint-disable-next-line no-await-in-loop
+      await waitForAnswers();
+    }
+    t.is(asked.length, 3);
+  });
+
+  it('are given up with a lease that nobody used', async (t) => {
+    const { trials, subject, setNow } = createBench(true);
+    trials.isDue(subject);
+    await waitForAnswers();
+    setNow(1001);
+    t.false(trials.isDue(subject));
+  });
+
+  // The endpoint that a trial goes to has just ended too, and refuses the connection: nothing was found
+  // out, and the lease that all others are refused must not be lost with it.
+  it('that reached no endpoint leave the lease in hand', async (t) => {
+    const { trials, subject } = createBench(true);
+    trials.isDue(subject);
+    await waitForAnswers();
+    trials.start(subject, START);
+    trials.stop(subject, false);
+    t.true(trials.isDue(subject));
+    trials.start(subject, START);
+    trials.stop(subject, true);
+    t.false(trials.isDue(subject));
+  });
+
+  it('elsewhere count as long as they are told', (t) => {
+    const { trials, subject, asked, setNow } = createBench(true);
+    subject.trial = { start: START, untilMs: 1500 };
+    trials.record(subject.trial);
+    t.false(trials.isDue(subject));
+    t.deepEqual(asked, []);
+    t.true(trials.isInTrial(START));
+    setNow(1501);
+    t.false(trials.isInTrial(START));
+  });
+});
--- a/src/quarantine/trials.ts
+++ b/src/quarantine/trials.ts
@@ -37,7 +37,8 @@
   isDue(subject: CrashCase): boolean;
   /** The content is sent to an endpoint. */
   start(subject: CrashCase, start: EndpointKey): void;
-  stop(subject: CrashCase): void;
+  /** `isRun`: an endpoint may have begun it; else the lease is in hand again. */
+  stop(subject: CrashCase, isRun: boolean): void;
   /** Another instance told of a trial. */
   record(trial: Trial): void;
   /** Whether an endpoint is in use for a trial. */
@@ -97,10 +98,11 @@
       running.set(subject, start);
       setTrial(subject, start);
     },
-    stop(subject) {
+    stop(subject, isRun) {
       const start = running.get(subject);
       if (start === undefined) return;
       running.delete(subject);
+      if (!isRun) leases.set(subject.content, { askedMs: getNow(), takenMs: getNow() });
       untilMsOf.delete(start);
       subject.trial = undefined;
     },
