--- a/src/cli/ctl-main.ts
+++ b/src/cli/ctl-main.ts
@@ -3,7 +3,6 @@
 import { randomBytes, randomUUID } from 'node:crypto';
 import { readFileSync } from 'node:fs';
 import { userInfo } from 'node:os';
-import { request } from 'undici';
 import { createCompiler } from '../configuration/compile-files.js';
 import { formatDeclarationError } from '../configuration/declaration-error.js';
 import { buildManifest, compareManifests } from '../configuration/manifest.js';
@@ -17,12 +16,14 @@
 import { hashText } from '../utils/hash.js';
 import { EXIT_CODE, createCommandLine, listArguments, runMain } from './command-line.js';
 import type { ExitCode } from './command-line.js';
-import { formatChanges, formatHistory, formatStatus } from './format-output.js';
+import type { ListedCase } from '../quarantine/quarantine-api.js';
+import { formatCases, formatChanges, formatHistory, formatStatus } from './format-output.js';
 import { PLATFORM_FLAGS, PLATFORM_FLAG_NAMES, createOpenStore } from './platform-flags.js';
 import type { PlatformArguments } from './platform-flags.js';
+import { queryRouter } from './query-router.js';
+import type { RouterQuestion } from './query-router.js';
 
 const NAME = 'hyssoptally-ctl';
-const STATUS_TIMEOUT_MS = 5000;
 const KEY_BYTES = 32;
 
 const JSON_FLAG = {
@@ -187,24 +188,19 @@
   print(isJson, records.val, formatHistory(records.val));
 }
 
-async function runStatus(url: string, secret: string, isJson: boolean): Promise<void> {
-  try {
-    const response = await request(`${url}/status`, {
-      headers: { authorization: `Bearer ${secret}` },
-      signal: AbortSignal.timeout(STATUS_TIMEOUT_MS),
-    });
-    const text = await response.body.text();
-    if (response.statusCode !== 200) {
-      process.stderr.write(`${NAME}: the router answered ${response.statusCode}: ${text}\n`);
-      exitCode = EXIT_CODE.Failed;
-      return;
-    }
-    const status = JSON.parse(text) as RouterStatus;
-    print(isJson, status, formatStatus(status));
-  } catch {
-    process.stderr.write(`${NAME}: ${url} did not answer; check --router and that it runs\n`);
-    exitCode = EXIT_CODE.Unavailable;
+/** Asks a router and prints what it says. */
+async function runQuestion<T>(
+  question: Omit<RouterQuestion, 'name'>,
+  isJson: boolean,
+  format: (body: T) => string,
+): Promise<void> {
+  const answer = await queryRouter({ ...question, name: NAME });
+  if (answer.kind === 'failed') {
+    exitCode = answer.exitCode;
+    return;
   }
+  const body = answer.body as T;
+  print(isJson, body, format(body));
 }
 
 function runKey(isJson: boolean): void {
@@ -299,7 +295,42 @@
       'status',
       'versions in force, endpoints, who is leaving',
       (command) => command.demandOption(['router', 'operator-secret']),
-      (args) => runStatus(args.router, args.operatorSecret, args.json),
+      (args) =>
+        runQuestion<RouterStatus>(
+          { url: args.router, secret: args.operatorSecret, path: '/status' },
+          args.json,
+          formatStatus,
+        ),
+    )
+    .command(
+      'quarantine',
+      'requests under which endpoints ended, and how they stand',
+      (command) => command.demandOption(['router', 'operator-secret']),
+      (args) =>
+        runQuestion<{ readonly cases: readonly ListedCase[] }>(
+          { url: args.router, secret: args.operatorSecret, path: '/quarantine' },
+          args.json,
+          ({ cases }) => formatCases(cases),
+        ),
+    )
+    .command(
+      'release <content>',
+      'let a quarantined request run again, on all instances; --reason says why',
+      (command) =>
+        command
+          .positional('content', { type: 'string', demandOption: true })
+          .demandOption(['router', 'operator-secret', 'reason']),
+      (args) =>
+        runQuestion(
+          {
+            url: args.router,
+            secret: args.operatorSecret,
+            path: `/quarantine/${encodeURIComponent(args.content)}/release`,
+            body: { who: args.who, reason: args.reason },
+          },
+          args.json,
+          () => `released ${args.content}`,
+        ),
     )
     .command(
       'key',
--- a/src/cli/format-output.ts
+++ b/src/cli/format-output.ts
@@ -1,6 +1,7 @@
 /** Text for people, from what the tools know. */
 import type { FileChange, FolderFiles } from '../configuration/manifest.js';
 import type { AuditRecord } from '../configuration/store.js';
+import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
 
 const HASH_SHOWN = 8;
@@ -31,6 +32,18 @@
   return [...removed.map((line) => `  - ${line}`), ...added.map((line) => `  + ${line}`)];
 }
 
+/** What the quarantine holds. */
+export function formatCases(cases: readonly ListedCase[]): string {
+  if (cases.length === 0) return 'nothing is held';
+  const rows = cases.map(({ content, standing, crashes, lastCrashAgoMs }) => [
+    content,
+    standing,
+    `${crashes} endpoints`,
+    `${Math.round(lastCrashAgoMs / 1000)} s ago`,
+  ]);
+  return formatTable([['content', 'standing', 'ended under it', 'last'], ...rows]);
+}
+
 /** What would change, file by file, line by line. */
 export function formatChanges(
   version: number,
--- /dev/null
+++ b/src/cli/query-router.ts
@@ -0,0 +1,43 @@
+/** Asks a router's operators' port, and says on standard error what went wrong. */
+import { request } from 'undici';
+import { EXIT_CODE } from './command-line.js';
+import type { ExitCode } from './command-line.js';
+
+const ANSWER_TIMEOUT_MS = 5000;
+const STATUS_OK = 200;
+
+/** A question to a router. */
+export interface RouterQuestion {
+  /** Name of the program that asks, for its messages. */
+  readonly name: string;
+  readonly url: string;
+  readonly path: string;
+  readonly secret: string;
+  /** Sent as JSON with POST; absent for GET. */
+  readonly body?: object;
+}
+
+/** What came of it. */
+export type RouterAnswer =
+  | { readonly kind: 'answered'; readonly body: unknown }
+  | { readonly kind: 'failed'; readonly exitCode: ExitCode };
+
+/** Asks once. */
+export async function queryRouter(question: RouterQuestion): Promise<RouterAnswer> {
+  const { name, url, path, secret, body } = question;
+  try {
+    const response = await request(`${url}${path}`, {
+      method: body === undefined ? 'GET' : 'POST',
+      headers: { authorization: `Bearer ${secret}`, 'content-type': 'application/json' },
+      body: body === undefined ? null : JSON.stringify(body),
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+    });
+    const text = await response.body.text();
+    if (response.statusCode === STATUS_OK) return { kind: 'answered', body: JSON.parse(text) };
+    process.stderr.write(`${name}: the router answered ${response.statusCode}: ${text}\n`);
+    return { kind: 'failed', exitCode: EXIT_CODE.Failed };
+  } catch {
+    process.stderr.write(`${name}: ${url} did not answer; check --router and that it runs\n`);
+    return { kind: 'failed', exitCode: EXIT_CODE.Unavailable };
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -307,6 +307,7 @@
       const subject = quarantine.list().find((other) => other.content === content);
       if (subject === undefined) return false;
       caseRows.add(subject, CASE_STATE.Released, who, reason);
+      log.write({ event: 'content_released', content, who, reason });
       return quarantine.release(content);
     },
     handleBodies: (from, bodies) => peers.handleBodies(from, bodies),
--- a/src/node/operator-api.ts
+++ b/src/node/operator-api.ts
@@ -1,8 +1,8 @@
 /** The operators' port: health for anybody, state and orders for those who hold the secret. */
 import express from 'express';
-import type { Express, RequestHandler } from 'express';
-import { hashText, isSameDigest } from '../utils/hash.js';
+import type { Express } from 'express';
 import type { RouterStatus } from '../types/router-status.js';
+import { createOperatorCheck } from './operator-check.js';
 
 /** What the port shows and sets off. */
 export interface OperatorApiOptions {
@@ -17,17 +17,7 @@
 export function createOperatorApi(options: OperatorApiOptions): Express {
   const app = express();
   app.disable('x-powered-by');
-  const expected = hashText(`Bearer ${options.secret}`);
-
-  const checkOperator: RequestHandler = (request, response, next) => {
-    const given = hashText(request.get('authorization') ?? '');
-    if (isSameDigest(given, expected)) {
-      next();
-      return;
-    }
-    const message = 'the operators’ secret is missing or wrong; send Authorization: Bearer SECRET';
-    response.status(401).json({ error: { type: 'unauthenticated', message } });
-  };
+  const checkOperator = createOperatorCheck(options.secret);
 
   app.get('/healthz', (_, response) => {
     response.json({ status: 'alive' });
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -65,6 +65,13 @@
       readonly endpoints: readonly string[];
       readonly organisation: string;
     }
+  | {
+      /** An operator lets a content run again. */
+      readonly event: 'content_released';
+      readonly content: string;
+      readonly who: string;
+      readonly reason: string;
+    }
   | {
       readonly event: 'endpoint_judged';
       readonly endpoint: string;
