Answers given up in silence count when the registry misses their endpoint; stories name earlier calls of the same content

An engine may fall silent under a request instead of closing its connections: its callers leave, and nothing broke off that could be held against the content.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -10,7 +10,6 @@
 import type { AttemptWatch, Quarantine } from '../quarantine/quarantine.js';
 import type { TimerService, Unsubscribe } from '../runtime/timer-service.js';
 import type { RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
-import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
 import { computeGapMs, computeStallMs, computeVerdict, isStream } from './attempt-bounds.js';
@@ -25,6 +24,7 @@
   RoutedCall,
 } from './call-messages.js';
 import type { AttemptRecord, CallObserver } from './call-records.js';
+import { NO_ENDPOINT, NO_ROOM } from './call-refusals.js';
 import type { EndpointConnections } from './endpoint-connections.js';
 import type { EndpointProtocol } from './endpoint-protocol.js';
 
@@ -32,10 +32,6 @@
 const TICK_MS = 100;
 /** Calls that wait are placed anew this often, in milliseconds: slots come free every few. */
 const WAITING_TICK_MS = 25;
-/** With no endpoint in sight a caller comes back after this long, in milliseconds: a registry's change takes less to arrive. */
-const NO_ENDPOINT_RETRY_MS = 1000;
-/** Turned away by overload a caller comes back after this long, in milliseconds: answers under way take one to a few seconds to make room. */
-const NO_ROOM_RETRY_MS = 1000;
 /** Connections to one endpoint where its pool states no bound. */
 const CONNECTIONS_UNSTATED = 64;
 /** Part of an endpoint's connections that one instance may take, over the number of instances. */
@@ -85,20 +81,6 @@
   firstMs: number | undefined;
 }
 
-const NO_ENDPOINT: RequestFailure = {
-  type: FAILURE.NoEndpoint,
-  message: 'no endpoint of the pool is in sight; come back after the time given',
-  outcome: OUTCOME.NotRun,
-  retryAfterMs: NO_ENDPOINT_RETRY_MS,
-};
-
-const NO_ROOM: RequestFailure = {
-  type: FAILURE.Overloaded,
-  message: 'no engine had room in time; come back after the time given',
-  outcome: OUTCOME.NotRun,
-  retryAfterMs: NO_ROOM_RETRY_MS,
-};
-
 /** Builds a runner with nothing running. */
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
   const { connections, protocol, loads, placer, timers, observer } = options;
@@ -162,6 +144,7 @@
       },
       onEvent({ id, bytes }) {
         ticket.recordEvent(getNow());
+        watch.recordEvent();
         run.firstMs ??= getNow() - call.receivedMs;
         advanceRun(run, { kind: 'event', attempt, id, bytes });
       },
--- a/src/observability/explain.test.ts
+++ b/src/observability/explain.test.ts
@@ -27,4 +27,17 @@
   it('tells nothing of a request that left no line', (t) => {
     t.deepEqual(listStory('r2', [buildLine(1, 'front-1', 'started', {})]), []);
   });
+
+  // A caller asks why its request was refused though it never ran: others had asked for the same before.
+  it('names earlier calls that asked for the same', (t) => {
+    const story = listStory('r2', [
+      buildLine(1, 'front-1', 'attempt_failed', { request: 'r1', content: 'x', endpoint: 'e1' }),
+      buildLine(2, 'front-2', 'attempt_failed', { request: 'r9', content: 'y', endpoint: 'e2' }),
+      buildLine(3, 'front-2', 'content_refused', { request: 'r2', content: 'x' }),
+      buildLine(4, 'front-1', 'content_refused', { request: 'r3', content: 'x' }),
+    ]);
+    t.is(story.length, 2);
+    t.regex(story[0] ?? '', /attempt_failed request="r1" content="x" endpoint="e1"$/);
+    t.regex(story[1] ?? '', /content_refused content="x"$/);
+  });
 });
--- a/src/observability/explain.ts
+++ b/src/observability/explain.ts
@@ -43,9 +43,19 @@
   }
 }
 
-function formatLine({ timestamp, instance, message, fields }: LoggedLine): string {
+/** Fields that say nothing about a story. */
+const HIDDEN = new Set(['level', 'dataCentre']);
+
+function isText(value: unknown): value is string {
+  return typeof value === 'string';
+}
+
+function formatLine(
+  { timestamp, instance, message, fields }: LoggedLine,
+  requestId: string,
+): string {
   const rest = Object.entries(fields)
-    .filter(([name]) => !['level', 'dataCentre', 'request'].includes(name))
+    .filter(([name, value]) => !HIDDEN.has(name) && !(name === 'request' && value === requestId))
     .map(([name, value]) => `${name}=${JSON.stringify(value)}`);
   return `${timestamp} ${instance} ${message} ${rest.join(' ')}`.trimEnd();
 }
@@ -56,6 +66,20 @@
   return line.message !== 'endpoint_changed' || endpoints.has(line.fields.endpoint);
 }
 
+/** Lines of earlier calls that asked for the same, and what was made of them. */
+function listSameContent(own: readonly LoggedLine[], lines: readonly LoggedLine[]): LoggedLine[] {
+  const contents = new Set(own.map(({ fields }) => fields.content).filter(isText));
+  const times = own.map(({ timestamp }) => Date.parse(timestamp));
+  const toMs = Math.max(...times);
+  return lines.filter(
+    (line) =>
+      !own.includes(line) &&
+      isText(line.fields.content) &&
+      contents.has(line.fields.content) &&
+      Date.parse(line.timestamp) <= toMs,
+  );
+}
+
 /** The lines that explain a request, in order of time; none where it left no trace. */
 export function listStory(requestId: string, texts: readonly string[]): string[] {
   const lines = texts.map(parseLine).filter((line) => line !== undefined);
@@ -71,7 +95,8 @@
     const isNear = timeMs >= fromMs && timeMs <= toMs;
     return isNear && instances.has(line.instance) && isRelevant(line, endpoints);
   });
-  return [...own, ...beliefs]
+  const related = listSameContent(own, lines);
+  return [...new Set([...own, ...beliefs, ...related])]
     .sort((a, b) => Date.parse(a.timestamp) - Date.parse(b.timestamp))
-    .map(formatLine);
+    .map((line) => formatLine(line, requestId));
 }
--- a/src/quarantine/crash-detector.test.ts
+++ b/src/quarantine/crash-detector.test.ts
@@ -79,6 +79,18 @@
     }
   });
 
+  // An engine falls silent under a request instead of closing its connections. Its callers leave after
+  // some seconds; that it had ended shows when the registry misses it.
+  it('takes the word of the registry for answers that were given up in silence', (t) => {
+    const { detector, crashes, countQuestions } = createTrial(ACCEPTANCE.Accepted);
+    detector.recordSilent(ENGINE, buildAnswer('x'));
+    t.is(countQuestions(), 0);
+    detector.recordEnded(ENGINE);
+    t.deepEqual(crashes, [
+      { endpoint: ENGINE, answers: [buildAnswer('x')], evidence: 'start ended' },
+    ]);
+  });
+
   it('blames nothing for an end that was planned, nor long after a connection was lost', async (t) => {
     const { detector, crashes } = createTrial(ACCEPTANCE.Accepted);
     detector.recordBroken(ENGINE, buildAnswer('x', 0));
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -50,6 +50,8 @@
 export interface CrashDetector {
   /** An answer of this endpoint, which has not said that it leaves, broke off before it was whole. */
   recordBroken(endpoint: RegisteredEndpoint, answer: BrokenAnswer): void;
+  /** An answer was given up after a silence: only the registry can say whether the endpoint had crashed. */
+  recordSilent(endpoint: RegisteredEndpoint, answer: BrokenAnswer): void;
   /** The registry says that this start of the endpoint is over. */
   recordEnded(endpoint: RegisteredEndpoint): void;
   /** Endpoints that are being asked after an answer with this content broke off there. */
@@ -109,6 +111,11 @@
       doubt.brokenMs = answer.brokenMs;
       if (!doubt.isAsking) checkDoubt(doubt).catch(() => undefined);
     },
+    recordSilent(endpoint, answer) {
+      const doubt = getDoubt(endpoint);
+      doubt.earlier.push(answer);
+      doubt.brokenMs = answer.brokenMs;
+    },
     recordEnded({ startId, isLeaving }) {
       const doubt = doubts.get(startId);
       doubts.delete(startId);
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -17,7 +17,7 @@
 import { STANDING, computeStanding } from './crash-case.js';
 import type { CrashCase, Standing } from './crash-case.js';
 import { createCrashDetector } from './crash-detector.js';
-import type { Acceptance, EndpointCrash } from './crash-detector.js';
+import type { Acceptance, BrokenAnswer, EndpointCrash } from './crash-detector.js';
 import { createOrganisationBackoff } from './organisation-backoff.js';
 import { createTrials } from './trials.js';
 import type { TakeTrialLease } from './trials.js';
@@ -34,6 +34,12 @@
  */
 const SETTLING_MS = 3000;
 
+/**
+ * An answer that was given up after so long without a sign of its endpoint may have been silenced by a
+ * crash, in milliseconds: the longest pauses that are declared are as long, and calls are given up later.
+ */
+const SILENT_MS = 1000;
+
 /** What is told of the quarantine, for logs and metrics. */
 export interface QuarantineObserver {
   onCrash(crash: EndpointCrash): void;
@@ -65,6 +71,8 @@
 export interface AttemptWatch {
   /** The endpoint began to answer. */
   recordStarted(): void;
+  /** More of the answer came. */
+  recordEvent(): void;
   recordEnd(end: AttemptEnd): void;
   /** It was given up here. */
   recordCancelled(): void;
@@ -204,20 +212,19 @@
     if (subject !== undefined) trials.stop(subject, isRun);
   }
 
-  function recordBroken(
-    call: RoutedCall,
-    { id, startId }: RegisteredEndpoint,
-    sentMs: number,
-  ): void {
+  /** The endpoint that an attempt went to, unless it has left or leaves: that end was planned. */
+  function findUnplanned({ id, startId }: RegisteredEndpoint): RegisteredEndpoint | undefined {
     const endpoint = options.findEndpoint(id);
-    // What has left or leaves has planned its end.
-    if (endpoint?.startId !== startId || endpoint.isLeaving) return;
-    detector.recordBroken(endpoint, {
+    return endpoint?.startId === startId && !endpoint.isLeaving ? endpoint : undefined;
+  }
+
+  function buildAnswer(call: RoutedCall, sentMs: number): BrokenAnswer {
+    return {
       content: call.contentId,
       organisation: hashName(call.organisation ?? ''),
       sentMs,
       brokenMs: getNow(),
-    });
+    };
   }
 
   function recordWhole(call: RoutedCall): void {
@@ -234,13 +241,34 @@
     const sentMs = getNow();
     const start = hashStart(endpoint.startId);
     const trialOf = startTrial(call, start);
+    let heardMs = sentMs;
+    let isOver = false;
+
+    function recordBroken(): void {
+      const unplanned = findUnplanned(endpoint);
+      if (unplanned !== undefined) detector.recordBroken(unplanned, buildAnswer(call, sentMs));
+    }
+
+    function recordSilence(): void {
+      if (getNow() - heardMs < SILENT_MS) return;
+      const unplanned = findUnplanned(endpoint);
+      if (unplanned !== undefined) detector.recordSilent(unplanned, buildAnswer(call, sentMs));
+    }
+
     return {
-      recordStarted: () => recordAlive(start, sentMs),
+      recordStarted() {
+        heardMs = getNow();
+        recordAlive(start, sentMs);
+      },
+      recordEvent() {
+        heardMs = getNow();
+      },
       recordEnd(end) {
+        isOver = true;
         stopTrial(trialOf, end.kind !== 'unsent' && end.kind !== 'rejected');
         switch (end.kind) {
           case 'broken':
-            recordBroken(call, endpoint, sentMs);
+            recordBroken();
             break;
           case 'answered':
           case 'stream_ended':
@@ -251,7 +279,13 @@
             break;
         }
       },
-      recordCancelled: () => stopTrial(trialOf, true),
+      recordCancelled() {
+        // A call whose attempt has ended is given up while it waits for the next one.
+        if (isOver) return;
+        isOver = true;
+        stopTrial(trialOf, true);
+        recordSilence();
+      },
     };
   }
 
