--- a/src/observability/quarantine-observer.ts
+++ b/src/observability/quarantine-observer.ts
@@ -40,8 +40,13 @@
       });
     },
     onChanged({ subject, before, standing }, source) {
-      // The first crash of a content is in the line of its endpoint, with its neighbours.
-      if (standing === before || standing === STANDING.Suspect) return;
+      if (standing === before) return;
+      // What fell with an endpoint once is in that endpoint's line, and most of it is soon cleared.
+      if (
+        standing === STANDING.Suspect ||
+        (before === STANDING.Suspect && standing === STANDING.Clear)
+      )
+        return;
       metrics.recordStanding(standing);
       log.write({
         event: 'content_judged',
