--- /dev/null
+++ b/src/quarantine/case-news.test.ts
@@ -0,0 +1,88 @@
+/** Plays how long what one instance learns of a content is on its way to the last of a fleet. */
+import type { Contact } from '../membership/membership-messages.js';
+import { ACCEPTANCE } from './crash-detector.js';
+import { createRouteStandings } from '../routes/route-standing.js';
+import { createActor, createVirtualTime } from '../soak/virtual-time.js';
+import { createPlayedInstance } from '../test/played-instance.js';
+import type { PlayedInstance } from '../test/played-instance.js';
+import { createPlayedNetwork } from '../test/played-network.js';
+import { describe } from '../test/describe.js';
+import { createRandom } from '../utils/random.js';
+
+/** Time for the fleet to find itself, in milliseconds. */
+const SETTLING_MS = 8000;
+const SEEDS = [1, 2, 3];
+const STEP_MS = 10;
+/** The shortest time after which an instance in touch has to know, in milliseconds. */
+const CONTACT_MS = 3000;
+/** Part of that time that news may take: the rest is for an engine's end to be seen. */
+const NEWS_SHARE = 0.5;
+
+/** How long news of one instance takes to the last of a fleet, in milliseconds. */
+async function runNews(count: number, dataCentres: number, seed: number): Promise<number> {
+  const time = createVirtualTime();
+  const network = createPlayedNetwork(time, createRandom(seed));
+  const contacts: Contact[] = Array.from({ length: count }, (_, index) => {
+    const name = `instance-${index + 1}`;
+    return { name, address: `${name}:1`, dataCentre: `dc-${index % dataCentres}` };
+  });
+  const instances: PlayedInstance[] = [];
+  const timers = contacts.map((self, index) => {
+    const own = time.createTimers(createActor(self.name), 0);
+    time.add(undefined, (300 * index) / count, () => {
+      const instance = createPlayedInstance({
+        self,
+        contacts,
+        timers: own,
+        random: createRandom(seed * 1000 + index),
+        network,
+        listOpen: () => [],
+        standings: createRouteStandings([]),
+        connections: {
+          open: () => () => undefined,
+          closeAll: () => undefined,
+          countMade: () => 0,
+          close: () => Promise.resolve(),
+        },
+        takeTrialLease: () => Promise.resolve(false),
+        checkAcceptance: () => Promise.resolve(ACCEPTANCE.Refused),
+        onAttempt: () => undefined,
+      });
+      network.add(self.address, instance.exchange);
+      instances.push(instance);
+    });
+    return own;
+  });
+  await time.runUntil(SETTLING_MS);
+  const strikes = [{ start: 1, sentAgoMs: 500, crashedAgoMs: 0 }];
+  instances[seed]?.quarantine.merge(
+    [{ content: 'x', organisation: 1, strikes, cleared: [], trial: undefined }],
+    'own',
+  );
+  const isKnown = ({ quarantine }: PlayedInstance): boolean => quarantine.list().length > 0;
+  while (!instances.every(isKnown) && time.getNow() < SETTLING_MS + 10 * CONTACT_MS) {
+    // Each step follows the one before.
+    // eslint-disable-next-line no-await-in-loop
+    await time.runUntil(time.getNow() + STEP_MS);
+  }
+  timers.forEach((own) => own.stop());
+  return time.getNow() - SETTLING_MS;
+}
+
+describe('news of a content under which an engine ended', ({ it }) => {
+  // An instance that has not heard sends the same request to the next engine.
+  for (const { count, dataCentres } of [
+    { count: 7, dataCentres: 3 },
+    { count: 70, dataCentres: 3 },
+    { count: 195, dataCentres: 5 },
+  ]) {
+    it(`reaches the last of ${count} instances in time`, async (t) => {
+      for (const seed of SEEDS) {
+        // eslint-disable-next-line no-await-in-loop
+        const tookMs = await runNews(count, dataCentres, seed);
+        t.log(`seed ${seed}: ${tookMs} ms`);
+        t.true(tookMs <= CONTACT_MS * NEWS_SHARE, `seed ${seed}: ${tookMs} ms`);
+      }
+    });
+  }
+});
