--- a/src/quarantine/case-news.test.ts
+++ b/src/quarantine/case-news.test.ts
@@ -1,8 +1,8 @@
 /** Plays how long what one instance learns of a content is on its way to the last of a fleet. */
-import type { Contact } from '../membership/membership-messages.js';
 import { ACCEPTANCE } from './crash-detector.js';
 import { createRouteStandings } from '../routes/route-standing.js';
 import { createActor, createVirtualTime } from '../soak/virtual-time.js';
+import { buildContacts } from '../test/played-contacts.js';
 import { createPlayedInstance } from '../test/played-instance.js';
 import type { PlayedInstance } from '../test/played-instance.js';
 import { createPlayedNetwork } from '../test/played-network.js';
@@ -22,10 +22,7 @@
 async function runNews(count: number, dataCentres: number, seed: number): Promise<number> {
   const time = createVirtualTime();
   const network = createPlayedNetwork(time, createRandom(seed));
-  const contacts: Contact[] = Array.from({ length: count }, (_, index) => {
-    const name = `instance-${index + 1}`;
-    return { name, address: `${name}:1`, dataCentre: `dc-${index % dataCentres}` };
-  });
+  const contacts = buildContacts(count, dataCentres);
   const instances: PlayedInstance[] = [];
   const timers = contacts.map((self, index) => {
     const own = time.createTimers(createActor(self.name), 0);
--- a/src/test/crash-play.ts
+++ b/src/test/crash-play.ts
@@ -1,7 +1,6 @@
 /** Plays requests that end every engine which runs them, beside ordinary calls, through the instances of a fleet. */
 import type { CallSink, RoutedCall } from '../calls/call-messages.js';
 import type { ContentId } from '../calls/content-id.js';
-import type { Contact } from '../membership/membership-messages.js';
 import { createRouteStandings } from '../routes/route-standing.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import { createActor, createVirtualTime } from '../soak/virtual-time.js';
@@ -11,6 +10,7 @@
 import type { Random } from '../utils/random.js';
 import { createCrashingEngines } from './crashing-engines.js';
 import type { CrashingEngines, CulpritSend } from './crashing-engines.js';
+import { buildContacts } from './played-contacts.js';
 import { createPlayedInstance } from './played-instance.js';
 import type { PlayedInstance } from './played-instance.js';
 import { createPlayedLeases } from './played-leases.js';
@@ -76,13 +76,6 @@
   readonly seen: SeenCall[];
 }
 
-function buildContacts({ instances, dataCentres }: CrashPlayOptions): readonly Contact[] {
-  return Array.from({ length: instances }, (_, index) => {
-    const name = `instance-${index + 1}`;
-    return { name, address: `${name}:1`, dataCentre: `dc-${index % dataCentres}` };
-  });
-}
-
 function createPlay(options: CrashPlayOptions): Play {
   const time = createVirtualTime();
   const random = createRandom(options.seed);
@@ -110,7 +103,7 @@
   });
   const leases = createPlayedLeases(time);
   const network = createPlayedNetwork(time, createRandom(options.seed + 1));
-  const contacts = buildContacts(options);
+  const contacts = buildContacts(options.instances, options.dataCentres);
   const standings = createRouteStandings(
     [...options.routes, ...options.repeats.map(({ played }) => played)].map(({ route }) => route),
   );
--- a/src/test/crashing-engines.ts
+++ b/src/test/crashing-engines.ts
@@ -9,6 +9,7 @@
 import type { Acceptance } from '../quarantine/crash-detector.js';
 import type { VirtualTime } from '../soak/virtual-time.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
+import { buildDataCentre } from './played-contacts.js';
 import { POOL } from './played-routes.js';
 import { createSimulatedEngine } from './simulated-engine.js';
 import type { SimulatedEngine } from './simulated-engine.js';
@@ -77,7 +78,7 @@
       startId: id,
       pool: POOL,
       address: `address-${index}`,
-      dataCentre: `dc-${index % options.dataCentres}`,
+      dataCentre: buildDataCentre(index, options.dataCentres),
       slots: options.slots,
       isLeaving: false,
     };
--- a/src/test/fleet-play.ts
+++ b/src/test/fleet-play.ts
@@ -12,6 +12,7 @@
 import type { RegisteredEndpoint, Route } from '../types/traffic.js';
 import { createRandom } from '../utils/random.js';
 import type { Random } from '../utils/random.js';
+import { buildContacts, buildDataCentre } from './played-contacts.js';
 import { createPlayedInstance } from './played-instance.js';
 import type { PlayedInstance } from './played-instance.js';
 import { createPlayedNetwork } from './played-network.js';
@@ -107,26 +108,15 @@
   return Math.max(PATIENCE_MIN_MS, targetMs * PATIENCE_TARGETS, gapTargetMs * PATIENCE_GAPS);
 }
 
-function buildDataCentre(index: number, { dataCentres = 1 }: PlayOptions): string {
-  return `dc-${index % dataCentres}`;
-}
-
 function buildEndpoints(options: PlayOptions): readonly RegisteredEndpoint[] {
   const { engines, slots } = options;
   return Array.from({ length: engines }, (_, index) => {
     const id = `engine-${index + 1}`;
-    const dataCentre = buildDataCentre(index, options);
+    const dataCentre = buildDataCentre(index, options.dataCentres ?? 1);
     return { id, startId: id, pool: POOL, address: id, dataCentre, slots, isLeaving: false };
   });
 }
 
-function buildContacts(options: PlayOptions): readonly Contact[] {
-  return Array.from({ length: options.instances ?? 1 }, (_, index) => {
-    const name = `instance-${index + 1}`;
-    return { name, address: `${name}:1`, dataCentre: buildDataCentre(index, options) };
-  });
-}
-
 function createConnections({ engines, calls }: Play): EndpointConnections {
   return {
     open(address, _connectionsMax, { target }, listener) {
@@ -145,7 +135,7 @@
   onAttempt: (record: AttemptRecord) => void,
 ): { readonly instances: readonly PlayedInstance[]; readonly timers: readonly TimerService[] } {
   const { options, time, network, endpoints } = play;
-  const contacts = buildContacts(options);
+  const contacts = buildContacts(options.instances ?? 1, options.dataCentres ?? 1);
   const instances: PlayedInstance[] = [];
   const timers: TimerService[] = [];
   const startOne = (self: Contact, index: number): void => {
