--- a/src/gateway/knowledge-keeper.ts
+++ b/src/gateway/knowledge-keeper.ts
@@ -4,7 +4,8 @@
  */
 import { createEndpointDirectory } from '../directory/endpoint-directory.js';
 import type { DirectoryMessage, EndpointDirectory } from '../directory/endpoint-directory.js';
-import type { FetchKnowledgeRequest, FetchKnowledgeResponse, TableRow } from '../gen/peer_pb.js';
+import type { FetchKnowledgeRequest, FetchKnowledgeResponse } from '../gen/peer_pb.js';
+import { createBehindDetector } from '../knowledge/behind-detector.js';
 import { createConfigurationKnowledge } from '../knowledge/configuration-knowledge.js';
 import type { FeedReader, FeedRow } from '../knowledge/feed.js';
 import { startFeedWatcher } from '../knowledge/feed-watcher.js';
@@ -12,8 +13,8 @@
 import { createSourceClock } from '../knowledge/source-clock.js';
 import { createSuspensionDetector } from '../knowledge/suspension-detector.js';
 import { createTableMirror } from '../knowledge/table-mirror.js';
-import type { MirrorChanges, MirroredRow } from '../knowledge/table-mirror.js';
 import type { WatchDuty } from '../knowledge/watch-duty.js';
+import { decodeRows, encodeTable } from '../peers/encode-table.js';
 import type { KnowledgeSummary } from '../peers/peer-links.js';
 import type { DecisionLog } from '../observability/decision-log.js';
 import type { TimerService } from '../runtime/timer-service.js';
@@ -31,9 +32,6 @@
 export const LEADING_WAIT_MS = 1500;
 /** The same for a watcher on whose confirmations nobody relies. */
 const STANDBY_WAIT_MS = 6000;
-/** A watcher that others are ahead of for this long, in milliseconds, doubts its own connection: a change is told to all watchers within some tens. */
-const BEHIND_MAX_MS = 700;
-
 /** Reads rows of the source; undefined where a row was removed or says nothing the product understands. */
 export interface RowDecoder {
   decodeConfiguration(row: FeedRow): TrafficConfiguration | undefined;
@@ -73,10 +71,6 @@
   stop(): void;
 }
 
-function parseTableRow({ key, value, revision }: TableRow): MirroredRow {
-  return { key, value, revision };
-}
-
 /** Builds a keeper that knows nothing. */
 export function createKnowledgeKeeper(options: KnowledgeKeeperOptions): KnowledgeKeeper {
   const { timers, log, decoder } = options;
@@ -86,11 +80,10 @@
   const directory = createEndpointDirectory();
   const configurationRows = createTableMirror();
   const endpointRows = createTableMirror();
+  const behind = createBehindDetector();
   let trustedSinceMs = -Infinity;
   let isSourceLost = false;
   let duty: WatchDuty = { kind: 'follow' };
-  /** Since when others are ahead of the own feed of endpoints. */
-  let behindSinceMs: number | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
 
   /** Distrusts what is known after a suspension: how long it lasted this process cannot know. */
@@ -254,38 +247,18 @@
     applyDirectory({ kind: 'tick' }, 'renewal time');
   });
 
-  function buildTable(
-    changes: MirrorChanges,
-    revision: number,
-    knownAtMs: number | undefined,
-  ): FetchKnowledgeResponse['configuration'] {
-    return {
-      $typeName: 'hyssoptally.peer.v1.TableKnowledge',
-      revision,
-      ...(knownAtMs === undefined ? {} : { knownAtMs }),
-      hasRows: changes.rows.length > 0,
-      isComplete: changes.kind === 'all',
-      rows: changes.rows.map(({ key, value, revision: rowRevision }) => ({
-        $typeName: 'hyssoptally.peer.v1.TableRow',
-        key,
-        revision: rowRevision,
-        ...(value === undefined ? {} : { value }),
-      })),
-    };
-  }
-
   function buildConfigurationTable(known: number): FetchKnowledgeResponse['configuration'] {
     const version = knowledge.getVersion();
     const knownAtMs = knowledge.getKnownAt();
     if (version === 0 || !Number.isFinite(knownAtMs)) return undefined;
     const rows = version > known ? configurationRows.list() : [];
-    return buildTable({ kind: 'all', rows }, version, knownAtMs);
+    return encodeTable({ kind: 'all', rows }, version, knownAtMs);
   }
 
   function buildEndpointTable(known: number): FetchKnowledgeResponse['endpoints'] {
     const revision = endpointRows.getContentRevision();
     if (revision === 0 || isSourceLost) return undefined;
-    return buildTable(endpointRows.listSince(known), revision, undefined);
+    return encodeTable(endpointRows.listSince(known), revision, undefined);
   }
 
   function applyConfigurationTable(
@@ -294,7 +267,7 @@
   ): void {
     const { knownAtMs = -Infinity } = table;
     if (table.hasRows) {
-      const rows = table.rows.map(parseTableRow);
+      const rows = decodeRows(table.rows);
       configurationRows.setAll(rows, configurationRows.getRevision());
       recordConfiguration(rows, knownAtMs, peer);
     } else {
@@ -311,7 +284,7 @@
     // A table without any row is no table: its teller has just begun.
     if (table.isComplete && !table.hasRows) return;
     applyDirectory({ kind: 'renewing', forMs: renewalLeftMs }, peer);
-    const rows = table.rows.map(parseTableRow);
+    const rows = decodeRows(table.rows);
     endpointRows.applyTold({ kind: table.isComplete ? 'all' : 'changed', rows }, table.revision);
     if (table.isComplete) handleEndpointList(rows, peer);
     else handleEndpointRows(rows, peer);
@@ -324,20 +297,11 @@
     handleSourceAnswer('peers');
   }
 
-  /**
-   * Guards against a feed whose connection goes silent while the source answers others, which shows as
-   * an endpoint that still gets calls after it said that it leaves, for as long as a call may wait.
-   */
   function checkBehind(endpointsRevision: number): void {
-    const isBehind = endpointsRevision > endpointRows.getRevision();
-    if (!isBehind || duty.kind === 'follow') {
-      behindSinceMs = undefined;
-      return;
+    if (duty.kind === 'follow') behind.stop();
+    else if (behind.checkBehind(endpointsRevision, endpointRows.getRevision(), getNow())) {
+      endpointWatcher.restart();
     }
-    behindSinceMs ??= getNow();
-    if (getNow() - behindSinceMs < BEHIND_MAX_MS) return;
-    behindSinceMs = undefined;
-    endpointWatcher.restart();
   }
 
   function startWatching(): void {
