An instance that starts spends no constant part of the second tries for one window

Seen in a property over kills: two instances, one killed twice, 55 second tries at once where 54.6 are allowed. Cause: a new process had nothing spent and held itself for the only instance until gossip found others, so that it took the whole constant part; all of a fleet restarted together would take it as many times. Ruled out: the part by demand (it counts calls the instance took itself). Now only that part is spent in the first window; the property holds.

--- a/src/attempts/shared-retry-budget.test.ts
+++ b/src/attempts/shared-retry-budget.test.ts
@@ -3,6 +3,8 @@
 import { createSharedRetryBudget } from './shared-retry-budget.js';
 
 const BOUNDS = { windowMs: 10_000, ratio: 0.2, slack: 54 };
+/** An instance that starts has found the others by then, in milliseconds. */
+const FOUND_MS = 1000;
 
 describe('shared retry budget', ({ it }) => {
   // A pool fails while every instance repeats its calls: without a common bound the repeats would
@@ -13,7 +15,9 @@
         fc.integer({ min: 1, max: 9 }),
         fc.array(fc.record({ by: fc.nat(8), afterMs: fc.nat(400) }), { maxLength: 300 }),
         (instances, script) => {
-          const budgets = Array.from({ length: instances }, () => createSharedRetryBudget(BOUNDS));
+          const budgets = Array.from({ length: instances }, () =>
+            createSharedRetryBudget(BOUNDS, -BOUNDS.windowMs),
+          );
           const calls: number[] = [];
           const tries: number[] = [];
           let nowMs = 0;
@@ -39,10 +43,55 @@
 
   // A cut hides half of the instances: the part of each must not double.
   it('does not grow when fewer instances are seen', (t) => {
-    const budget = createSharedRetryBudget({ ...BOUNDS, ratio: 0 });
+    const budget = createSharedRetryBudget({ ...BOUNDS, ratio: 0 }, -BOUNDS.windowMs);
     let taken = 0;
     for (let count = 0; count < 50; count += 1) if (budget.take(10, 0)) taken += 1;
     for (let count = 0; count < 50; count += 1) if (budget.take(1, 1)) taken += 1;
     t.is(taken, 4);
   });
+
+  // All instances are killed together while a pool fails, and are back within a second. Each begins with
+  // nothing spent and knows of nobody else, so that each takes the whole constant part for its own:
+  // second tries pile up beyond what all may send, at the moment when the pool is weakest.
+  it('keeps the tries within the bounds when instances are killed and start anew', (t) => {
+    const step = fc.record({
+      by: fc.nat(8),
+      afterMs: fc.nat(400),
+      isKilled: fc.boolean(),
+      tries: fc.nat(60),
+    });
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 2, max: 9 }),
+        fc.array(step, { maxLength: 100 }),
+        (instances, script) => {
+          const starts = Array.from({ length: instances }, () => -BOUNDS.windowMs);
+          const budgets = starts.map((startedMs) => createSharedRetryBudget(BOUNDS, startedMs));
+          const calls: number[] = [];
+          const tries: number[] = [];
+          let nowMs = 0;
+          for (const { by, afterMs, isKilled, tries: wanted } of script) {
+            nowMs += afterMs;
+            const index = by % instances;
+            if (isKilled) {
+              starts[index] = nowMs;
+              budgets[index] = createSharedRetryBudget(BOUNDS, nowMs);
+            }
+            const isAlone = nowMs - (starts[index] ?? 0) < FOUND_MS;
+            budgets[index]?.recordCall(nowMs);
+            calls.push(nowMs);
+            for (let count = 0; count < wanted; count += 1) {
+              if (budgets[index]?.take(isAlone ? 1 : instances, nowMs) === true) tries.push(nowMs);
+            }
+            const since = nowMs - BOUNDS.windowMs;
+            const recentCalls = calls.filter((time) => time >= since).length;
+            const recentTries = tries.filter((time) => time >= since).length;
+            if (recentTries > BOUNDS.ratio * recentCalls + BOUNDS.slack) return false;
+          }
+          return true;
+        },
+      ),
+    );
+    t.pass();
+  });
 });
--- a/src/attempts/shared-retry-budget.ts
+++ b/src/attempts/shared-retry-budget.ts
@@ -31,11 +31,21 @@
   if (count > 0) times.splice(0, count);
 }
 
-/** Builds a budget of which nothing is spent. */
-export function createSharedRetryBudget(bounds: RetryBounds): SharedRetryBudget {
+/** Builds the budget of an instance that started at this monotonic moment. */
+export function createSharedRetryBudget(bounds: RetryBounds, startedMs: number): SharedRetryBudget {
   const calls: number[] = [];
   const tries: number[] = [];
   let instancesMax = 1;
+
+  /**
+   * Guards against spending the constant part twice: an instance that has just started knows neither how
+   * many others share it nor what it spent before it was killed. When all are restarted together while a
+   * pool fails, second tries would pile up to as many times the bound as there are instances.
+   */
+  function computeConstantPart(nowMs: number): number {
+    return nowMs - startedMs < bounds.windowMs ? 0 : bounds.slack / instancesMax;
+  }
+
   return {
     recordCall(nowMs) {
       removeOlder(calls, nowMs - bounds.windowMs);
@@ -45,7 +55,7 @@
       instancesMax = Math.max(instancesMax, instances);
       removeOlder(calls, nowMs - bounds.windowMs);
       removeOlder(tries, nowMs - bounds.windowMs);
-      const allowed = bounds.ratio * calls.length + bounds.slack / instancesMax;
+      const allowed = bounds.ratio * calls.length + computeConstantPart(nowMs);
       if (tries.length + 1 > allowed * SPENT_SHARE) return false;
       tries.push(nowMs);
       return true;
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -91,6 +91,7 @@
   let stopTicking: Unsubscribe | undefined;
   let stopPlacing: Unsubscribe | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
+  const createdMs = getNow();
 
   function buildWaitingCall({ call }: Run): WaitingCall {
     return {
@@ -104,7 +105,7 @@
   function getBudget(pool: string): SharedRetryBudget {
     const known = budgets.get(pool);
     if (known !== undefined) return known;
-    const budget = createSharedRetryBudget(options.retryBounds);
+    const budget = createSharedRetryBudget(options.retryBounds, createdMs);
     budgets.set(pool, budget);
     return budget;
   }
