A trial's lease is kept while its call waits for room

Found by reading: a call that engines' load held back for a second lost the fleet's only lease, and nobody could find out about its content for fifteen.

--- a/src/quarantine/trials.test.ts
+++ b/src/quarantine/trials.test.ts
@@ -76,6 +76,19 @@
     t.is(asked.length, 3);
   });
 
+  // The call that has the lease is held back at first, since engines are busy with more urgent ones.
+  it('keep the lease while their call waits for room', async (t) => {
+    const { trials, subject, asked, setNow } = createBench(true);
+    trials.isDue(subject);
+    await waitForAnswers();
+    for (let ms = 100; ms <= 4000; ms += 100) {
+      setNow(ms);
+      trials.advance();
+      t.true(trials.isDue(subject));
+    }
+    t.deepEqual(asked, ['x']);
+  });
+
   it('are given up with a lease that nobody used', async (t) => {
     const { trials, subject, setNow } = createBench(true);
     trials.isDue(subject);
--- a/src/quarantine/trials.ts
+++ b/src/quarantine/trials.ts
@@ -66,9 +66,12 @@
     if (await takeLease(content)) lease.takenMs = getNow();
   }
 
+  /** A call that still waits for room keeps the lease by asking for it. */
   function isInHand(content: ContentId): boolean {
-    const { takenMs } = leases.get(content) ?? {};
-    return takenMs !== undefined && getNow() - takenMs <= UNUSED_MAX_MS;
+    const lease = leases.get(content);
+    if (lease?.takenMs === undefined || getNow() - lease.takenMs > UNUSED_MAX_MS) return false;
+    lease.takenMs = getNow();
+    return true;
   }
 
   function setTrial(subject: CrashCase, start: EndpointKey): void {
@@ -114,8 +117,9 @@
       const nowMs = getNow();
       updateRunning(nowMs);
       for (const [start, untilMs] of untilMsOf) if (untilMs <= nowMs) untilMsOf.delete(start);
-      for (const [content, { askedMs }] of leases) {
-        if (nowMs - askedMs > ASK_PERIOD_MS + UNUSED_MAX_MS) leases.delete(content);
+      for (const [content, { askedMs, takenMs }] of leases) {
+        const usedMs = Math.max(askedMs, takenMs ?? 0);
+        if (nowMs - usedMs > ASK_PERIOD_MS + UNUSED_MAX_MS) leases.delete(content);
       }
     },
   };
