A released row takes back the crashes it names, and no later ones

Found by reading: an instance that follows the source reads the rows each minute, and a row by which an operator had once released a content cleared everything found since, so that the request could end two engines a minute for ever. A row is taken as a peer's telling now: cleared crashes, or crashes.

--- /dev/null
+++ b/src/gateway/call-quarantine.ts
@@ -0,0 +1,79 @@
+/** The quarantine of a gateway, with the rows by which condemned contents outlast all instances. */
+import type { DecisionLog } from '../observability/decision-log.js';
+import type { CaseChange, ToldCase } from '../quarantine/case-ledger.js';
+import { CASE_STATE, createCaseRows } from '../quarantine/case-rows.js';
+import type { CaseStore } from '../quarantine/case-rows.js';
+import { STANDING } from '../quarantine/crash-case.js';
+import type { CrashCase } from '../quarantine/crash-case.js';
+import type { Acceptance } from '../quarantine/crash-detector.js';
+import { createQuarantine } from '../quarantine/quarantine.js';
+import type { Quarantine, QuarantineObserver } from '../quarantine/quarantine.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+
+/** What it is built on. */
+export interface CallQuarantineOptions {
+  readonly timers: TimerService;
+  readonly log: DecisionLog;
+  readonly observer: QuarantineObserver;
+  readonly caseStore: CaseStore;
+  /** Tries a connection of its own to an endpoint; never rejects. */
+  readonly checkAcceptance: (address: string) => Promise<Acceptance>;
+  readonly findEndpoint: (id: string) => RegisteredEndpoint | undefined;
+}
+
+/** The quarantine and its rows. */
+export interface CallQuarantine {
+  readonly quarantine: Quarantine;
+  /** Whether this instance follows the source: then it reads the rows. */
+  setReading(isReading: boolean): void;
+  listCases(): readonly CrashCase[];
+  /** An operator releases a content on all instances; false where nothing is known of it. */
+  releaseCase(content: string, who: string, reason: string): boolean;
+}
+
+/** Builds a quarantine that holds nothing. */
+export function createCallQuarantine(options: CallQuarantineOptions): CallQuarantine {
+  const { timers, log, observer, caseStore } = options;
+  const rows = createCaseRows({
+    store: caseStore,
+    timers,
+    onTold: (told: ToldCase) => quarantine.merge([told], 'source'),
+  });
+
+  /** Only who found out writes: all others learn of it within the second. */
+  function recordOwn({ subject, before, standing }: CaseChange): void {
+    if (standing === before) return;
+    if (standing === STANDING.Condemned) rows.add(subject, CASE_STATE.Condemned, '', '');
+    else if (before === STANDING.Condemned) {
+      rows.add(subject, CASE_STATE.Released, '', 'it ran to a whole answer');
+    }
+  }
+
+  const quarantine = createQuarantine({
+    checkAcceptance: options.checkAcceptance,
+    findEndpoint: options.findEndpoint,
+    takeTrialLease: (content) => caseStore.takeTrialLease(content),
+    getNow: () => timers.clock.monotonicMs(),
+    observer: {
+      ...observer,
+      onChanged(change, source) {
+        observer.onChanged(change, source);
+        if (source === 'own') recordOwn(change);
+      },
+    },
+  });
+
+  return {
+    quarantine,
+    setReading: (isReading) => rows.setReading(isReading),
+    listCases: () => quarantine.list(),
+    releaseCase(content, who, reason) {
+      const subject = quarantine.list().find((other) => other.content === content);
+      if (subject === undefined) return false;
+      rows.add(subject, CASE_STATE.Released, who, reason);
+      log.write({ event: 'content_released', content, who, reason });
+      return quarantine.release(content);
+    },
+  };
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,13 +23,10 @@
 import { hashStart } from '../placement/told-loads.js';
 import type { EndpointKey } from '../placement/told-loads.js';
 import { createPlacer } from '../placement/placer.js';
-import { CASE_STATE, createCaseRows } from '../quarantine/case-rows.js';
 import type { CaseStore } from '../quarantine/case-rows.js';
 import type { ToldCase } from '../quarantine/case-ledger.js';
-import { STANDING } from '../quarantine/crash-case.js';
 import type { CrashCase } from '../quarantine/crash-case.js';
 import type { Acceptance } from '../quarantine/crash-detector.js';
-import { createQuarantine } from '../quarantine/quarantine.js';
 import type { QuarantineObserver } from '../quarantine/quarantine.js';
 import { FIRST_STANDING } from '../routes/route-standing.js';
 import { createRouteTable } from '../routes/route-table.js';
@@ -45,6 +42,7 @@
 import type { Result } from '../utils/result.js';
 import { createLeaving, createNotReady, resolveCall } from './admit-call.js';
 import type { CallerRequest } from './admit-call.js';
+import { createCallQuarantine } from './call-quarantine.js';
 import { LEADING_WAIT_MS, createKnowledgeKeeper } from './knowledge-keeper.js';
 import type { RowDecoder } from './knowledge-keeper.js';
 import { createPeerExchange } from './peer-exchange.js';
@@ -152,31 +150,13 @@
     onSuspended: () => peers.postQuestions(),
   });
 
-  const quarantine = createQuarantine({
+  const { quarantine, ...held } = createCallQuarantine({
+    timers,
+    log,
+    observer: options.quarantineObserver,
+    caseStore: options.caseStore,
     checkAcceptance: options.checkAcceptance,
     findEndpoint: (id) => keeper.directory.find(id),
-    takeTrialLease: (content) => options.caseStore.takeTrialLease(content),
-    getNow,
-    observer: {
-      ...options.quarantineObserver,
-      onChanged(change, source) {
-        options.quarantineObserver.onChanged(change, source);
-        const { subject, before, standing } = change;
-        if (source !== 'own' || standing === before) return;
-        if (standing === STANDING.Condemned) caseRows.add(subject, CASE_STATE.Condemned, '', '');
-        else if (before === STANDING.Condemned) {
-          caseRows.add(subject, CASE_STATE.Released, '', 'it ran to a whole answer');
-        }
-      },
-    },
-  });
-  const caseRows = createCaseRows({
-    store: options.caseStore,
-    timers,
-    onCondemned: (told) => quarantine.merge([told], 'source'),
-    onReleased: ({ content, who }) => {
-      if (who !== '') quarantine.release(content);
-    },
   });
 
   /** Closes what the earlier start left open, unless another endpoint has its address by now. */
@@ -207,7 +187,7 @@
       ...keeper,
       setDuty(duty) {
         keeper.setDuty(duty);
-        caseRows.setReading(duty.kind === 'watch');
+        held.setReading(duty.kind === 'watch');
       },
     },
     knowledgeAgeMaxMs: RECENT_MS,
@@ -302,14 +282,8 @@
     handleCases: (from, cases) => peers.handleCases(from, cases),
     findEndpointName: (start) =>
       keeper.directory.listAll().find(({ startId }) => hashStart(startId) === start)?.id,
-    listCases: () => quarantine.list(),
-    releaseCase(content, who, reason) {
-      const subject = quarantine.list().find((other) => other.content === content);
-      if (subject === undefined) return false;
-      caseRows.add(subject, CASE_STATE.Released, who, reason);
-      log.write({ event: 'content_released', content, who, reason });
-      return quarantine.release(content);
-    },
+    listCases: held.listCases,
+    releaseCase: held.releaseCase,
     handleBodies: (from, bodies) => peers.handleBodies(from, bodies),
     recordUnreachable: (address) => peers.recordUnreachable(address),
     buildKnowledge: (request) => keeper.buildResponse(request),
--- a/src/quarantine/case-rows.test.ts
+++ b/src/quarantine/case-rows.test.ts
@@ -46,8 +46,7 @@
     const rows = createCaseRows({
       store: createStore([ROW], () => false),
       timers,
-      onCondemned: (one) => told.push(one),
-      onReleased: () => undefined,
+      onTold: (one) => told.push(one),
     });
     await time.runUntil(2000);
     t.deepEqual(told, [], 'an instance that does not follow the source has read it');
@@ -67,8 +66,7 @@
     const rows = createCaseRows({
       store: createStore(stored, () => time.getNow() < 5000),
       timers,
-      onCondemned: () => undefined,
-      onReleased: () => undefined,
+      onTold: () => undefined,
     });
     rows.add(SUBJECT, CASE_STATE.Condemned, '', '');
     await time.runUntil(8000);
@@ -76,25 +74,26 @@
     timers.stop();
   });
 
-  it('say who released a content and why', async (t) => {
+  // An operator released a request a day ago. Instances read that row every minute: it must not undo what
+  // they have found since, or the request would end engines for ever, two in each minute.
+  it('release a content from the crashes they name only', async (t) => {
     const time = createVirtualTime();
     const timers = time.createTimers(createActor('a'), 0);
-    const released: CaseRow[] = [];
-    const row: CaseRow = {
-      ...ROW,
-      state: CASE_STATE.Released,
-      who: 'mara',
-      reason: 'engine mended',
-    };
+    const ledger = createCaseLedger();
+    const row: CaseRow = { ...ROW, state: CASE_STATE.Released, who: 'mara', reason: 'mended' };
+    for (const start of [...ROW.starts, 21, 22]) {
+      const crashedMs = start * 10;
+      const crash = { content: 'x', organisation: 1, start, sentMs: crashedMs - 5, crashedMs };
+      ledger.recordCrash(crash, crashedMs);
+    }
     const rows = createCaseRows({
       store: createStore([row], () => false),
       timers,
-      onCondemned: () => undefined,
-      onReleased: (one) => released.push(one),
+      onTold: (one) => ledger.merge(one, time.getNow()),
     });
     rows.setReading(true);
     await time.runUntil(2000);
-    t.deepEqual(released, [row]);
+    t.deepEqual([...(ledger.find('x')?.strikes.keys() ?? [])], [21, 22]);
     timers.stop();
   });
 });
--- a/src/quarantine/case-rows.ts
+++ b/src/quarantine/case-rows.ts
@@ -47,8 +47,8 @@
 export interface CaseRowsOptions {
   readonly store: CaseStore;
   readonly timers: TimerService;
-  readonly onCondemned: (told: ToldCase) => void;
-  readonly onReleased: (row: CaseRow) => void;
+  /** A row was read: what it says of its content, as a peer would tell it. */
+  readonly onTold: (told: ToldCase) => void;
 }
 
 /** The rows as one instance sees them. */
@@ -58,42 +58,37 @@
   setReading(isReading: boolean): void;
 }
 
-/** A case of which only the starts are known: their crashes count as one after the other, and long ago. */
-function buildTold({ content, organisation, starts }: CaseRow): ToldCase {
+/**
+ * What a row says as a peer would tell it. Of a condemned content only the starts are known: their crashes
+ * count as one after the other, and long ago. A release is of the crashes it names, not of later ones.
+ */
+function buildTold({ content, organisation, starts, state }: CaseRow): ToldCase {
+  const isReleased = state === CASE_STATE.Released;
+  const strikes = starts.map((start, index) => {
+    const crashedAgoMs = (starts.length - index) * READ_SPACING_MS;
+    return { start, crashedAgoMs, sentAgoMs: crashedAgoMs + READ_SPACING_MS / 2 };
+  });
   return {
     content,
     organisation,
-    strikes: starts.map((start, index) => {
-      const crashedAgoMs = (starts.length - index) * READ_SPACING_MS;
-      return { start, crashedAgoMs, sentAgoMs: crashedAgoMs + READ_SPACING_MS / 2 };
-    }),
-    cleared: [],
+    strikes: isReleased ? [] : strikes,
+    cleared: isReleased ? starts : [],
     trial: undefined,
   };
 }
 
 /** Builds rows that were not read yet. */
-export function createCaseRows({
-  store,
-  timers,
-  onCondemned,
-  onReleased,
-}: CaseRowsOptions): CaseRows {
+export function createCaseRows({ store, timers, onTold }: CaseRowsOptions): CaseRows {
   const unwritten = new Map<ContentId, CaseRow>();
   let isReading = false;
   let readMs = -Infinity;
   let isBusy = false;
 
-  function applyRow(row: CaseRow): void {
-    if (row.state === CASE_STATE.Condemned) onCondemned(buildTold(row));
-    else onReleased(row);
-  }
-
   async function readRows(): Promise<void> {
     const rows = await store.list();
     if (rows === undefined) return;
     readMs = timers.clock.monotonicMs();
-    for (const row of rows) applyRow(row);
+    for (const row of rows) onTold(buildTold(row));
   }
 
   async function writeRows(): Promise<void> {
--- a/src/calls/check-acceptance.ts
+++ b/src/quarantine/check-acceptance.ts
@@ -1,7 +1,7 @@
 /** Asks whether somebody accepts connections at an address, with a connection that carries nothing. */
 import { connect } from 'node:net';
-import { ACCEPTANCE } from '../quarantine/crash-detector.js';
-import type { Acceptance } from '../quarantine/crash-detector.js';
+import { ACCEPTANCE } from './crash-detector.js';
+import type { Acceptance } from './crash-detector.js';
 
 /** No answer within this time, in milliseconds, is silence: a hundred times a round trip between data centres. */
 const ANSWER_TIMEOUT_MS = 300;
