--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -34,6 +34,8 @@
  */
 const SETTLING_MS = 3000;
 
+/** Old cases are looked for this often, in milliseconds: thousands are looked through. */
+const FORGET_PERIOD_MS = 10_000;
 /**
  * An answer that was given up after so long without a sign of its endpoint may have been silenced by a
  * crash, in milliseconds: the longest pauses that are declared are as long, and calls are given up later.
@@ -133,6 +135,7 @@
   const ledger = createCaseLedger();
   const outbox = createCaseOutbox();
   const backoff = createOrganisationBackoff();
+  let forgottenMs = getNow();
   const trials = createTrials({
     takeLease: options.takeTrialLease,
     getNow,
@@ -316,8 +319,10 @@
     advance() {
       const nowMs = getNow();
       detector.advance(nowMs);
-      ledger.advance(nowMs);
       trials.advance();
+      if (nowMs - forgottenMs < FORGET_PERIOD_MS) return;
+      forgottenMs = nowMs;
+      ledger.advance(nowMs);
     },
   };
 }
