What broke off long before a crash is no part of it, and is not remembered

Found by reading: an endpoint that breaks off part of its answers kept its doubt open for ever, with every answer since; a crash at last would have blamed all of them, and memory grew by one answer each. Each is doubted for ten seconds.

--- a/src/quarantine/crash-detector.test.ts
+++ b/src/quarantine/crash-detector.test.ts
@@ -102,4 +102,19 @@
     detector.recordEnded(ENGINE);
     t.deepEqual(crashes, []);
   });
+
+  // An engine breaks off part of its answers for minutes, and crashes at last: only what broke off a moment
+  // ago can have run then, and what is remembered does not grow.
+  it('forgets answers that broke off long before, while others still do', async (t) => {
+    const { detector, crashes } = createTrial(ACCEPTANCE.Accepted);
+    for (let second = 0; second <= 60; second += 1) {
+      detector.recordBroken(ENGINE, buildAnswer(`at-${second}`, second * 1000));
+      // eslint-disable-next-line no-await-in-loop
+      await waitForAnswers();
+      detector.advance(second * 1000);
+    }
+    detector.recordEnded(ENGINE);
+    t.is(crashes[0]?.answers.length, 11);
+    t.is(crashes[0]?.answers[0]?.content, 'at-50');
+  });
 });
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -7,7 +7,7 @@
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { OrganisationKey } from './crash-case.js';
 
-/** A doubt that nothing has confirmed for this long is dropped, in milliseconds: a registry misses three heartbeats sooner. */
+/** An answer whose end nothing has explained for this long is no more doubted, in milliseconds: a registry misses three heartbeats sooner. */
 const DOUBT_MAX_MS = 10_000;
 
 /** What a new connection to an endpoint shows. */
@@ -66,7 +66,6 @@
   asked: BrokenAnswer[];
   /** Those before. */
   earlier: BrokenAnswer[];
-  brokenMs: number;
   isAsking: boolean;
 }
 
@@ -81,7 +80,6 @@
       endpoint,
       asked: [],
       earlier: [],
-      brokenMs: 0,
       isAsking: false,
     };
     doubts.set(endpoint.startId, doubt);
@@ -108,13 +106,10 @@
     recordBroken(endpoint, answer) {
       const doubt = getDoubt(endpoint);
       doubt.asked.push(answer);
-      doubt.brokenMs = answer.brokenMs;
       if (!doubt.isAsking) checkDoubt(doubt).catch(() => undefined);
     },
     recordSilent(endpoint, answer) {
-      const doubt = getDoubt(endpoint);
-      doubt.earlier.push(answer);
-      doubt.brokenMs = answer.brokenMs;
+      getDoubt(endpoint).earlier.push(answer);
     },
     recordEnded({ startId, isLeaving }) {
       const doubt = doubts.get(startId);
@@ -129,8 +124,10 @@
         ({ isAsking, asked }) => isAsking && asked.some((answer) => answer.content === content),
       ).length,
     advance(nowMs) {
-      for (const [startId, { brokenMs }] of doubts) {
-        if (nowMs - brokenMs > DOUBT_MAX_MS) doubts.delete(startId);
+      for (const [startId, doubt] of doubts) {
+        doubt.earlier = doubt.earlier.filter(({ brokenMs }) => nowMs - brokenMs <= DOUBT_MAX_MS);
+        const isOpen = doubt.isAsking || doubt.earlier.length > 0;
+        if (!isOpen) doubts.delete(startId);
       }
     },
   };
