--- a/src/quarantine/crashing-request.test.ts
+++ b/src/quarantine/crashing-request.test.ts
@@ -105,7 +105,7 @@
   // new id and at another instance; the engine that begins it ends, with the one to sixteen answers it was
   // giving, and the next engine gets it as if it had never been seen. What was learned of a broken answer
   // was held against the engine, which came back as a new one, and against that call, which was over.
-  // Proved by contents in the log: the same one broke off at each engine that ended, at several instances.
+  // Proved by this play, where engines end for nothing else: 17 of them, 13 sends too late, until it counted.
   it('is not sent on when it comes again under new ids', (t) =>
     checkLateSends(t, {
       kind: CALL_KIND.Stream,
