--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -300,7 +300,7 @@
       return computeStandingOf(subject) === STANDING.Condemned;
     },
     startWatch,
-    isInTrial: ({ startId }) => !ledger.isEmpty() && trials.isInTrial(hashStart(startId)),
+    isInTrial: ({ startId }) => trials.hasAny() && trials.isInTrial(hashStart(startId)),
     recordEnded: (endpoint) => detector.recordEnded(endpoint),
     takeTold: () => (ledger.isEmpty() ? [] : outbox.take(ledger.list(), getNow())),
     merge(told, source) {
--- a/src/quarantine/trials.ts
+++ b/src/quarantine/trials.ts
@@ -41,6 +41,8 @@
   stop(subject: CrashCase, isRun: boolean): void;
   /** Another instance told of a trial. */
   record(trial: Trial): void;
+  /** Whether any endpoint is: asked at every choice, before an endpoint's start is hashed. */
+  hasAny(): boolean;
   /** Whether an endpoint is in use for a trial. */
   isInTrial(start: EndpointKey): boolean;
   advance(): void;
@@ -112,6 +114,7 @@
     record({ start, untilMs }) {
       untilMsOf.set(start, untilMs);
     },
+    hasAny: () => untilMsOf.size > 0,
     isInTrial: (start) => (untilMsOf.get(start) ?? 0) > getNow(),
     advance() {
       const nowMs = getNow();
