--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -46,6 +46,8 @@
   recordQuarantineRefusal(): void;
   /** A request was refused before a call was made of it. */
   recordRefusal(failure: string): void;
+  /** A word that this release does not know was read. */
+  recordUnknown(place: string): void;
   format(): Promise<string>;
 }
 
@@ -88,6 +90,12 @@
     help: 'Calls refused because endpoints crashed under their content',
     registers,
   });
+  const unknown = new Counter({
+    name: 'hyssoptally_unknown_values_total',
+    help: 'Words of a newer release that this one does not know, by where they were read',
+    labelNames: ['place'],
+    registers,
+  });
   const first = new Histogram({
     name: 'hyssoptally_call_first_seconds',
     help: 'Time from a request to the first bytes of its answer',
@@ -163,6 +171,7 @@
     recordStanding: (standing) => standings.inc({ standing }),
     recordQuarantineRefusal: () => quarantined.inc(),
     recordRefusal: (failure) => refusals.inc({ failure }),
+    recordUnknown: (place) => unknown.inc({ place }),
     format: () => registry.metrics(),
   };
 }
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -1,4 +1,5 @@
 /** The catalogue of log lines: every event with its fields. docs/OPERATIONS.md explains each. */
+import type { UnknownValue } from './unknown-values.js';
 
 /** One line. */
 export type LogEvent =
@@ -81,6 +82,10 @@
   /** Errors that nobody caught: of a link to a peer, which goes on, or any other, which ends the process. */
   | { readonly event: 'link_failed' | 'failed'; readonly reason: string }
   | { readonly event: 'datagram_refused'; readonly reason: string }
+  | ({
+      /** A word of a newer release, said once. */
+      readonly event: 'unknown_value';
+    } & UnknownValue)
   | { readonly event: 'peer_changed'; readonly peer: string; readonly state: string }
   | {
       readonly event: 'knowledge_asked';
--- /dev/null
+++ b/src/peers/datagrams.test.ts
@@ -0,0 +1,65 @@
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+import { create, toBinary } from '@bufbuild/protobuf';
+import { DatagramSchema, LoadScope, TellLoadSchema } from '../gen/peer_pb.js';
+import { describe } from '../test/describe.js';
+import { openDatagrams } from './datagrams.js';
+import type { PeerTelling } from './peer-telling.js';
+
+const SECRET = 'a secret';
+const HOST = '127.0.0.1';
+/** Field 900 of the envelope, as a newer release might write it: tag, length, bytes. */
+const LATER_FIELD = Uint8Array.from([0xa2, 0x38, 2, 7, 7]);
+
+function encodeLoad(scope: LoadScope): Uint8Array {
+  const value = create(TellLoadSchema, { scope, dataCentre: 'hall' });
+  const message = create(DatagramSchema, {
+    from: 'front-2',
+    secret: SECRET,
+    body: { case: 'load', value },
+  });
+  return toBinary(DatagramSchema, message);
+}
+
+describe('datagrams of another release', ({ it }) => {
+  // Guards against ten lines a second from each newer peer, and against a throw that ends the process.
+  it('are named and passed over, and their known parts are read', async (t) => {
+    const probe = createSocket('udp4').bind(0, HOST);
+    await once(probe, 'listening');
+    const { port } = probe.address();
+    probe.close();
+    await once(probe, 'close');
+    const told: PeerTelling[] = [];
+    const unknown: string[] = [];
+    const errors: string[] = [];
+    const ended = new Promise<void>((resolve) => {
+      const datagrams = openDatagrams({
+        self: 'front-1',
+        dataCentre: 'hall',
+        secret: SECRET,
+        host: HOST,
+        port,
+        onTold(telling) {
+          told.push(telling);
+          resolve();
+        },
+        onGossip: () => undefined,
+        onCases: () => undefined,
+        onUnknown: (field, value) => unknown.push(`${field} ${value}`),
+        onError: (reason) => errors.push(reason),
+      });
+      t.teardown(() => datagrams.close());
+    });
+    const sender = createSocket('udp4');
+    t.teardown(() => sender.close());
+    const empty = create(DatagramSchema, { from: 'front-2', secret: SECRET });
+    const known = Buffer.concat([encodeLoad(LoadScope.OWN), LATER_FIELD]);
+    for (const bytes of [toBinary(DatagramSchema, empty), encodeLoad(9 as LoadScope), known]) {
+      sender.send(bytes, port, HOST);
+    }
+    await ended;
+    t.deepEqual(unknown, ['datagram of front-2', 'scope 9']);
+    t.deepEqual(errors, []);
+    t.like(told[0], { instance: 'front-2', scope: 'own' });
+  });
+});
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -8,7 +8,7 @@
 import { createSocket } from 'node:dgram';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { DatagramSchema } from '../gen/peer_pb.js';
-import type { Datagram, PeerMessage } from '../gen/peer_pb.js';
+import type { Datagram, PeerMessage, TellLoad } from '../gen/peer_pb.js';
 import type { AddressedTelling } from '../load-sharing/load-telling.js';
 import type { ToldCase } from '../quarantine/case-ledger.js';
 import { decodeCases, encodeCases } from './encode-cases.js';
@@ -35,6 +35,8 @@
   readonly onTold: (told: PeerTelling) => void;
   readonly onGossip: (from: string, body: PeerMessage['body']) => void;
   readonly onCases: (from: string, cases: readonly ToldCase[]) => void;
+  /** A peer of a newer release sent something that this one does not know. */
+  readonly onUnknown: (field: string, value: string) => void;
   /** A datagram that could not be sent or understood. */
   readonly onError: (reason: string) => void;
 }
@@ -45,6 +47,12 @@
   const expected = Buffer.from(secret);
   const socket = createSocket('udp4');
 
+  function handleLoad(from: string, load: TellLoad): void {
+    const told = decodeTelling(from, load);
+    if (told === undefined) options.onUnknown('scope', String(load.scope));
+    else options.onTold(told);
+  }
+
   function handleDatagram({ from, secret: given, body }: Datagram): void {
     const bytes = Buffer.from(given);
     if (bytes.length !== expected.length || !timingSafeEqual(bytes, expected)) {
@@ -53,7 +61,7 @@
     }
     switch (body.case) {
       case 'load':
-        options.onTold(decodeTelling(from, body.value));
+        handleLoad(from, body.value);
         break;
       case 'gossip':
         options.onGossip(from, body.value.body);
@@ -62,7 +70,7 @@
         options.onCases(from, decodeCases(body.value));
         break;
       default:
-        options.onError(`${from} sent a datagram of another release`);
+        options.onUnknown('datagram', `of ${from}`);
     }
   }
 
--- a/src/peers/encode-telling.ts
+++ b/src/peers/encode-telling.ts
@@ -24,7 +24,7 @@
   [LOAD_SCOPE.Others]: LoadScope.OTHERS,
 };
 
-function decodeScope(scope: LoadScope): Scope {
+function decodeScope(scope: LoadScope): Scope | undefined {
   switch (scope) {
     case LoadScope.OWN:
       return LOAD_SCOPE.Own;
@@ -33,7 +33,7 @@
     case LoadScope.OTHERS:
       return LOAD_SCOPE.Others;
     default:
-      throw new TypeError(`load of scope ${scope} was told; run one release on all instances`);
+      return undefined;
   }
 }
 
@@ -81,12 +81,14 @@
   });
 }
 
-/** Reads one datagram of a telling. */
-export function decodeTelling(instance: string, load: TellLoad): PeerTelling {
+/** Reads one datagram of a telling; undefined where a newer release tells of loads in another way. */
+export function decodeTelling(instance: string, load: TellLoad): PeerTelling | undefined {
+  const scope = decodeScope(load.scope);
+  if (scope === undefined) return undefined;
   return {
     instance,
     dataCentre: load.dataCentre,
-    scope: decodeScope(load.scope),
+    scope,
     part: load.part,
     heardDataCentres: load.heardDataCentres,
     knowledge: {
