A grant that the clocks made doubtful stays so until it is renewed

A holder wakes from a suspension, its wall clock says so, and a step back a moment later hides it: the grant was valid again. 2. The holder's write from before the suspension was known again when it was read, and counted from when it was sent on a clock that had stood still.

Now the two clocks are compared at each look; once they part, the grant and all writes without an answer give no more time until the next renewal. Ruled out: looking at the wall clock's age alone, which a step can hide.

--- a/src/leases/lease-model.test.ts
+++ b/src/leases/lease-model.test.ts
@@ -75,10 +75,18 @@
     });
 
     it('is used for too long', (t) => {
-      const parts = createMutant((options) => ({
-        ...options,
-        bounds: { ...options.bounds, safetyMs: -LENGTH_MS },
-      }));
+      const parts: LeaseParts = {
+        createLease(options) {
+          const lease = createLease(options);
+          return {
+            ...lease,
+            getGrant(now) {
+              const grant = lease.getGrant(now);
+              return grant && { ...grant, leftMs: grant.leftMs + LENGTH_MS };
+            },
+          };
+        },
+      };
       t.not(findBreaches(parts), undefined);
     });
 
--- a/src/leases/lease.ts
+++ b/src/leases/lease.ts
@@ -2,9 +2,9 @@
  * A lease in a store that writes under conditions, with a fencing number that only grows, free of I/O.
  *
  * Others judge a lease lapsed when its document has not changed for longer than its length by their own
- * monotonic clock, so no two clocks are ever compared. The holder counts from before it sent its last
- * write, by the earlier verdict of both its clocks: a suspended machine's monotonic clock may stand
- * still, and a stepped wall clock may go back.
+ * monotonic clock, so no two clocks are ever compared. The holder counts by its own from before it sent
+ * its last write, and doubts it once its wall clock parts from it: a suspended machine's monotonic clock
+ * may stand still.
  */
 import { assertNever } from '../utils/assert-never.js';
 import type { LeaseBounds } from './lease-bounds.js';
@@ -108,12 +108,13 @@
 interface Write {
   readonly document: LeaseDocument;
   readonly expectedVersion: number;
-  readonly sent: Moment;
+  /** On the monotonic clock; long ago where that clock may have stood still since. */
+  readonly sentMs: number;
 }
 
 interface Held {
   readonly fence: number;
-  readonly since: Moment;
+  readonly sinceMs: number;
   readonly usableFromMs: number;
 }
 
@@ -142,16 +143,26 @@
   let answeredMs = -Infinity;
   let writtenMs = -Infinity;
   let commands: LeaseCommand[] = [];
+  /** Of the wall clock from the monotonic one, at the last look. */
+  let clockDifferenceMs: number | undefined;
 
   function computeLeft(now: Moment): number {
     if (held === undefined) return 0;
-    const wallAge = now.wallMs - held.since.wallMs;
-    // A wall clock that was set back says nothing of how long a suspension lasted.
-    if (wallAge < -bounds.safetyMs) return 0;
-    const age = Math.max(now.monotonicMs - held.since.monotonicMs, wallAge);
+    const age = now.monotonicMs - held.sinceMs;
     return bounds.lengthMs - bounds.safetyMs - age;
   }
 
+  /**
+   * Doubts the grant until the next renewal once the clocks have parted: after a suspension the monotonic
+   * clock says too little, and a later step of the time of day would hide it again.
+   */
+  function checkClocks(now: Moment): void {
+    const differenceMs = now.wallMs - now.monotonicMs;
+    const driftMs = Math.abs(differenceMs - (clockDifferenceMs ?? differenceMs));
+    clockDifferenceMs = differenceMs;
+    if (driftMs > bounds.safetyMs / 2) handlePaused();
+  }
+
   function postRead(now: Moment): void {
     readMs = now.monotonicMs;
     commands.push({ kind: 'read' });
@@ -162,7 +173,7 @@
     now: Moment,
   ): void {
     const document: LeaseDocument = { holder, writeId: createWriteId(), ...fields };
-    pending = { document, expectedVersion: seen?.lease.version ?? 0, sent: now };
+    pending = { document, expectedVersion: seen?.lease.version ?? 0, sentMs: now.monotonicMs };
     writtenMs = now.monotonicMs;
     commands.push({ kind: 'write', document, expectedVersion: pending.expectedVersion });
   }
@@ -202,7 +213,7 @@
 
   function removeOverdue(now: Moment): void {
     if (pending === undefined) return;
-    if (now.monotonicMs - pending.sent.monotonicMs < bounds.callTimeoutMs) return;
+    if (now.monotonicMs - pending.sentMs < bounds.callTimeoutMs) return;
     unanswered = [pending, ...unanswered].slice(0, UNANSWERED_MAX);
     pending = undefined;
     postRead(now);
@@ -236,13 +247,13 @@
     seen = { lease, sinceMs: now.monotonicMs, delayMs: drawDelay() * bounds.readMs };
   }
 
-  function setHeld({ document, expectedVersion, sent }: Write, now: Moment): void {
+  function setHeld({ document, expectedVersion, sentMs }: Write, now: Moment): void {
     if (document.isReleased) return;
     const isRenewal = held?.fence === document.fence;
     const settlingMs = expectedVersion === 0 ? 0 : bounds.settlingMs;
     held = {
       fence: document.fence,
-      since: sent,
+      sinceMs: sentMs,
       // Guards against an order of the last holder still on its way to an engine that ignores
       // fencing numbers: it shows as an old order undoing a new one. By then it has arrived.
       usableFromMs: isRenewal ? (held?.usableFromMs ?? 0) : now.monotonicMs + settlingMs,
@@ -302,15 +313,16 @@
 
   function handlePaused(): void {
     // What was on its way belongs to the time before: it may have been done, or may be done later.
-    if (pending !== undefined) unanswered = [pending, ...unanswered].slice(0, UNANSWERED_MAX);
+    const writes = pending === undefined ? unanswered : [pending, ...unanswered];
+    unanswered = writes.slice(0, UNANSWERED_MAX).map((write) => ({ ...write, sentMs: -Infinity }));
     pending = undefined;
-    if (held === undefined) return;
-    held = { ...held, since: { monotonicMs: -Infinity, wallMs: -Infinity } };
+    if (held !== undefined) held = { ...held, sinceMs: -Infinity };
   }
 
   return {
     handle(message, now) {
       commands = [];
+      checkClocks(now);
       switch (message.kind) {
         case 'tick':
           handleTick(message.isWanted, now);
@@ -330,6 +342,7 @@
       return commands;
     },
     getGrant(now) {
+      checkClocks(now);
       if (held === undefined || now.monotonicMs < held.usableFromMs) return undefined;
       const leftMs = computeLeft(now);
       return leftMs > 0 ? { fence: held.fence, leftMs } : undefined;
