--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -17,6 +17,7 @@
 import { createCallLife } from './call-life.js';
 import type { CallLife } from './call-life.js';
 import type {
+  AttemptEnd,
   CallCommand,
   CallMessage,
   CancelReason,
@@ -51,6 +52,8 @@
   /** Instances that share the endpoints, this one included. */
   readonly countInstances: () => number;
   readonly quarantine: Pick<Quarantine, 'check' | 'isCondemned' | 'startWatch'>;
+  /** An endpoint began the call at a moment of the monotonic clock; once for each call. */
+  readonly onBegun: (call: RoutedCall, begunMs: number) => void;
   /** Why the call must not be sent now, if it must not. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
 }
@@ -79,6 +82,14 @@
   ticket: LoadTicket | undefined;
   watch: AttemptWatch | undefined;
   firstMs: number | undefined;
+  /** When the attempt under way was sent. */
+  sentMs: number;
+  isBegun: boolean;
+}
+
+/** Whether an endpoint may have begun the attempt that ended so. */
+function hasRun({ kind }: AttemptEnd): boolean {
+  return kind === 'answered' || kind === 'broken';
 }
 
 /** Builds a runner with nothing running. */
@@ -116,6 +127,17 @@
     return Math.max(1, Math.floor((declared * CONNECTIONS_SHARE) / options.countInstances()));
   }
 
+  function recordBegun(run: Run, begunMs: number): void {
+    if (run.isBegun) return;
+    run.isBegun = true;
+    options.onBegun(run.call, begunMs);
+  }
+
+  /** A stream begins with its first event; anything else when it is sent, whatever becomes of its answer. */
+  function recordWholeBegun(run: Run): void {
+    if (!isStream(run.call.route.kind)) recordBegun(run, run.sentMs);
+  }
+
   function startExchange(
     run: Run,
     attempt: number,
@@ -136,6 +158,7 @@
     };
     const ticket = placer.start(call, placement, startedMs);
     run.ticket = ticket;
+    run.sentMs = startedMs;
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
@@ -147,11 +170,13 @@
         ticket.recordEvent(getNow());
         watch.recordEvent();
         run.firstMs ??= getNow() - call.receivedMs;
+        recordBegun(run, getNow());
         advanceRun(run, { kind: 'event', attempt, id, bytes });
       },
       onEnded(end) {
         ticket.recordEnd(computeVerdict(end), getNow());
         observer.onAttemptEnded(record, end, getNow() - startedMs);
+        if (hasRun(end)) recordWholeBegun(run);
         watch.recordEnd(end);
         advanceRun(run, { kind: 'ended', attempt, end });
       },
@@ -230,6 +255,7 @@
 
   function cancelAttempt(run: Run, reason: CancelReason): void {
     waiting.delete(run);
+    if (run.closeExchange !== undefined) recordWholeBegun(run);
     run.closeExchange?.();
     run.watch?.recordCancelled();
     const isSilent = reason === 'stalled';
@@ -328,6 +354,8 @@
         ticket: undefined,
         watch: undefined,
         firstMs: undefined,
+        sentMs: 0,
+        isBegun: false,
       };
       runs.add(run);
       startTicking();
--- a/src/cli/ctl-main.ts
+++ b/src/cli/ctl-main.ts
@@ -16,8 +16,15 @@
 import { hashText } from '../utils/hash.js';
 import { EXIT_CODE, createCommandLine, listArguments, runMain } from './command-line.js';
 import type { ExitCode } from './command-line.js';
+import type { DutyStatus } from '../duties/fleet-duties.js';
 import type { ListedCase } from '../quarantine/quarantine-api.js';
-import { formatCases, formatChanges, formatHistory, formatStatus } from './format-output.js';
+import {
+  formatCases,
+  formatChanges,
+  formatDuties,
+  formatHistory,
+  formatStatus,
+} from './format-output.js';
 import { PLATFORM_FLAGS, PLATFORM_FLAG_NAMES, createOpenStore } from './platform-flags.js';
 import type { PlatformArguments } from './platform-flags.js';
 import { queryRouter } from './query-router.js';
@@ -203,6 +210,23 @@
   print(isJson, body, format(body));
 }
 
+async function runDuties(
+  router: { readonly url: string; readonly secret: string },
+  stepDown: 'step-down' | undefined,
+  isJson: boolean,
+): Promise<void> {
+  if (stepDown !== undefined) {
+    const question = { ...router, path: '/duties/release', body: {} };
+    await runQuestion<{ readonly outcome: string }>(question, isJson, ({ outcome }) => outcome);
+    return;
+  }
+  await runQuestion<{ readonly duties: DutyStatus | null }>(
+    { ...router, path: '/duties' },
+    isJson,
+    ({ duties }) => formatDuties(duties),
+  );
+}
+
 function runKey(isJson: boolean): void {
   const key = `hyk_${randomBytes(KEY_BYTES).toString('base64url')}`;
   const hash = `sha256:${hashText(key)}`;
@@ -332,6 +356,16 @@
           () => `released ${args.content}`,
         ),
     )
+    .command(
+      'duties [step-down]',
+      'who does the fleet’s work; step-down: that router leaves it to another',
+      (command) =>
+        command
+          .positional('step-down', { choices: ['step-down'] as const })
+          .demandOption(['router', 'operator-secret']),
+      (args) =>
+        runDuties({ url: args.router, secret: args.operatorSecret }, args.stepDown, args.json),
+    )
     .command(
       'key',
       'make a new key for an organisation',
--- a/src/cli/format-output.ts
+++ b/src/cli/format-output.ts
@@ -1,6 +1,7 @@
 /** Text for people, from what the tools know. */
 import type { FileChange, FolderFiles } from '../configuration/manifest.js';
 import type { AuditRecord } from '../configuration/store.js';
+import type { DutyStatus } from '../duties/fleet-duties.js';
 import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
 
@@ -105,3 +106,18 @@
     `invariant breaches: ${status.invariantBreaches}`,
   ].join('\n');
 }
+
+/** Who does the fleet's work, and what was ordered last. */
+export function formatDuties(duties: DutyStatus | null): string {
+  if (duties === null) return 'the platform asks for no duties; nothing to do';
+  const { holder, fence, isOwn, ageMs, unsentWindows, desired } = duties;
+  if (holder === undefined) return 'no holder is known yet; ask again in a few seconds';
+  const since = `since ${Math.round(ageMs / 1000)} s`;
+  const lines = [`holder ${holder}${isOwn ? ' (this router)' : ''}, number ${fence}, ${since}`];
+  if (!isOwn) return [...lines, 'ask the holder for what is reported and ordered'].join('\n');
+  const orders = desired.map(
+    ({ pool, dataCentre, isSpot, count }) =>
+      `${pool} in ${dataCentre}: ${count} ${isSpot ? 'that may be taken back' : 'lasting'}`,
+  );
+  return [...lines, `windows of usage not taken yet: ${unsentWindows}`, ...orders].join('\n');
+}
--- a/src/directory/endpoint-directory.test.ts
+++ b/src/directory/endpoint-directory.test.ts
@@ -7,7 +7,16 @@
 
 function buildEndpoint(id: string, isLeaving = false, startedMs = 1): RegisteredEndpoint {
   const startId = buildStartId(id, startedMs);
-  return { id, startId, pool: 'p', address: `${id}:1`, dataCentre: 'd', slots: 1, isLeaving };
+  return {
+    id,
+    startId,
+    pool: 'p',
+    address: `${id}:1`,
+    dataCentre: 'd',
+    slots: 1,
+    isLeaving,
+    isSpot: false,
+  };
 }
 
 describe('endpoint directory', ({ describe: block }) => {
--- /dev/null
+++ b/src/duties/pool-orders.test.ts
@@ -0,0 +1,143 @@
+import type { ScalingBounds } from '../types/traffic.js';
+import { describe } from '../test/describe.js';
+import type { DutyOutcome, PoolOrder } from './duty-calls.js';
+import type { DutyChange, DutyRow, DutyWrite } from './duty-store.js';
+import { createPoolOrders } from './pool-orders.js';
+import type { OrdersMessage, SizedPool } from './pool-orders.js';
+
+const SCALING: ScalingBounds = {
+  dataCentres: ['a', 'b'],
+  min: 1,
+  max: 20,
+  bootMs: 4000,
+  spotPrice: 0.2,
+};
+
+/** A platform that carries out what it is told, at once. */
+function createHarness(rows: DutyRow[] = []) {
+  const orders = createPoolOrders();
+  const sent: PoolOrder[] = [];
+  const counts = new Map<string, number>([
+    ['a|false', 10],
+    ['b|false', 10],
+  ]);
+  let outcome: DutyOutcome = 'done';
+  let version = rows[0]?.version ?? 0;
+  let nowMs = 0;
+
+  function storeChange({ expected, writes }: DutyChange): DutyWrite {
+    if (expected[0]?.version !== version) return { kind: 'conflict', rows };
+    version += 1;
+    rows.splice(0, rows.length, ...writes.map((write) => ({ ...write, version })));
+    return { kind: 'written', version };
+  }
+
+  function run(message: OrdersMessage): void {
+    for (const command of orders.handle(message, nowMs)) {
+      if (command.kind === 'read') run({ kind: 'read', rows });
+      else if (command.kind === 'change') {
+        run({ kind: 'changed', change: command.change, write: storeChange(command.change) });
+      } else {
+        const { order } = command;
+        sent.push(order);
+        if (outcome === 'done') counts.set(`${order.dataCentre}|${order.isSpot}`, order.count);
+        run({ kind: 'sent', order, outcome });
+      }
+    }
+  }
+
+  function buildPool(backlogMs: number): SizedPool {
+    return {
+      pool: 'p',
+      scaling: SCALING,
+      present: ['a', 'b'].map((dataCentre) => ({
+        dataCentre,
+        lasting: counts.get(`${dataCentre}|false`) ?? 0,
+        spot: counts.get(`${dataCentre}|true`) ?? 0,
+      })),
+      backlogMs,
+      targetMs: 400,
+    };
+  }
+
+  return {
+    sent,
+    rows,
+    counts,
+    run,
+    setOutcome(next: DutyOutcome) {
+      outcome = next;
+    },
+    /** Passes time, a tick each second. */
+    advance(seconds: number, knowledgeAgeMs = 0, backlogMs = 0) {
+      for (let second = 0; second < seconds; second += 1) {
+        nowMs += 1000;
+        run({ kind: 'tick', pools: [buildPool(backlogMs)], knowledgeAgeMs });
+      }
+    },
+  };
+}
+
+describe('orders of endpoints', ({ it }) => {
+  it('wait until the pool is known, and settle', (t) => {
+    const { sent, counts, advance } = createHarness();
+    advance(2);
+    t.is(sent.length, 0);
+    advance(20);
+    const before = sent.length;
+    advance(60);
+    t.is(sent.length, before);
+    const all = [...counts.values()].reduce((sum, count) => sum + count, 0);
+    t.true(all - (counts.get('a|true') ?? 0) >= 20);
+  });
+
+  // Guards against a pool that is ordered up and down with each change of holder.
+  it('are the same under the next holder', (t) => {
+    const first = createHarness();
+    first.advance(30);
+    const next = createHarness([...first.rows]);
+    for (const [key, count] of first.counts) next.counts.set(key, count);
+    next.advance(30);
+    for (const order of next.sent) {
+      t.is(first.counts.get(`${order.dataCentre}|${order.isSpot}`), order.count);
+    }
+  });
+
+  it('are repeated while there is no room, now and then', (t) => {
+    const { sent, advance, setOutcome } = createHarness();
+    setOutcome('unavailable');
+    advance(30);
+    const spot = sent.filter(({ isSpot, dataCentre }) => isSpot && dataCentre === 'a');
+    t.true(spot.length >= 5 && spot.length <= 12, String(spot.length));
+  });
+
+  it('ask again for what was taken back', (t) => {
+    const { sent, counts, advance } = createHarness();
+    advance(30);
+    const before = sent.length;
+    const wanted = counts.get('a|true');
+    counts.set('a|true', 0);
+    advance(10);
+    t.true(sent.length > before);
+    t.is(counts.get('a|true'), wanted);
+  });
+
+  // Guards against a pool that shrinks because nobody can tell how it is.
+  it('take nothing away on knowledge that is old', (t) => {
+    const { counts, advance } = createHarness();
+    advance(3);
+    advance(30, 60_000);
+    t.is(counts.get('a|false'), 10);
+  });
+
+  it('grow the pool while prompts wait, and keep it for a while', (t) => {
+    const { counts, advance } = createHarness();
+    advance(30);
+    const calm = counts.get('a|true') ?? 0;
+    advance(3, 0, 500);
+    const crowded = counts.get('a|true') ?? 0;
+    t.true(crowded > calm, `${crowded} ${calm}`);
+    advance(20);
+    t.is(counts.get('a|true'), crowded);
+  });
+});
--- /dev/null
+++ b/src/duties/pool-sizing.test.ts
@@ -0,0 +1,103 @@
+import fc from 'fast-check';
+import type { ScalingBounds } from '../types/traffic.js';
+import { describe } from '../test/describe.js';
+import { computeDesired } from './pool-sizing.js';
+import type { PoolPresence, SizingInput } from './pool-sizing.js';
+
+const SCALING: ScalingBounds = {
+  dataCentres: ['a', 'b', 'c'],
+  min: 1,
+  max: 28,
+  bootMs: 4000,
+  spotPrice: 0.22,
+};
+
+function buildPresent(lasting: number, spot: number): PoolPresence[] {
+  return SCALING.dataCentres.map((dataCentre) => ({ dataCentre, lasting, spot }));
+}
+
+function buildInput(changes: Partial<SizingInput>): SizingInput {
+  return {
+    scaling: SCALING,
+    present: buildPresent(14, 0),
+    least: 42,
+    held: 0,
+    backlogMs: 0,
+    targetMs: 400,
+    ...changes,
+  };
+}
+
+/** What comes of orders that are all carried out, until nothing changes. */
+function runOrders(input: SizingInput): readonly PoolPresence[] {
+  let { present } = input;
+  for (let round = 0; round < 20; round += 1) present = computeDesired({ ...input, present });
+  return present;
+}
+
+function countAll(present: readonly PoolPresence[]): number {
+  return present.reduce((sum, { lasting, spot }) => sum + lasting + spot, 0);
+}
+
+describe('the size of a pool', ({ it }) => {
+  it('stays as declared where nothing cheaper is offered', (t) => {
+    const scaling = { ...SCALING, spotPrice: undefined };
+    t.deepEqual(runOrders(buildInput({ scaling })), buildPresent(14, 0));
+  });
+
+  it('lets no lasting endpoint go before others take its calls', (t) => {
+    const [first] = computeDesired(buildInput({}));
+    t.is(first?.lasting, 14);
+    t.is(first?.spot, 14);
+  });
+
+  // Guards against a pool that is too small for its usual load the moment one data centre's are taken back.
+  it('is as declared even without any data centre’s endpoints that may be taken back', (t) => {
+    const present = runOrders(buildInput({}));
+    for (const lost of present) t.true(countAll(present) - lost.spot >= 42);
+    const lasting = present.reduce((sum, each) => sum + each.lasting, 0);
+    t.true(lasting <= 42 * 0.25, JSON.stringify(present));
+  });
+
+  it('grows with the wait for engines, with what is cheap alone', (t) => {
+    const calm = runOrders(buildInput({}));
+    const crowded = computeDesired(buildInput({ present: calm, backlogMs: 400 }));
+    t.true(countAll(crowded) > countAll(calm));
+    t.deepEqual(
+      crowded.map(({ lasting }) => lasting),
+      calm.map(({ lasting }) => lasting),
+    );
+  });
+
+  it('falls back on lasting endpoints where no others come', (t) => {
+    const present = runOrders(buildInput({}));
+    const dry = computeDesired(buildInput({ present: present.map((p) => ({ ...p, spot: 0 })) }));
+    t.deepEqual(
+      dry.map(({ lasting }) => lasting),
+      [14, 14, 14],
+    );
+  });
+
+  it('stays within the bounds, whatever is there and however long prompts wait', (t) => {
+    const presence = fc.record({ lasting: fc.nat(40), spot: fc.nat(40) });
+    const property = fc.property(
+      fc.array(presence, { minLength: 1, maxLength: 5 }),
+      fc.nat(200),
+      fc.double({ min: 0, max: 1e6, noNaN: true }),
+      fc.option(fc.double({ min: 0.01, max: 2, noNaN: true }), { nil: undefined }),
+      (counts, least, backlogMs, spotPrice) => {
+        const present = counts.map((each, index) => ({ dataCentre: `d${index}`, ...each }));
+        const scaling = { ...SCALING, spotPrice };
+        const desired = computeDesired(buildInput({ present, least, backlogMs, scaling }));
+        return desired.every(
+          ({ lasting, spot }) =>
+            Number.isInteger(lasting + spot) &&
+            spot >= 0 &&
+            lasting >= SCALING.min &&
+            lasting + spot <= SCALING.max,
+        );
+      },
+    );
+    t.notThrows(() => fc.assert(property));
+  });
+});
--- /dev/null
+++ b/src/duties/pool-sizing.ts
@@ -0,0 +1,91 @@
+/**
+ * Decides how many endpoints of a pool there are to be in each data centre, free of I/O.
+ *
+ * The load it answers: crowds of two to three times the usual come for a few seconds, and an endpoint that
+ * is ordered serves seconds later, with nothing in its memory: what is ordered on proof comes too late. So
+ * room is kept ahead, with endpoints that cost a part of the others' price and may be taken back, those of
+ * a data centre all at once: so many that any data centre's may go and the pool is as large as declared.
+ */
+import type { ScalingBounds } from '../types/traffic.js';
+
+/** Part of the pool that is never made of endpoints that may be taken back. */
+const LASTING_SHARE = 0.15;
+/** Where prompts would wait this part of the tightest target to be read, the pool is too small. */
+const BACKLOG_SHARE = 0.25;
+/** The pool grows at one time by this factor at the most. */
+const GROWTH_MAX = 1.5;
+/** Part of the lasting endpoints that is given back at one time at the most. */
+const LOWERING_SHARE = 0.5;
+
+/** Endpoints of a pool in one data centre. */
+export interface PoolPresence {
+  readonly dataCentre: string;
+  /** Those that take calls: lasting ones, and ones that may be taken back. */
+  readonly lasting: number;
+  readonly spot: number;
+}
+
+/** What is to be there in one data centre. */
+export interface DesiredCount {
+  readonly dataCentre: string;
+  readonly lasting: number;
+  readonly spot: number;
+}
+
+/** What decides the size of a pool. */
+export interface SizingInput {
+  readonly scaling: ScalingBounds;
+  readonly present: readonly PoolPresence[];
+  /** Endpoints that there are to be in any case: as many as there were before anything was ordered. */
+  readonly least: number;
+  /** The largest need of the last time. */
+  readonly held: number;
+  /** How long a prompt would wait to be read, in milliseconds; 0 while unknown. */
+  readonly backlogMs: number;
+  /** The tightest target of the pool's routes, in milliseconds; infinite where there is none. */
+  readonly targetMs: number;
+}
+
+/** How many endpoints the load needs. */
+export function computeNeed({ present, least, held, backlogMs, targetMs }: SizingInput): number {
+  const open = present.reduce((sum, { lasting, spot }) => sum + lasting + spot, 0);
+  const factor = Math.min(GROWTH_MAX, backlogMs / (targetMs * BACKLOG_SHARE));
+  const grown = factor > 1 ? Math.ceil(open * factor) : 0;
+  return Math.max(least, held, grown);
+}
+
+function computeSpot(need: number, lasting: number, dataCentres: number): number {
+  const rest = Math.max(0, need - lasting * dataCentres);
+  return Math.ceil(rest / Math.max(1, dataCentres - 1));
+}
+
+/**
+ * What is to be there. Lasting endpoints go only once enough others take calls, and not all at one time:
+ * with them goes what their engines hold in memory.
+ */
+export function computeDesired(input: SizingInput): DesiredCount[] {
+  const { scaling, present } = input;
+  const dataCentres = present.length;
+  if (dataCentres === 0) return [];
+  const need = computeNeed(input);
+  const isSpotCheap = scaling.spotPrice !== undefined && scaling.spotPrice < 1;
+  const share = isSpotCheap ? LASTING_SHARE : 1;
+  const base = Math.min(
+    scaling.max,
+    Math.max(scaling.min, Math.ceil((input.least * share) / dataCentres)),
+  );
+  const spot = isSpotCheap ? computeSpot(need, base, dataCentres) : 0;
+  const spotNow = present.reduce((sum, each) => sum + each.spot, 0);
+  // Room beyond the least is made of what is cheap, or not at all.
+  const missing = Math.max(0, input.least - spotNow);
+  const wanted = isSpotCheap ? Math.max(base, Math.ceil(missing / dataCentres)) : base;
+  return present.map((each) => {
+    const floor = Math.floor(each.lasting * LOWERING_SHARE);
+    const lasting = Math.min(scaling.max, Math.max(wanted, Math.min(each.lasting, floor)));
+    return {
+      dataCentre: each.dataCentre,
+      lasting,
+      spot: Math.max(0, Math.min(spot, scaling.max - lasting)),
+    };
+  });
+}
--- /dev/null
+++ b/src/duties/usage-meter.test.ts
@@ -0,0 +1,109 @@
+import fc from 'fast-check';
+import { describe } from '../test/describe.js';
+import { createTrueTime } from './true-time.js';
+import { createUsageLedger } from './usage-ledger.js';
+import { createUsageMeter } from './usage-meter.js';
+import type { UsageTelling } from './usage-meter.js';
+
+const WINDOW_MS = 5000;
+
+function createHarness(instance: string, incarnation = 1) {
+  const time = createTrueTime();
+  const meter = createUsageMeter({
+    source: { instance, incarnation },
+    windowMs: WINDOW_MS,
+    time,
+    countInstances: () => 3,
+  });
+  const start = (): void => {
+    time.recordSource(0, 0);
+    time.setEpoch(0);
+  };
+  return { meter, start };
+}
+
+/** Everything that is told in a time. */
+function listTold(meter: ReturnType<typeof createHarness>['meter'], fromMs: number, toMs: number) {
+  const told: UsageTelling[] = [];
+  for (let nowMs = fromMs; nowMs < toMs; nowMs += 100) {
+    const telling = meter.advance(nowMs);
+    if (telling !== undefined) told.push(telling);
+  }
+  return told;
+}
+
+describe('counts of calls', ({ it }) => {
+  // Guards against usage that is billed twice, or lost, because of what the network did to a telling.
+  it('come out the same however often, late and in whatever order they are told', (t) => {
+    const share = fc.record({
+      source: fc.constantFrom('a|1', 'a|2', 'b|1'),
+      window: fc.integer({ min: 1, max: 3 }),
+      organisation: fc.constantFrom('x', 'y'),
+    });
+    fc.assert(
+      fc.property(fc.array(share), fc.infiniteStream(fc.nat()), (calls, draws) => {
+        const whole = createUsageLedger();
+        const tellings = calls.map(({ source, window, organisation }) => {
+          whole.add(source, window, organisation);
+          return { source, shares: whole.listOf(source) };
+        });
+        const merged = createUsageLedger();
+        const shuffled = [...tellings, ...tellings]
+          .map((telling) => ({ telling, order: draws.next().value }))
+          .sort((a, b) => a.order - b.order);
+        for (const { telling } of shuffled) {
+          for (const each of telling.shares) merged.merge(telling.source, each);
+        }
+        for (const window of [1, 2, 3]) t.deepEqual(merged.sum(window), whole.sum(window));
+      }),
+    );
+  });
+
+  it('are told with their window until each state was told three times', (t) => {
+    const { meter, start } = createHarness('a');
+    start();
+    meter.record('x', 4990);
+    meter.record('x', 5010);
+    const told = listTold(meter, 5100, 8000);
+    t.is(told.filter(({ shares }) => shares.length > 0).length, 3);
+    t.deepEqual(told[0]?.shares, [
+      { window: 0, counts: [{ organisation: 'x', count: 1 }] },
+      { window: 1, counts: [{ organisation: 'x', count: 1 }] },
+    ]);
+  });
+
+  it('wait for true time to be known', (t) => {
+    const { meter, start } = createHarness('a');
+    meter.record('x', 10);
+    t.is(meter.advance(20), undefined);
+    start();
+    t.deepEqual(meter.advance(30)?.shares, [
+      { window: 0, counts: [{ organisation: 'x', count: 1 }] },
+    ]);
+  });
+
+  it('of an instance that died stay with whoever was told', (t) => {
+    const keeper = createHarness('a').meter;
+    const first = createHarness('b', 1);
+    const second = createHarness('b', 2);
+    for (const { meter, start } of [first, second]) {
+      start();
+      meter.record('x', 10);
+      for (const telling of listTold(meter, 100, 2000)) keeper.merge(telling, 2000);
+    }
+    t.deepEqual(keeper.sum(0), [{ organisation: 'x', count: 2 }]);
+  });
+
+  it('reach a moment once everybody that is heard has told so', (t) => {
+    const keeper = createHarness('a').meter;
+    const shares: UsageTelling['shares'] = [];
+    const source = { instance: 'b', incarnation: 1 };
+    keeper.merge({ source, reachedMs: 4900, shares }, 4900);
+    t.false(keeper.isReached(5000, 4950));
+    keeper.merge({ source, reachedMs: 5100, shares }, 5100);
+    t.true(keeper.isReached(5000, 5150));
+    t.false(keeper.isReached(10_000, 10_000));
+    // An instance that fell silent is not waited for.
+    t.true(keeper.isReached(10_000, 20_000));
+  });
+});
--- /dev/null
+++ b/src/duties/usage-reporter.test.ts
@@ -0,0 +1,202 @@
+import fc from 'fast-check';
+import { describe } from '../test/describe.js';
+import { createRandom } from '../utils/random.js';
+import type { UsageReport } from './duty-calls.js';
+import { DUTY_KEY } from './duty-store.js';
+import type { DutyChange, DutyRow, DutyWrite } from './duty-store.js';
+import { createUsageReporter } from './usage-reporter.js';
+import type { UsageCommand, UsageMessage, UsageReporter } from './usage-reporter.js';
+import { encodeReport, listReports } from './usage-rows.js';
+
+const WINDOW_MS = 5000;
+const DUE_MS = 10_000;
+
+/** A store that holds documents under conditions. */
+function createStore() {
+  let rows: DutyRow[] = [];
+  let version = 0;
+  return {
+    list: () => rows,
+    change({ expected, writes, removes }: DutyChange): DutyWrite {
+      const find = (key: string) => rows.find((row) => row.key === key);
+      const isMet = expected.every((each) => (find(each.key)?.version ?? 0) === each.version);
+      if (!isMet) return { kind: 'conflict', rows };
+      version += 1;
+      const replaced = new Set([...writes.map(({ key }) => key), ...removes]);
+      rows = [
+        ...rows.filter(({ key }) => !replaced.has(key)),
+        ...writes.map(({ key, text }) => ({ key, version, text })),
+      ];
+      return { kind: 'written', version };
+    },
+  };
+}
+
+describe('usage reports', ({ describe: block }) => {
+  block('of one holder', ({ it }) => {
+    function createHarness() {
+      const store = createStore();
+      const sent: UsageReport[] = [];
+      let isReached = true;
+      const reporter = createUsageReporter({
+        windowMs: WINDOW_MS,
+        dueMs: DUE_MS,
+        sum: (window) => [{ organisation: 'x', count: window }],
+        isReached: () => isReached,
+      });
+      function run(message: UsageMessage, nowMs: number): void {
+        for (const command of reporter.handle(message, nowMs)) {
+          if (command.kind === 'read') run({ kind: 'read', rows: store.list() }, nowMs);
+          else if (command.kind === 'change') {
+            const { change } = command;
+            run({ kind: 'changed', change, write: store.change(change) }, nowMs);
+          } else {
+            sent.push(command.report);
+            run({ kind: 'sent', window: command.report.window, isTaken: true }, nowMs);
+          }
+        }
+      }
+      const tick = (trueMs: number): void => run({ kind: 'tick', trueMs }, trueMs);
+      const setReached = (next: boolean): void => {
+        isReached = next;
+      };
+      return { store, sent, tick, setReached, reporter };
+    }
+
+    it('begin with the window in which the first holder begins, one for each', (t) => {
+      const { sent, tick } = createHarness();
+      for (let ms = 12_000; ms < 31_000; ms += 1000) tick(ms);
+      t.deepEqual(
+        sent.map(({ window }) => window),
+        [2, 3, 4],
+      );
+      t.deepEqual(sent[0]?.counts, [{ organisation: 'x', count: 2 }]);
+    });
+
+    it('wait for counts that are still on their way, but not past half of the time they have', (t) => {
+      const { sent, tick, setReached } = createHarness();
+      tick(12_000);
+      tick(12_100);
+      setReached(false);
+      tick(16_000);
+      tick(19_900);
+      t.is(sent.length, 0);
+      tick(20_100);
+      t.is(sent.length, 1);
+    });
+
+    it('leave no documents behind but the latest', (t) => {
+      const { store, tick } = createHarness();
+      for (let ms = 12_000; ms < 61_000; ms += 1000) tick(ms);
+      t.true(store.list().length <= 3, JSON.stringify(store.list()));
+    });
+  });
+
+  block('of several holders', ({ it }) => {
+    interface Holder {
+      readonly reporter: UsageReporter;
+      readonly queue: UsageMessage[];
+      isActing: boolean;
+    }
+
+    /** Plays holders that overlap, die and come back; answers are late or lost. All reports that arrived. */
+    function runReports(seed: number, steps: number): UsageReport[] {
+      const random = createRandom(seed);
+      const store = createStore();
+      const arrived: UsageReport[] = [];
+      let later: { readonly at: number; readonly run: () => void }[] = [];
+      const clock = { step: 0 };
+      const addLater = (run: () => void): void => {
+        later.push({ at: clock.step + random.nextIndex(6), run });
+      };
+      const createHolder = (): Holder => ({
+        // Each holder has heard other counts.
+        reporter: createUsageReporter({
+          windowMs: WINDOW_MS,
+          dueMs: DUE_MS,
+          sum: (window) => [{ organisation: 'x', count: window * 100 + random.nextIndex(90) }],
+          isReached: () => random.next() < 0.8,
+        }),
+        queue: [],
+        isActing: false,
+      });
+      const holders = [createHolder(), createHolder(), createHolder()];
+
+      function runCommand(index: number, command: UsageCommand): void {
+        const holder = holders[index] as Holder;
+        const answer = (message: UsageMessage): void => {
+          if (random.next() < 0.2) return;
+          addLater(() => holders[index] === holder && holder.queue.push(message));
+        };
+        addLater(() => {
+          if (command.kind === 'read') answer({ kind: 'read', rows: store.list() });
+          else if (command.kind === 'change') {
+            const { change } = command;
+            answer({ kind: 'changed', change, write: store.change(change) });
+          } else {
+            arrived.push(command.report);
+            answer({ kind: 'sent', window: command.report.window, isTaken: true });
+          }
+        });
+      }
+
+      function runLater(): void {
+        const due = later.filter(({ at }) => at <= clock.step);
+        later = later.filter(({ at }) => at > clock.step);
+        due.forEach(({ run }) => run());
+      }
+
+      for (; clock.step < steps; clock.step += 1) {
+        const trueMs = 12_000 + clock.step * 400;
+        runLater();
+        const index = random.nextIndex(holders.length);
+        if (random.next() < 0.05) holders[index] = createHolder();
+        const holder = holders[index] as Holder;
+        if (random.next() < 0.1) holder.isActing = !holder.isActing;
+        const messages: UsageMessage[] = [
+          ...holder.queue.splice(0),
+          holder.isActing ? { kind: 'tick', trueMs } : { kind: 'lost' },
+        ];
+        for (const message of messages) {
+          for (const command of holder.reporter.handle(message, trueMs)) runCommand(index, command);
+        }
+      }
+      return arrived;
+    }
+
+    // Guards against two different reports of one window, whoever sent them and whatever was lost.
+    it('say the same of a window, whoever sends them', (t) => {
+      let windows = 0;
+      fc.assert(
+        fc.property(fc.integer(), (seed) => {
+          const textOf = new Map<number, string>();
+          for (const { window, counts } of runReports(seed, 300)) {
+            const text = JSON.stringify(counts);
+            if ((textOf.get(window) ?? text) !== text) return false;
+            textOf.set(window, text);
+          }
+          windows += textOf.size;
+          return true;
+        }),
+        { seed: 5, numRuns: Number(process.env.USAGE_RUNS ?? 300) },
+      );
+      t.true(windows > 1000, String(windows));
+    });
+  });
+
+  block('as documents', ({ it }) => {
+    it('are whole again, however many organisations there were', (t) => {
+      const counts = Array.from({ length: 5000 }, (_, index) => ({
+        organisation: `organisation-${index}`,
+        count: index,
+      }));
+      const texts = encodeReport({ window: 9, counts });
+      t.true(texts.every((text) => Buffer.byteLength(text) < 65_536));
+      const rows = texts.map((text, part) => ({ key: `usage/9/${part}`, version: 1, text }));
+      const garbled = { key: 'usage/8/0', version: 1, text: '{' };
+      t.deepEqual(listReports([garbled, ...rows]), [{ window: 9, counts }]);
+      t.deepEqual(listReports(rows.slice(1)), []);
+      t.is(DUTY_KEY.UsageThrough, 'usage-through');
+    });
+  });
+});
--- /dev/null
+++ b/src/gateway/gateway-duties.ts
@@ -0,0 +1,159 @@
+/** A gateway's part in the work that one instance does for the fleet. */
+import type { RoutedCall } from '../calls/call-messages.js';
+import type { EndpointDirectory } from '../directory/endpoint-directory.js';
+import type { DutyCalls } from '../duties/duty-calls.js';
+import type { DutyObserver } from '../duties/duty-observer.js';
+import type { DutyStore } from '../duties/duty-store.js';
+import { createFleetDuties } from '../duties/fleet-duties.js';
+import type { FleetDuties } from '../duties/fleet-duties.js';
+import type { SizedPool } from '../duties/pool-orders.js';
+import type { PoolPresence } from '../duties/pool-sizing.js';
+import type { TrueTime } from '../duties/true-time.js';
+import { createUsageMeter } from '../duties/usage-meter.js';
+import type { UsageTelling } from '../duties/usage-meter.js';
+import type { FeedReader } from '../knowledge/feed.js';
+import type { EndpointLoads } from '../placement/endpoint-loads.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import type { ScalingBounds, TrafficConfiguration, TrafficPool } from '../types/traffic.js';
+import type { Random } from '../utils/random.js';
+import type { PeerExchange } from './peer-exchange.js';
+
+const TICK_MS = 100;
+
+/** What a deployment asks of its instances together. */
+export interface DutyOptions {
+  /** How long a holder's lease is, in milliseconds. */
+  readonly leaseMs: number;
+  /** The length of a window of usage and the time after its end at which its report is due, in milliseconds; undefined where nobody wants reports. */
+  readonly usage: { readonly windowMs: number; readonly dueMs: number } | undefined;
+  readonly ordersPools: boolean;
+  readonly store: DutyStore;
+  readonly calls: DutyCalls;
+  readonly observer: DutyObserver;
+}
+
+/** What a gateway's part is built on. */
+export interface GatewayDutiesOptions {
+  readonly duties: DutyOptions;
+  readonly self: string;
+  readonly incarnation: number;
+  readonly timers: TimerService;
+  readonly random: Random;
+  readonly time: TrueTime;
+  readonly loads: EndpointLoads;
+  readonly directory: Pick<EndpointDirectory, 'listAll'>;
+  readonly peers: Pick<PeerExchange, 'isKeeper' | 'sendUsage' | 'countInstances'>;
+  readonly getConfiguration: () => TrafficConfiguration | undefined;
+  readonly getKnowledgeAge: () => number;
+  readonly isLeaving: () => boolean;
+}
+
+/** A gateway's part. */
+export interface GatewayDuties extends FleetDuties {
+  /** An endpoint began a call. */
+  recordBegun(call: RoutedCall, begunMs: number): void;
+  handleUsage(telling: UsageTelling): void;
+}
+
+/** The same feed; every answer tells what the source's clock shows. */
+export function createTimedFeed(
+  feed: FeedReader,
+  time: TrueTime,
+  getNow: () => number,
+): FeedReader {
+  function recordTime(answer: Awaited<ReturnType<FeedReader['list']>>): typeof answer {
+    if (answer.kind === 'rows') time.recordSource(answer.sourceNowMs, getNow());
+    return answer;
+  }
+  return {
+    list: async () => recordTime(await feed.list()),
+    watch: async (revision, waitMs) => recordTime(await feed.watch(revision, waitMs)),
+    reset: () => feed.reset(),
+  };
+}
+
+/** Starts a gateway's part. */
+export function createGatewayDuties(options: GatewayDutiesOptions): GatewayDuties {
+  const { duties, timers, time, loads, directory, peers } = options;
+  const getNow = (): number => timers.clock.monotonicMs();
+  const meter = createUsageMeter({
+    source: { instance: options.self, incarnation: options.incarnation },
+    windowMs: duties.usage?.windowMs ?? Infinity,
+    time,
+    countInstances: () => peers.countInstances(),
+  });
+
+  function listPresent(pool: string, scaling: ScalingBounds): PoolPresence[] {
+    const endpoints = directory.listAll().filter((endpoint) => endpoint.pool === pool);
+    const present = new Map<string, { lasting: number; spot: number }>();
+    const names = [...scaling.dataCentres, ...endpoints.map(({ dataCentre }) => dataCentre)];
+    for (const name of names) present.set(name, { lasting: 0, spot: 0 });
+    for (const { dataCentre, isLeaving, isSpot } of endpoints) {
+      const counts = present.get(dataCentre);
+      if (counts !== undefined && !isLeaving) counts[isSpot ? 'spot' : 'lasting'] += 1;
+    }
+    return [...present].map(([dataCentre, counts]) => ({ dataCentre, ...counts }));
+  }
+
+  /** How long a prompt would wait for those before it, if all engines had the same to read. */
+  function computeBacklogMs(pool: string): number {
+    const open = directory.listAll().filter((each) => each.pool === pool && !each.isLeaving);
+    const msPerToken = loads.getPoolPace(pool).reading?.msPerToken ?? 0;
+    const unread = open.reduce((sum, { startId }) => sum + loads.get(startId).unreadTokens, 0);
+    return open.length === 0 ? 0 : (unread * msPerToken) / open.length;
+  }
+
+  function computeTargetMs(pool: string): number {
+    const routes = options.getConfiguration()?.routes ?? [];
+    const own = routes.filter(({ pools }) => pools.some((each) => each.pool === pool));
+    return Math.min(...own.map(({ targetMs }) => targetMs));
+  }
+
+  function buildSizedPool({ name, scaling }: TrafficPool): SizedPool[] {
+    if (scaling === undefined) return [];
+    return [
+      {
+        pool: name,
+        scaling,
+        present: listPresent(name, scaling),
+        backlogMs: computeBacklogMs(name),
+        targetMs: computeTargetMs(name),
+      },
+    ];
+  }
+
+  const fleet = createFleetDuties({
+    self: options.self,
+    timers,
+    random: options.random,
+    store: duties.store,
+    calls: duties.calls,
+    observer: duties.observer,
+    time,
+    meter,
+    leaseMs: duties.leaseMs,
+    usage: duties.usage,
+    ordersPools: duties.ordersPools,
+    isCandidate: () => peers.isKeeper(),
+    isLeaving: options.isLeaving,
+    listPools: () => (options.getConfiguration()?.pools ?? []).flatMap(buildSizedPool),
+    getKnowledgeAge: options.getKnowledgeAge,
+  });
+
+  timers.subscribe(TICK_MS, () => {
+    const telling = meter.advance(getNow());
+    if (telling === undefined) return;
+    peers.sendUsage(telling);
+    if (peers.isKeeper()) meter.merge(telling, getNow());
+  });
+
+  return {
+    ...fleet,
+    recordBegun({ organisation }, begunMs) {
+      if (organisation !== undefined && duties.usage !== undefined) {
+        meter.record(organisation, begunMs);
+      }
+    },
+    handleUsage: (telling) => meter.merge(telling, getNow()),
+  };
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,6 +10,9 @@
 import type { CallRunner, RunningCall } from '../calls/call-runner.js';
 import type { EndpointConnections } from '../calls/endpoint-connections.js';
 import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
+import { createTrueTime } from '../duties/true-time.js';
+import type { DutyStatus } from '../duties/fleet-duties.js';
+import type { UsageTelling } from '../duties/usage-meter.js';
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { FeedReader } from '../knowledge/feed.js';
 import { createDrain, STAGE } from '../lifecycle/drain.js';
@@ -43,6 +46,8 @@
 import { createLeaving, createNotReady, resolveCall } from './admit-call.js';
 import type { CallerRequest } from './admit-call.js';
 import { createCallQuarantine } from './call-quarantine.js';
+import { createGatewayDuties, createTimedFeed } from './gateway-duties.js';
+import type { DutyOptions, GatewayDuties } from './gateway-duties.js';
 import { LEADING_WAIT_MS, createKnowledgeKeeper } from './knowledge-keeper.js';
 import type { RowDecoder } from './knowledge-keeper.js';
 import { createPeerExchange } from './peer-exchange.js';
@@ -66,7 +71,7 @@
   readonly invariants: Invariants;
   readonly log: DecisionLog;
   readonly links: PeerLinks;
-  readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases'>;
+  readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage'>;
   readonly instances: InstanceListClient;
   readonly configurationFeed: FeedReader;
   readonly endpointFeed: FeedReader;
@@ -80,6 +85,8 @@
   /** Where condemned contents outlast all instances. */
   readonly caseStore: CaseStore;
   readonly retryBounds: RetryBounds;
+  /** The work that one instance does for the fleet; undefined where the platform asks for none. */
+  readonly duties: DutyOptions | undefined;
   /** How old knowledge of keys may be when a call is sent, in milliseconds. */
   readonly keyAgeMaxMs: number;
   /** Longest wait for calls in flight when leaving, in milliseconds. */
@@ -109,6 +116,11 @@
   handleTold(told: PeerTelling): void;
   handleCases(from: string, cases: readonly ToldCase[]): void;
   handleBodies(from: string, bodies: readonly PeerMessage['body'][]): void;
+  handleUsage(telling: UsageTelling): void;
+  /** Undefined where there are no duties. */
+  getDutyStatus(): DutyStatus | undefined;
+  /** This instance leaves the duties to others for a while; false where it does not hold them. */
+  releaseDuties(): boolean;
   recordUnreachable(address: string): void;
   buildKnowledge(request: FetchKnowledgeRequest): FetchKnowledgeResponse;
   /** The name of an endpoint's start, where it is still registered. */
@@ -127,6 +139,7 @@
   const { timers, log, random } = options;
   const loads = createEndpointLoads();
   const drain = createDrain(options.drainTimeoutMs, options.drainNoticeMs);
+  const time = createTrueTime();
   let table: RouteTable | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
 
@@ -134,8 +147,8 @@
     timers,
     random,
     log,
-    configurationFeed: options.configurationFeed,
-    endpointFeed: options.endpointFeed,
+    configurationFeed: createTimedFeed(options.configurationFeed, time, getNow),
+    endpointFeed: createTimedFeed(options.endpointFeed, time, getNow),
     decoder: options.decoder,
     onConfiguration(configuration) {
       table = createRouteTable(configuration);
@@ -180,6 +193,7 @@
     log,
     links: options.links,
     datagrams: options.datagrams,
+    time,
     instances: options.instances,
     loads,
     quarantine,
@@ -194,6 +208,24 @@
     isLeaving,
   });
 
+  const duties: GatewayDuties | undefined =
+    options.duties === undefined
+      ? undefined
+      : createGatewayDuties({
+          duties: options.duties,
+          self: options.self.name,
+          incarnation: options.incarnation,
+          timers,
+          random,
+          time,
+          loads,
+          directory: keeper.directory,
+          peers,
+          getConfiguration: () => keeper.getConfiguration(),
+          getKnowledgeAge: () => keeper.computeAge(),
+          isLeaving,
+        });
+
   const placer = createPlacer({
     loads,
     random,
@@ -214,6 +246,7 @@
     findPool: (name) => table?.findPool(name),
     countInstances: () => peers.countInstances(),
     quarantine,
+    onBegun: (call, begunMs) => duties?.recordBegun(call, begunMs),
     checkSendable(call) {
       // Checked right before each send: a call that waited may have outlived its key.
       if (!call.isKeyed || areKeysValid()) return undefined;
@@ -286,6 +319,9 @@
     releaseCase: held.releaseCase,
     handleBodies: (from, bodies) => peers.handleBodies(from, bodies),
     recordUnreachable: (address) => peers.recordUnreachable(address),
+    handleUsage: (telling) => duties?.handleUsage(telling),
+    getDutyStatus: () => duties?.getStatus(),
+    releaseDuties: () => duties?.release() ?? false,
     buildKnowledge: (request) => keeper.buildResponse(request),
     countInstances: () => peers.countInstances(),
     countCalls: () => runner.count(),
--- a/src/gateway/knowledge-keeper.test.ts
+++ b/src/gateway/knowledge-keeper.test.ts
@@ -31,7 +31,16 @@
     const isLeaving = row.value === 'leaving';
     const { key: id } = row;
     const startId = `${id}@${row.value}`;
-    return { id, startId, pool: 'p', address: id, dataCentre: 'd', slots: 1, isLeaving };
+    return {
+      id,
+      startId,
+      pool: 'p',
+      address: id,
+      dataCentre: 'd',
+      slots: 1,
+      isLeaving,
+      isSpot: false,
+    };
   },
 };
 
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -2,7 +2,9 @@
  * What an instance does with the others: membership, telling of loads and of what it knows, and asking
  * for knowledge that others have and it lacks.
  */
-import { createWatchDuty } from '../knowledge/watch-duty.js';
+import type { TrueTime } from '../duties/true-time.js';
+import type { UsageTelling } from '../duties/usage-meter.js';
+import { createWatchDuty, listWatchers } from '../knowledge/watch-duty.js';
 import { TELL_PERIOD_MS, createLoadExchange } from '../load-sharing/load-exchange.js';
 import type { AddressedTelling } from '../load-sharing/load-telling.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
@@ -13,7 +15,7 @@
 import { createFleetView } from '../node/fleet-view.js';
 import type { DecisionLog } from '../observability/decision-log.js';
 import type { Datagrams } from '../peers/datagrams.js';
-import type { PeerLinks } from '../peers/peer-links.js';
+import type { PeerLinks, TimeSummary } from '../peers/peer-links.js';
 import type { PeerTelling } from '../peers/peer-telling.js';
 import type { ToldCase } from '../quarantine/case-ledger.js';
 import type { Quarantine } from '../quarantine/quarantine.js';
@@ -43,7 +45,8 @@
   readonly invariants: Invariants;
   readonly log: DecisionLog;
   readonly links: PeerLinks;
-  readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases'>;
+  readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage'>;
+  readonly time: TrueTime;
   readonly instances: InstanceListClient;
   readonly loads: EndpointLoads;
   readonly quarantine: Pick<Quarantine, 'takeTold' | 'merge'>;
@@ -66,6 +69,10 @@
   postQuestions(): void;
   /** Whether a data centre is out of reach for now. */
   isCut(dataCentre: string): boolean;
+  /** Whether this instance is one of those that keep what the fleet's duties need. */
+  isKeeper(): boolean;
+  /** Tells the other keepers. */
+  sendUsage(telling: UsageTelling): void;
   /** Instances that share the endpoints, this one included. */
   countInstances(): number;
   leave(): void;
@@ -81,6 +88,9 @@
   const hasContacts = seeds.length > 0 && !seeds.includes(self.address);
   let isListed = false;
   let cut: ReadonlySet<string> = new Set();
+  /** Addresses of the other keepers. */
+  let keepers: readonly string[] = [];
+  let isKeeper = false;
 
   /** Full exchanges outgrow a datagram; all other gossip fits one. */
   function postGossip(address: string, body: PeerMessage['body']): void {
@@ -163,11 +173,22 @@
     if (cases.length > 0) options.datagrams.sendCases(addresses, cases);
   }
 
+  /** Keepers are those that follow the source: they reach what duties need. */
+  function updateKeepers(alive: readonly Contact[]): void {
+    const names = new Set(listWatchers(alive));
+    isKeeper = names.has(self.name);
+    keepers = alive
+      .filter(({ name }) => names.has(name) && name !== self.name)
+      .map(({ address }) => address);
+  }
+
   function advanceDuty(): void {
+    const alive = listAlive().filter(({ dataCentre }) => !cut.has(dataCentre));
+    updateKeepers(alive);
     const duty = watchDuty.advance(
       {
         self: self.name,
-        alive: listAlive().filter(({ dataCentre }) => !cut.has(dataCentre)),
+        alive,
         knowledgeAgeMs: knowledge.computeAge(),
         hasContacts,
       },
@@ -177,11 +198,22 @@
     knowledge.setDuty(duty);
   }
 
+  function buildTime(): TimeSummary {
+    const sourceNowMs = options.time.computeSource(getNow());
+    return { sourceNowMs, epochMs: options.time.getEpoch() };
+  }
+
+  function handleTime({ sourceNowMs, epochMs }: TimeSummary, nowMs: number): void {
+    if (sourceNowMs !== undefined) options.time.recordSource(sourceNowMs, nowMs);
+    if (epochMs !== undefined) options.time.setEpoch(epochMs);
+  }
+
   timers.subscribe(TELL_PERIOD_MS, () => {
     updateCut();
     const summary = knowledge.getSummary();
     const tellings = loadExchange.advance(getNow());
-    for (const telling of tellings) options.datagrams.sendLoads(telling, summary);
+    const time = buildTime();
+    for (const telling of tellings) options.datagrams.sendLoads(telling, summary, time);
     sendCases(tellings);
   });
   timers.subscribe(DUTY_PERIOD_MS, () => {
@@ -196,6 +228,7 @@
       for (const name of [told.dataCentre, ...told.heardDataCentres]) {
         reachability.recordHeard(name, nowMs);
       }
+      handleTime(told.time, nowMs);
       loadExchange.handle(told, nowMs);
       const isNews = knowledge.applySummary(told.knowledge);
       const address = isNews ? fleet.findAddress(told.instance) : undefined;
@@ -220,6 +253,10 @@
     },
     recordUnreachable: (address) => fleet.recordUnreachable(address),
     postQuestions,
+    isKeeper: () => isKeeper,
+    sendUsage(telling) {
+      if (keepers.length > 0) options.datagrams.sendUsage(keepers, telling);
+    },
     countInstances: () => fleet.listAlive().length,
     leave: () => fleet.leave(),
     left: () => fleet.left(),
--- a/src/knowledge/watch-duty.ts
+++ b/src/knowledge/watch-duty.ts
@@ -82,6 +82,12 @@
   return [...first, ...ranked.filter((name) => !first.includes(name))];
 }
 
+/** The instances that watch where nothing is wrong. */
+export function listWatchers(alive: readonly WatchCandidate[]): string[] {
+  const dataCentres = new Set(alive.map(({ dataCentre }) => dataCentre));
+  return listByDuty(alive).slice(0, Math.max(WATCHERS_MIN, dataCentres.size));
+}
+
 /** How many times the usual number of instances watch, by the age of knowledge, or by how long an instance has been without any. */
 function computeJoinFactor(knowledgeAgeMs: number, unknownMs: number): number {
   const periods = Number.isFinite(knowledgeAgeMs)
--- a/src/load-sharing/load-exchange.test.ts
+++ b/src/load-sharing/load-exchange.test.ts
@@ -18,6 +18,7 @@
   dataCentre: 'dc-0',
   slots: 24,
   isLeaving: false,
+  isSpot: false,
 };
 
 interface Instance {
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -22,6 +22,9 @@
   readonly countInstances: () => number;
   readonly countCalls: () => number;
   readonly countConnectionsMade: () => number;
+  /** The fencing number under which this instance holds the fleet's duties; 0 where it does not. */
+  readonly getDutyFence: () => number;
+  readonly countUnsentWindows: () => number;
 }
 
 /** Metrics of one instance. */
@@ -48,6 +51,8 @@
   recordRefusal(failure: string): void;
   /** A word that this release does not know was read. */
   recordUnknown(place: string): void;
+  /** A call that one instance makes for the fleet ended. */
+  recordDuty(duty: string, outcome: string): void;
   format(): Promise<string>;
 }
 
@@ -96,6 +101,12 @@
     labelNames: ['place'],
     registers,
   });
+  const dutyCalls = new Counter({
+    name: 'hyssoptally_duty_calls_total',
+    help: 'Calls made for the fleet, by duty and outcome',
+    labelNames: ['duty', 'outcome'],
+    registers,
+  });
   const first = new Histogram({
     name: 'hyssoptally_call_first_seconds',
     help: 'Time from a request to the first bytes of its answer',
@@ -157,6 +168,17 @@
     sources.countConnectionsMade,
   );
 
+  addGauge(
+    'hyssoptally_duty_fence',
+    'Fencing number under which this instance holds the duties of the fleet, 0 where it does not',
+    sources.getDutyFence,
+  );
+  addGauge(
+    'hyssoptally_usage_windows_unsent',
+    'Windows of usage that are fixed and not taken by the platform yet',
+    sources.countUnsentWindows,
+  );
+
   return {
     recordCall({ route: { kind }, urgency }, result, firstMs, tookMs) {
       calls.inc({ kind, urgency, result });
@@ -172,6 +194,7 @@
     recordQuarantineRefusal: () => quarantined.inc(),
     recordRefusal: (failure) => refusals.inc({ failure }),
     recordUnknown: (place) => unknown.inc({ place }),
+    recordDuty: (duty, outcome) => dutyCalls.inc({ duty, outcome }),
     format: () => registry.metrics(),
   };
 }
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -82,6 +82,29 @@
   /** Errors that nobody caught: of a link to a peer, which goes on, or any other, which ends the process. */
   | { readonly event: 'link_failed' | 'failed'; readonly reason: string }
   | { readonly event: 'datagram_refused'; readonly reason: string }
+  /** Another instance, or this one, does the fleet's duties now. */
+  | {
+      readonly event: 'duty_holder_changed';
+      readonly holder: string;
+      readonly fence: number;
+      readonly isOwn: boolean;
+    }
+  | {
+      readonly event: 'usage_reported';
+      readonly window: number;
+      readonly organisations: number;
+      readonly calls: number;
+      readonly outcome: string;
+    }
+  | {
+      readonly event: 'pool_ordered';
+      readonly pool: string;
+      readonly inDataCentre: string;
+      readonly isSpot: boolean;
+      readonly count: number;
+      readonly outcome: string;
+    }
+  | { readonly event: 'duty_failed'; readonly reason: string }
   | ({
       /** A word of a newer release, said once. */
       readonly event: 'unknown_value';
--- a/src/peers/datagrams.test.ts
+++ b/src/peers/datagrams.test.ts
@@ -45,6 +45,7 @@
         },
         onGossip: () => undefined,
         onCases: () => undefined,
+        onUsage: () => undefined,
         onUnknown: (field, value) => unknown.push(`${field} ${value}`),
         onError: (reason) => errors.push(reason),
       });
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -9,18 +9,21 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { DatagramSchema } from '../gen/peer_pb.js';
 import type { Datagram, PeerMessage, TellLoad } from '../gen/peer_pb.js';
+import type { UsageTelling } from '../duties/usage-meter.js';
 import type { AddressedTelling } from '../load-sharing/load-telling.js';
 import type { ToldCase } from '../quarantine/case-ledger.js';
 import { decodeCases, encodeCases } from './encode-cases.js';
 import { decodeTelling, encodeTelling } from './encode-telling.js';
-import type { KnowledgeSummary } from './peer-links.js';
+import { decodeUsage, encodeUsage } from './encode-usage.js';
+import type { KnowledgeSummary, TimeSummary } from './peer-links.js';
 import type { PeerTelling } from './peer-telling.js';
 
 /** Datagrams to and from peers. */
 export interface Datagrams {
-  sendLoads(telling: AddressedTelling, knowledge: KnowledgeSummary): void;
+  sendLoads(telling: AddressedTelling, knowledge: KnowledgeSummary, time: TimeSummary): void;
   sendGossip(address: string, body: PeerMessage['body']): void;
   sendCases(addresses: readonly string[], cases: readonly ToldCase[]): void;
+  sendUsage(addresses: readonly string[], telling: UsageTelling): void;
   close(): void;
 }
 
@@ -35,6 +38,7 @@
   readonly onTold: (told: PeerTelling) => void;
   readonly onGossip: (from: string, body: PeerMessage['body']) => void;
   readonly onCases: (from: string, cases: readonly ToldCase[]) => void;
+  readonly onUsage: (telling: UsageTelling) => void;
   /** A peer of a newer release sent something that this one does not know. */
   readonly onUnknown: (field: string, value: string) => void;
   /** A datagram that could not be sent or understood. */
@@ -69,6 +73,9 @@
       case 'cases':
         options.onCases(from, decodeCases(body.value));
         break;
+      case 'usage':
+        options.onUsage(decodeUsage(from, body.value));
+        break;
       default:
         options.onUnknown('datagram', `of ${from}`);
     }
@@ -90,8 +97,8 @@
   socket.bind(options.port, options.host);
 
   return {
-    sendLoads(telling, knowledge) {
-      for (const value of encodeTelling(telling, dataCentre, knowledge)) {
+    sendLoads(telling, knowledge, time) {
+      for (const value of encodeTelling(telling, dataCentre, knowledge, time)) {
         const body = { case: 'load', value } as const;
         const bytes = toBinary(
           DatagramSchema,
@@ -113,6 +120,16 @@
       const bytes = toBinary(DatagramSchema, create(DatagramSchema, { from: self, secret, body }));
       for (const address of addresses) sendBytes(address, bytes);
     },
+    sendUsage(addresses, telling) {
+      for (const value of encodeUsage(telling)) {
+        const body = { case: 'usage', value } as const;
+        const bytes = toBinary(
+          DatagramSchema,
+          create(DatagramSchema, { from: self, secret, body }),
+        );
+        for (const address of addresses) sendBytes(address, bytes);
+      }
+    },
     close: () => socket.close(),
   };
 }
--- a/src/peers/encode-telling.test.ts
+++ b/src/peers/encode-telling.test.ts
@@ -17,6 +17,7 @@
 const DATAGRAM_BYTES_MAX = 1400;
 
 /** Shares with quantities in the units in which they travel. */
+const TIME = { sourceNowMs: 5, epochMs: 1_700_000_000_000 };
 const SHARE: fc.Arbitrary<EndpointShareOfLoad> = fc.record({
   endpoint: fc.integer({ min: 0, max: 2 ** 32 - 1 }),
   running: fc.nat(120),
@@ -29,7 +30,7 @@
 });
 
 function sendThrough(telling: LoadTelling) {
-  return encodeTelling(telling, 'dc', KNOWLEDGE).map((load) => {
+  return encodeTelling(telling, 'dc', KNOWLEDGE, TIME).map((load) => {
     const bytes = toBinary(TellLoadSchema, load);
     const told = decodeTelling('i', fromBinary(TellLoadSchema, bytes));
     if (told === undefined) throw new TypeError('a telling of this release was not understood');
--- a/src/peers/encode-telling.ts
+++ b/src/peers/encode-telling.ts
@@ -5,7 +5,7 @@
 import { LOAD_SCOPE } from '../load-sharing/load-telling.js';
 import type { LoadScope as Scope, LoadTelling } from '../load-sharing/load-telling.js';
 import type { EndpointShareOfLoad } from '../placement/told-loads.js';
-import type { KnowledgeSummary } from './peer-links.js';
+import type { KnowledgeSummary, TimeSummary } from './peer-links.js';
 import type { PeerTelling } from './peer-telling.js';
 
 /** Shares in one datagram: up to 15 bytes each, so that it fits an Ethernet frame. */
@@ -52,6 +52,7 @@
   { scope, shares, heardDataCentres }: LoadTelling,
   dataCentre: string,
   { configurationRevision, endpointsRevision, confirmedAtMs }: KnowledgeSummary,
+  { sourceNowMs, epochMs }: TimeSummary,
 ): TellLoad[] {
   const parts = Math.max(1, Math.ceil(shares.length / SHARES_MAX));
   return Array.from({ length: parts }, (_, part) => {
@@ -65,6 +66,8 @@
       configurationVersion: configurationRevision,
       endpointsRevision,
       ...(confirmedAtMs === undefined ? {} : { confirmedAtMs }),
+      ...(sourceNowMs === undefined ? {} : { sourceNowMs }),
+      ...(epochMs === undefined ? {} : { epochMs }),
       endpoints: named.map(({ endpoint }) => endpoint),
       running: named.map(({ running }) => Math.max(0, Math.round(running))),
       urgent: named.map(({ urgent }) => Math.max(0, Math.round(urgent))),
@@ -96,6 +99,7 @@
       endpointsRevision: load.endpointsRevision,
       confirmedAtMs: load.confirmedAtMs,
     },
+    time: { sourceNowMs: load.sourceNowMs, epochMs: load.epochMs },
     shares: load.endpoints.map((endpoint, index) => ({
       endpoint,
       running: load.running[index] ?? 0,
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -10,7 +10,16 @@
 
 function buildEndpoint(id: string, dataCentre = 'own'): RegisteredEndpoint {
   const address = `${id}:1`;
-  return { id, startId: id, pool: 'p', address, dataCentre, slots: 128, isLeaving: false };
+  return {
+    id,
+    startId: id,
+    pool: 'p',
+    address,
+    dataCentre,
+    slots: 128,
+    isLeaving: false,
+    isSpot: false,
+  };
 }
 
 function buildPrompt(shared: string, sharedTokens: number, ownTokens: number): PromptShape {
--- a/src/placement/engine-reserve.test.ts
+++ b/src/placement/engine-reserve.test.ts
@@ -19,6 +19,7 @@
       dataCentre: 'a',
       slots: SLOTS,
       isLeaving: false,
+      isSpot: false,
     };
   });
 }
--- a/src/placement/placer.test.ts
+++ b/src/placement/placer.test.ts
@@ -15,6 +15,7 @@
   dataCentre: 'd',
   slots: 16,
   isLeaving: false,
+  isSpot: false,
 };
 const CALL: RoutedCall = {
   callId: 'c',
--- a/src/placement/reading-pace.test.ts
+++ b/src/placement/reading-pace.test.ts
@@ -17,6 +17,7 @@
     dataCentre: 'd',
     slots: 16,
     isLeaving: false,
+    isSpot: false,
   };
 }
 
--- a/src/quarantine/crash-detector.test.ts
+++ b/src/quarantine/crash-detector.test.ts
@@ -11,6 +11,7 @@
   dataCentre: 'd',
   slots: 16,
   isLeaving: false,
+  isSpot: false,
 };
 
 function buildAnswer(content: string, brokenMs = 0): BrokenAnswer {
--- a/src/test/crashing-engines.ts
+++ b/src/test/crashing-engines.ts
@@ -81,6 +81,7 @@
       dataCentre: buildDataCentre(index, options.dataCentres),
       slots: options.slots,
       isLeaving: false,
+      isSpot: false,
     };
     const engine = createSimulatedEngine(time, options);
     starts.set(endpoint.address, { endpoint, engine, listeners: new Set() });
--- a/src/test/fleet-play.ts
+++ b/src/test/fleet-play.ts
@@ -113,7 +113,16 @@
   return Array.from({ length: engines }, (_, index) => {
     const id = `engine-${index + 1}`;
     const dataCentre = buildDataCentre(index, options.dataCentres ?? 1);
-    return { id, startId: id, pool: POOL, address: id, dataCentre, slots, isLeaving: false };
+    return {
+      id,
+      startId: id,
+      pool: POOL,
+      address: id,
+      dataCentre,
+      slots,
+      isLeaving: false,
+      isSpot: false,
+    };
   });
 }
 
--- a/src/test/played-instance.ts
+++ b/src/test/played-instance.ts
@@ -4,6 +4,7 @@
 import type { AttemptRecord } from '../calls/call-records.js';
 import type { EndpointConnections } from '../calls/endpoint-connections.js';
 import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
+import { createTrueTime } from '../duties/true-time.js';
 import { createPeerExchange } from '../gateway/peer-exchange.js';
 import type { PeerExchange } from '../gateway/peer-exchange.js';
 import type { Contact } from '../membership/membership-messages.js';
@@ -91,6 +92,7 @@
       set: async () => Ok(undefined),
     },
     loads,
+    time: createTrueTime(),
     quarantine,
     knowledge: {
       applyResponse: () => undefined,
@@ -125,6 +127,7 @@
     findPool: () => undefined,
     countInstances: () => exchange.countInstances(),
     quarantine,
+    onBegun: () => undefined,
     checkSendable: () => undefined,
   });
   return { runner, exchange, quarantine };
--- a/src/test/played-network.ts
+++ b/src/test/played-network.ts
@@ -19,7 +19,9 @@
 export interface PlayedNetwork {
   add(address: string, exchange: PeerExchange): void;
   createLinks(self: Contact): PeerLinks;
-  createDatagrams(self: Contact): Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases'>;
+  createDatagrams(
+    self: Contact,
+  ): Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage'>;
   /** Datagrams that were sent so far. */
   countSent(): number;
 }
@@ -56,8 +58,8 @@
       queryAttempt: refuse,
     }),
     createDatagrams: ({ name, dataCentre }) => ({
-      sendLoads(telling, knowledge) {
-        for (const load of encodeTelling(telling, dataCentre, knowledge)) {
+      sendLoads(telling, knowledge, sentTime) {
+        for (const load of encodeTelling(telling, dataCentre, knowledge, sentTime)) {
           const told = decodeTelling(name, load);
           for (const address of telling.addresses) {
             if (told !== undefined) sendDatagram(address, (peer) => peer.handleTold(told));
@@ -70,6 +72,7 @@
           sendDatagram(address, (peer) => peer.handleCases(name, told));
         }
       },
+      sendUsage: () => undefined,
       sendGossip(address, body) {
         sendDatagram(address, (peer) => peer.handleBodies(name, [body]));
       },
--- a/src/types/traffic.ts
+++ b/src/types/traffic.ts
@@ -47,6 +47,19 @@
   readonly cacheTokens: number;
 }
 
+/** What may be ordered of a pool's endpoints. */
+export interface ScalingBounds {
+  /** Data centres in which they may be; those where there are some, if none is named. */
+  readonly dataCentres: readonly string[];
+  /** Fewest and most in each data centre, of all kinds together. */
+  readonly min: number;
+  readonly max: number;
+  /** From an order to the first call, in milliseconds. */
+  readonly bootMs: number;
+  /** Price of an endpoint that may be taken back, as a part of the others'; undefined where there are none. */
+  readonly spotPrice: number | undefined;
+}
+
 /** A pool of equal endpoints. */
 export interface TrafficPool {
   readonly name: string;
@@ -54,6 +67,8 @@
   readonly connectionsMax: number;
   /** Undefined for plain services. */
   readonly engine: EngineShape | undefined;
+  /** Undefined where nobody orders endpoints. */
+  readonly scaling: ScalingBounds | undefined;
 }
 
 /** An organisation that sends calls. */
@@ -93,4 +108,6 @@
   /** Calls it runs at once. */
   readonly slots: number;
   readonly isLeaving: boolean;
+  /** It may be taken back at any time. */
+  readonly isSpot: boolean;
 }
