Only those that follow the source take the lease; a fleet's first start does not wait for one to lapse

Cause: an instance that starts knows nobody, takes itself for one of few and reads the duties' rows: 66 of them, several times. And nobody can have held the lease before the first start, which the platform's settings name.

--- a/src/duties/fleet-duties.ts
+++ b/src/duties/fleet-duties.ts
@@ -41,6 +41,8 @@
   readonly meter: UsageMeter;
   /** How long a lease is held, in milliseconds. */
   readonly leaseMs: number;
+  /** The whole fleet starts for the first time: nobody can have held the lease before. */
+  readonly isFirstStart: boolean;
   /** How long a window of usage is and when after its end its report is due, in milliseconds; undefined where nobody reports. */
   readonly usage: { readonly windowMs: number; readonly dueMs: number } | undefined;
   readonly ordersPools: boolean;
@@ -76,7 +78,7 @@
   const started = timers.clock.wallMs();
   const lease = createLease({
     holder: self,
-    bounds: resolveLeaseBounds(options.leaseMs),
+    bounds: resolveLeaseBounds(options.leaseMs, options.isFirstStart),
     createWriteId() {
       writes += 1;
       return `${self}-${started}-${writes}`;
--- a/src/gateway/gateway-duties.ts
+++ b/src/gateway/gateway-duties.ts
@@ -24,6 +24,8 @@
 export interface DutyOptions {
   /** How long a holder's lease is, in milliseconds. */
   readonly leaseMs: number;
+  /** The whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
   /** The length of a window of usage and the time after its end at which its report is due, in milliseconds; undefined where nobody wants reports. */
   readonly usage: { readonly windowMs: number; readonly dueMs: number } | undefined;
   readonly ordersPools: boolean;
@@ -132,6 +134,7 @@
     time,
     meter,
     leaseMs: duties.leaseMs,
+    isFirstStart: duties.isFirstStart,
     usage: duties.usage,
     ordersPools: duties.ordersPools,
     isCandidate: () => peers.isKeeper(),
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -176,7 +176,6 @@
   /** Keepers are those that follow the source: they reach what duties need. */
   function updateKeepers(alive: readonly Contact[]): void {
     const names = new Set(listWatchers(alive));
-    isKeeper = names.has(self.name);
     keepers = alive
       .filter(({ name }) => names.has(name) && name !== self.name)
       .map(({ address }) => address);
@@ -195,6 +194,8 @@
       getNow(),
     );
     isListed = duty.kind === 'watch' && duty.isListed;
+    // Not by the list of those that are alive: who starts knows nobody and would take itself for one of few.
+    isKeeper = isListed;
     knowledge.setDuty(duty);
   }
 
--- a/src/leases/lease-bounds.ts
+++ b/src/leases/lease-bounds.ts
@@ -26,15 +26,19 @@
 const LAPSE_MARGIN_SHARE = 0.17;
 const SAFETY_SHARE = 0.1;
 
-/** The times of a lease of this length, whose calls each end within the holder's grant. */
-export function resolveLeaseBounds(lengthMs: number): LeaseBounds {
+/**
+ * The times of a lease of this length, whose calls each end within the holder's grant. `isNew`: nobody can
+ * have held it before.
+ * @default isNew false
+ */
+export function resolveLeaseBounds(lengthMs: number, isNew = false): LeaseBounds {
   const renewMs = lengthMs / RENEWALS;
   const lapseMarginMs = lengthMs * LAPSE_MARGIN_SHARE;
   return {
     lengthMs,
     renewMs,
     lapseMarginMs,
-    absentMs: lengthMs + lapseMarginMs,
+    absentMs: isNew ? 0 : lengthMs + lapseMarginMs,
     safetyMs: lengthMs * SAFETY_SHARE,
     settlingMs: 0,
     readMs: renewMs,
