--- a/src/knowledge/watch-duty.ts
+++ b/src/knowledge/watch-duty.ts
@@ -3,8 +3,7 @@
  * of I/O.
  *
  * The load it answers: every open feed costs the source calls whether anything changes or not, and all
- * of them are paid for. Three watchers in each of five data centres and a fleet that watches while it
- * starts took 1,540 calls of the source in 50 s at 18 instances. What one instance learns is with
+ * of them are paid for. What one instance learns is with
  * all others in a few hundred milliseconds anyway, by the tellings of load. So one instance of each data centre watches, by rendezvous hashing,
  * three of the whole fleet at least; the more overdue a confirmation, the more others join them.
  */
--- a/src/load-sharing/choose-heads.ts
+++ b/src/load-sharing/choose-heads.ts
@@ -2,8 +2,7 @@
  * Chooses the instances that sum up loads for others, free of I/O.
  *
  * The load it answers: an engine turns its calls over in a fraction of a second. Where each instance
- * tells a few others, drawn anew each time, one of 70 hears of each other once in 1.1 s and one of 195 once in 3.2 s,
- * and what it believes of an engine is the sum of as many old photographs. A head hears each of its
+ * tells a few others, drawn anew each time, what one of hundreds believes of an engine is seconds old. A head hears each of its
  * group ten times a second and the sums of all other heads as often, so that everybody knows of
  * everybody within two or three periods, whatever the size of the fleet.
  */
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -1,8 +1,6 @@
 /**
  * Datagrams between instances: told loads and gossip. Both are small, frequent, and replaced or
- * repeated where one is lost; as calls over HTTP/2 they take several times the processor time. With
- * gossip in datagrams each of seven idle instances took 23 ms of a core a second instead of 40, by the
- * processes' own statistics.
+ * repeated where one is lost; as calls over HTTP/2 they take several times the processor time.
  */
 import { timingSafeEqual } from 'node:crypto';
 import { createSocket } from 'node:dgram';
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -17,9 +17,7 @@
 
 /**
  * How much more a token of a shared part weighs when it has to be read again than one that waits: it
- * takes engine time from all others and evicts what is kept, which is then read again as well. Weights
- * of 5 and 20 earned 0.685 and 0.733 of what was owed, the mean of four heavy simulated days of drafts
- * beside interactive streams.
+ * takes engine time from all others and evicts what is kept, which is then read again as well.
  */
 const REREAD_WEIGHT = 20;
 /**
@@ -48,8 +46,8 @@
  */
 const QUEUED_HURRY = 3;
 /**
- * Part of its target that it costs an urgent call to go where long prompts are read: a stream that is late
- * through a pause is worth a tenth of one in time, and beside long prompts one in three was.
+ * Part of its target that it costs an urgent call to go where long prompts are read, which may make its
+ * stream late through a pause.
  */
 const DISTURBED_SHARE = 0.5;
 /** Times its target that a certain failure costs a call: what may be sent once only is lost with it. */
--- a/src/placement/hold-back.ts
+++ b/src/placement/hold-back.ts
@@ -12,24 +12,16 @@
 /**
  * Part of the pause that more urgent routes declare up to which the least urgent calls are let in: the
  * mean pause at which a stream of three times the usual length still ends before its caller leaves.
- * Of 0.5, 0.375 and 0.3, 0.3 earned most: 0.40, 0.51 and 0.52 of what was owed, the mean of two
- * simulated days of triple traffic; without a bound 0.43.
  */
 const PAUSE_SHARE_LAST = 0.3;
 /**
  * The same where the most urgent have engines of their own, as part of what the next declare: they are
- * harmed less by pauses than by slots that long prompts take. Of 0.17, 0.22 and 0.3, 0.22 had 0.98 of the
- * next and 0.53 of the long prompts of a simulated overload in time; 0.17 had 1.00 and 0.44, 0.3 0.79 and
- * 0.55. Without engines apart 1.00 and 0.41 were, and half of the most urgent instead of 0.94.
+ * harmed less by pauses than by slots that long prompts take.
  */
 const PAUSE_SHARE_APART = 0.22;
-/** Times that part for the first rank behind the most urgent: of 1.3, 1.7 and 2, 2 turned fewest of these away (43, 26 and 3 on the same days). */
+/** Times that part for the first rank behind the most urgent. */
 const PAUSE_FACTOR_FIRST = 2;
-/**
- * Part of the slots that the least urgent calls leave to those between them and the most urgent. Of none,
- * an eighth and a quarter, an eighth turned away 7 of some 320 middle calls of a simulated overload, and
- * 60 fewer of 1,340 least urgent ones than a quarter did; none turned away 91 middle ones (means of three seeds).
- */
+/** Part of the slots that the least urgent calls leave to those between them and the most urgent. */
 const SLOTS_RESERVE_LAST = 0.125;
 /** Part of an engine's slots that less urgent calls may fill whatever the pace: below it, fewer calls would not mend a slow engine. */
 const SLOTS_FLOOR = 0.25;
@@ -74,9 +66,7 @@
  * How far before the least urgent the call goes: 0 for these, 1 for the first rank behind the most urgent.
  *
  * Guards against calls of a middle rank that are turned away while less urgent ones begin elsewhere:
- * instances cannot put their waiting calls in one order. With one bound for all, 11 and 16 of some 70
- * middle calls of five seconds got nothing while less urgent ones began, and 14 of 87 where the last rank
- * stopped at three quarters of it; fourteen plays with the last at half of it have no such five seconds.
+ * instances cannot put their waiting calls in one order.
  */
 function computePrecedence({ rank, ranks }: AdmissionInput): number {
   return (ranks - 1 - rank) / Math.max(1, ranks - 2);
