--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,6 +1,6 @@
 /** Carries out what calls' lives ask for: choosing endpoints, exchanges with them, answers. */
-import { createSharedRetryBudget } from '../attempts/shared-retry-budget.js';
-import type { RetryBounds, SharedRetryBudget } from '../attempts/shared-retry-budget.js';
+import { createPoolBudgets } from '../attempts/pool-budgets.js';
+import type { RetryBounds } from '../attempts/shared-retry-budget.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
 import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
@@ -15,6 +15,7 @@
 import { computeGapMs, computeStallMs, computeVerdict, isStream } from './attempt-bounds.js';
 import { createAttemptReader } from './attempt-reader.js';
 import { createCallLife } from './call-life.js';
+import { computeConnectionsMax } from './connection-share.js';
 import type { CallLife } from './call-life.js';
 import type {
   AttemptEnd,
@@ -33,10 +34,6 @@
 const TICK_MS = 100;
 /** Calls that wait are placed anew this often, in milliseconds: slots come free every few. */
 const WAITING_TICK_MS = 25;
-/** Connections to one endpoint where its pool states no bound. */
-const CONNECTIONS_UNSTATED = 64;
-/** Part of an endpoint's connections that one instance may take, over the number of instances. */
-const CONNECTIONS_SHARE = 0.8;
 
 /** What a runner is built on. */
 export interface CallRunnerOptions {
@@ -98,11 +95,10 @@
   const runs = new Set<Run>();
   /** Calls that wait here for an endpoint to be less busy. */
   const waiting = new Map<Run, AttemptCommand>();
-  const budgets = new Map<string, SharedRetryBudget>();
   let stopTicking: Unsubscribe | undefined;
   let stopPlacing: Unsubscribe | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
-  const createdMs = getNow();
+  const budgets = createPoolBudgets(options.retryBounds, getNow());
 
   function buildWaitingCall({ call }: Run): WaitingCall {
     return {
@@ -113,20 +109,6 @@
     };
   }
 
-  function getBudget(pool: string): SharedRetryBudget {
-    const known = budgets.get(pool);
-    if (known !== undefined) return known;
-    const budget = createSharedRetryBudget(options.retryBounds, createdMs);
-    budgets.set(pool, budget);
-    return budget;
-  }
-
-  function computeConnectionsMax(pool: string): number {
-    const declared = options.findPool(pool)?.connectionsMax;
-    if (declared === undefined) return CONNECTIONS_UNSTATED;
-    return Math.max(1, Math.floor((declared * CONNECTIONS_SHARE) / options.countInstances()));
-  }
-
   function recordBegun(run: Run, begunMs: number): void {
     if (run.isBegun) return;
     run.isBegun = true;
@@ -185,7 +167,7 @@
     advanceRun(run, { kind: 'dispatched', attempt });
     run.closeExchange = connections.open(
       endpoint.address,
-      computeConnectionsMax(call.pool),
+      computeConnectionsMax(options.findPool(call.pool), options.countInstances()),
       protocol.encode(call, {
         endpointId: endpoint.id,
         remainingMs: record.remainingMs,
@@ -333,7 +315,7 @@
 
   return {
     run(call, sink) {
-      const budget = getBudget(call.pool);
+      const budget = budgets.get(call.pool);
       budget.recordCall(getNow());
       const life = createCallLife({
         kind: call.route.kind,
--- a/src/cli/ctl-main.ts
+++ b/src/cli/ctl-main.ts
@@ -12,23 +12,13 @@
 import { readFolder } from '../configuration/read-folder.js';
 import type { ConfigurationStore } from '../configuration/store.js';
 import { listStory } from '../observability/explain.js';
-import type { RouterStatus } from '../types/router-status.js';
 import { hashText } from '../utils/hash.js';
 import { EXIT_CODE, createCommandLine, listArguments, runMain } from './command-line.js';
 import type { ExitCode } from './command-line.js';
-import type { DutyStatus } from '../duties/fleet-duties.js';
-import type { ListedCase } from '../quarantine/quarantine-api.js';
-import {
-  formatCases,
-  formatChanges,
-  formatDuties,
-  formatHistory,
-  formatStatus,
-} from './format-output.js';
+import { formatChanges, formatHistory } from './format-output.js';
 import { PLATFORM_FLAGS, PLATFORM_FLAG_NAMES, createOpenStore } from './platform-flags.js';
 import type { PlatformArguments } from './platform-flags.js';
-import { queryRouter } from './query-router.js';
-import type { RouterQuestion } from './query-router.js';
+import { createRouterCommands } from './router-commands.js';
 
 const NAME = 'hyssoptally-ctl';
 const KEY_BYTES = 32;
@@ -195,37 +185,13 @@
   print(isJson, records.val, formatHistory(records.val));
 }
 
-/** Asks a router and prints what it says. */
-async function runQuestion<T>(
-  question: Omit<RouterQuestion, 'name'>,
-  isJson: boolean,
-  format: (body: T) => string,
-): Promise<void> {
-  const answer = await queryRouter({ ...question, name: NAME });
-  if (answer.kind === 'failed') {
-    exitCode = answer.exitCode;
-    return;
-  }
-  const body = answer.body as T;
-  print(isJson, body, format(body));
-}
-
-async function runDuties(
-  router: { readonly url: string; readonly secret: string },
-  stepDown: 'step-down' | undefined,
-  isJson: boolean,
-): Promise<void> {
-  if (stepDown !== undefined) {
-    const question = { ...router, path: '/duties/release', body: {} };
-    await runQuestion<{ readonly outcome: string }>(question, isJson, ({ outcome }) => outcome);
-    return;
-  }
-  await runQuestion<{ readonly duties: DutyStatus | null }>(
-    { ...router, path: '/duties' },
-    isJson,
-    ({ duties }) => formatDuties(duties),
-  );
-}
+const routerCommands = createRouterCommands({
+  name: NAME,
+  print,
+  onFailed(code) {
+    exitCode = code;
+  },
+});
 
 function runKey(isJson: boolean): void {
   const key = `hyk_${randomBytes(KEY_BYTES).toString('base64url')}`;
@@ -320,22 +286,14 @@
       'versions in force, endpoints, who is leaving',
       (command) => command.demandOption(['router', 'operator-secret']),
       (args) =>
-        runQuestion<RouterStatus>(
-          { url: args.router, secret: args.operatorSecret, path: '/status' },
-          args.json,
-          formatStatus,
-        ),
+        routerCommands.runStatus({ url: args.router, secret: args.operatorSecret }, args.json),
     )
     .command(
       'quarantine',
       'requests under which endpoints ended, and how they stand',
       (command) => command.demandOption(['router', 'operator-secret']),
       (args) =>
-        runQuestion<{ readonly cases: readonly ListedCase[] }>(
-          { url: args.router, secret: args.operatorSecret, path: '/quarantine' },
-          args.json,
-          ({ cases }) => formatCases(cases),
-        ),
+        routerCommands.runQuarantine({ url: args.router, secret: args.operatorSecret }, args.json),
     )
     .command(
       'release <content>',
@@ -345,15 +303,10 @@
           .positional('content', { type: 'string', demandOption: true })
           .demandOption(['router', 'operator-secret', 'reason']),
       (args) =>
-        runQuestion(
-          {
-            url: args.router,
-            secret: args.operatorSecret,
-            path: `/quarantine/${encodeURIComponent(args.content)}/release`,
-            body: { who: args.who, reason: args.reason },
-          },
+        routerCommands.runRelease(
+          { url: args.router, secret: args.operatorSecret },
+          { content: args.content, who: args.who, reason: args.reason },
           args.json,
-          () => `released ${args.content}`,
         ),
     )
     .command(
@@ -363,8 +316,12 @@
         command
           .positional('step-down', { choices: ['step-down'] as const })
           .demandOption(['router', 'operator-secret']),
-      (args) =>
-        runDuties({ url: args.router, secret: args.operatorSecret }, args.stepDown, args.json),
+      (args) => {
+        const router = { url: args.router, secret: args.operatorSecret };
+        return args.stepDown === undefined
+          ? routerCommands.runDuties(router, args.json)
+          : routerCommands.runStepDown(router, args.json);
+      },
     )
     .command(
       'key',
--- a/src/duties/duty-rows.ts
+++ b/src/duties/duty-rows.ts
@@ -1,6 +1,6 @@
 /** The documents of the lease and of the agreed moment. */
 import { z } from 'zod';
-import type { LeaseDocument } from '../leases/lease.js';
+import type { LeaseDocument } from '../leases/lease-document.js';
 
 const LEASE_SCHEMA = z.object({
   holder: z.string(),
--- a/src/duties/fleet-duties.ts
+++ b/src/duties/fleet-duties.ts
@@ -2,8 +2,10 @@
  * The work that one instance does for the fleet: holds the lease with the others, and while this instance
  * has it, reports usage and orders endpoints.
  */
-import { createLease, resolveLease } from '../leases/lease.js';
-import type { Grant, LeaseCommand, LeaseDocument, LeaseMessage, Moment } from '../leases/lease.js';
+import { createLease } from '../leases/lease.js';
+import { resolveLease } from '../leases/lease-document.js';
+import type { Grant, LeaseCommand, LeaseMessage, Moment } from '../leases/lease.js';
+import type { LeaseDocument } from '../leases/lease-document.js';
 import { resolveLeaseBounds } from '../leases/lease-bounds.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import { assertNever } from '../utils/assert-never.js';
--- a/src/leases/lease.test.ts
+++ b/src/leases/lease.test.ts
@@ -2,7 +2,8 @@
 import { describe } from '../test/describe.js';
 import { ORDER_FLIGHT_MS, ORDER_LEASE } from '../orders/order-lease.js';
 import { createLease } from './lease.js';
-import type { Lease, LeaseCommand, Moment, ReadLease, WriteEnding } from './lease.js';
+import type { Lease, LeaseCommand, Moment, WriteEnding } from './lease.js';
+import type { ReadLease } from './lease-document.js';
 
 const STEP_MS = 250;
 
--- a/src/node/control-runner.ts
+++ b/src/node/control-runner.ts
@@ -5,8 +5,10 @@
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
 import type { Shard } from '../admission/shard-map.js';
-import { createLease, resolveLease } from '../leases/lease.js';
-import type { Lease, LeaseCommand, LeaseDocument, LeaseMessage, Moment } from '../leases/lease.js';
+import { createLease } from '../leases/lease.js';
+import { resolveLease } from '../leases/lease-document.js';
+import type { Lease, LeaseCommand, LeaseMessage, Moment } from '../leases/lease.js';
+import type { LeaseDocument } from '../leases/lease-document.js';
 import { ORDER_FLIGHT_MS, ORDER_LEASE } from '../orders/order-lease.js';
 import { createReconciler } from '../orders/reconciler.js';
 import type { EngineReport, Reconciler } from '../orders/reconciler.js';
--- a/src/test/played-lease.ts
+++ b/src/test/played-lease.ts
@@ -1,7 +1,8 @@
 /** Machines with a part in one lease, played step by step, and what the called side sees of its holders. */
 import { resolveLeaseBounds } from '../leases/lease-bounds.js';
 import { createLease } from '../leases/lease.js';
-import type { Lease, LeaseCommand, LeaseMessage, Moment, ReadLease } from '../leases/lease.js';
+import type { Lease, LeaseCommand, LeaseMessage, Moment } from '../leases/lease.js';
+import type { ReadLease } from '../leases/lease-document.js';
 import type { Random } from '../utils/random.js';
 
 /** The length of the lease, in milliseconds. */
