--- a/src/duties/fleet-duties.ts
+++ b/src/duties/fleet-duties.ts
@@ -25,6 +25,8 @@
 
 /** The lease is looked at this often, in milliseconds. */
 const TICK_MS = 100;
+/** Whether this instance may hold the lease counts once it has been so for this long, in milliseconds: who starts learns of the fleet one by one. */
+const SETTLED_MS = 1000;
 /** Calls in a row without an answer after which the lease is given up: another instance may reach the platform. */
 const LOST_MAX = 3;
 /** Who gave it up wants it again after this long, in milliseconds. */
@@ -94,6 +96,8 @@
     isReached: (trueMs) => meter.isReached(trueMs, getNow()),
   });
   const orders = createPoolOrders();
+  /** Whether this instance may hold the lease, and when it was last seen to be so. */
+  let candidate = { isWanted: false, sinceMs: timers.clock.monotonicMs() };
   let inFlight = 0;
   let lostInRow = 0;
   let yieldsUntilMs = -Infinity;
@@ -109,9 +113,20 @@
   });
   const getGrant = (): Grant | undefined => lease.getGrant(getMoment());
 
+  /** What the fleet last agreed on for a while: taking and giving up the lease by turns would do nobody's work. */
+  function isSettledCandidate(): boolean {
+    const nowMs = getNow();
+    const isCandidate = options.isCandidate();
+    if (isCandidate === candidate.isWanted) candidate = { ...candidate, sinceMs: nowMs };
+    else if (nowMs - candidate.sinceMs >= SETTLED_MS) {
+      candidate = { isWanted: isCandidate, sinceMs: nowMs };
+    }
+    return candidate.isWanted;
+  }
+
   /** Whether this instance would take up something new. */
   function isWilling(): boolean {
-    return options.isCandidate() && !options.isLeaving() && getNow() >= yieldsUntilMs;
+    return isSettledCandidate() && !options.isLeaving() && getNow() >= yieldsUntilMs;
   }
 
   function recordHolder(): void {
--- a/src/duties/pool-orders.ts
+++ b/src/duties/pool-orders.ts
@@ -13,7 +13,7 @@
 import type { PoolPresence, SizingInput } from './pool-sizing.js';
 
 /** A pool is not ordered for before its endpoints have been the same for this long, in milliseconds: a fleet that starts hears of them one after the other. */
-const SETTLED_MS = 1500;
+const SETTLED_MS = 900;
 /** A need that is over is kept for this long, in milliseconds: crowds come again. */
 const HELD_MS = 60_000;
 /** Room that is not to be had is asked for again after this long, in milliseconds, and a call that was turned away after the shorter time. */
@@ -228,6 +228,7 @@
     nowMs: number,
   ): OrdersCommand[] {
     if (version === undefined) {
+      for (const { pool, present } of pools) isSettled(getState(pool, nowMs), present, nowMs);
       if (isReading) return [];
       isReading = true;
       return [{ kind: 'read' }];
