A call that no endpoint took is not counted as begun when it is given up while it waits

Found in reading: the exchange of an attempt that was turned away stayed with the call, so that giving the call up later counted it for its organisation.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -159,6 +159,7 @@
         ticket.recordEnd(computeVerdict(end), getNow());
         observer.onAttemptEnded(record, end, getNow() - startedMs);
         if (hasRun(end)) recordWholeBegun(run);
+        run.closeExchange = undefined;
         watch.recordEnd(end);
         advanceRun(run, { kind: 'ended', attempt, end });
       },
