True time is told in one number and taken only from those nearer to the source

Cause: the two numbers of time that tellings carry since the duties. Found in reading on the way: two instances that took each other's time would each add what its own clock gains; the test with a clock that gains a hundredth fails without the hops.

--- a/src/duties/true-time.test.ts
+++ b/src/duties/true-time.test.ts
@@ -28,6 +28,41 @@
     t.is(time.getEpoch(), 7);
   });
 
+  it('is known by what peers tell, from those that are nearer to the source', (t) => {
+    const time = createTrueTime();
+    time.recordTold({ trueMs: 1_000_900, hops: 1 }, 100);
+    t.is(time.computeTrue(150), 1_000_950);
+    t.deepEqual(time.buildTold(150), { trueMs: 1_000_950, hops: 2 });
+    time.recordTold({ trueMs: 1_000_000, hops: 0 }, 150);
+    t.deepEqual(time.buildTold(200), { trueMs: 1_000_050, hops: 1 });
+    time.recordSource(5, 200);
+    time.setEpoch(1_000_060);
+    t.deepEqual(time.buildTold(200), { trueMs: 1_000_065, hops: 0 });
+  });
+
+  // Guards against a fleet whose time runs with its fastest clock.
+  it('is not taken from those that have it from oneself', (t) => {
+    const first = createTrueTime();
+    const second = createTrueTime();
+    first.recordTold({ trueMs: 1000, hops: 0 }, 0);
+    for (let ms = 100; ms < 5000; ms += 100) {
+      // The second instance's clock gains a hundredth.
+      const told = first.buildTold(ms);
+      if (told !== undefined) second.recordTold(told, ms * 1.01);
+      const back = second.buildTold(ms * 1.01);
+      if (back !== undefined) first.recordTold(back, ms);
+    }
+    t.is(first.computeTrue(5000), 6000);
+  });
+
+  it('leaves out what nobody has told for long', (t) => {
+    const time = createTrueTime();
+    time.setEpoch(0);
+    time.recordSource(1000, 0);
+    time.recordTold({ trueMs: 39_000, hops: 1 }, 40_000);
+    t.is(time.computeTrue(40_000), 39_000);
+  });
+
   // Guards against counting a suspension's calls into windows that were over before it.
   it('is right again with the next answer after the monotonic clock stood still', (t) => {
     const time = createTrueTime();
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -15,7 +15,7 @@
 import { createFleetView } from '../node/fleet-view.js';
 import type { DecisionLog } from '../observability/decision-log.js';
 import type { Datagrams } from '../peers/datagrams.js';
-import type { PeerLinks, TimeSummary } from '../peers/peer-links.js';
+import type { PeerLinks } from '../peers/peer-links.js';
 import type { PeerTelling } from '../peers/peer-telling.js';
 import type { ToldCase } from '../quarantine/case-ledger.js';
 import type { Quarantine } from '../quarantine/quarantine.js';
@@ -199,21 +199,11 @@
     knowledge.setDuty(duty);
   }
 
-  function buildTime(): TimeSummary {
-    const sourceNowMs = options.time.computeSource(getNow());
-    return { sourceNowMs, epochMs: options.time.getEpoch() };
-  }
-
-  function handleTime({ sourceNowMs, epochMs }: TimeSummary, nowMs: number): void {
-    if (sourceNowMs !== undefined) options.time.recordSource(sourceNowMs, nowMs);
-    if (epochMs !== undefined) options.time.setEpoch(epochMs);
-  }
-
   timers.subscribe(TELL_PERIOD_MS, () => {
     updateCut();
     const summary = knowledge.getSummary();
     const tellings = loadExchange.advance(getNow());
-    const time = buildTime();
+    const time = options.time.buildTold(getNow());
     for (const telling of tellings) options.datagrams.sendLoads(telling, summary, time);
     sendCases(tellings);
   });
@@ -229,7 +219,7 @@
       for (const name of [told.dataCentre, ...told.heardDataCentres]) {
         reachability.recordHeard(name, nowMs);
       }
-      handleTime(told.time, nowMs);
+      if (told.time !== undefined) options.time.recordTold(told.time, nowMs);
       loadExchange.handle(told, nowMs);
       const isNews = knowledge.applySummary(told.knowledge);
       const address = isNews ? fleet.findAddress(told.instance) : undefined;
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -7,18 +7,23 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { DatagramSchema } from '../gen/peer_pb.js';
 import type { Datagram, PeerMessage, TellLoad } from '../gen/peer_pb.js';
+import type { ToldTime } from '../duties/true-time.js';
 import type { UsageTelling } from '../duties/usage-meter.js';
 import type { AddressedTelling } from '../load-sharing/load-telling.js';
 import type { ToldCase } from '../quarantine/case-ledger.js';
 import { decodeCases, encodeCases } from './encode-cases.js';
 import { decodeTelling, encodeTelling } from './encode-telling.js';
 import { decodeUsage, encodeUsage } from './encode-usage.js';
-import type { KnowledgeSummary, TimeSummary } from './peer-links.js';
+import type { KnowledgeSummary } from './peer-links.js';
 import type { PeerTelling } from './peer-telling.js';
 
 /** Datagrams to and from peers. */
 export interface Datagrams {
-  sendLoads(telling: AddressedTelling, knowledge: KnowledgeSummary, time: TimeSummary): void;
+  sendLoads(
+    telling: AddressedTelling,
+    knowledge: KnowledgeSummary,
+    time: ToldTime | undefined,
+  ): void;
   sendGossip(address: string, body: PeerMessage['body']): void;
   sendCases(addresses: readonly string[], cases: readonly ToldCase[]): void;
   sendUsage(addresses: readonly string[], telling: UsageTelling): void;
--- a/src/peers/encode-telling.test.ts
+++ b/src/peers/encode-telling.test.ts
@@ -17,7 +17,7 @@
 const DATAGRAM_BYTES_MAX = 1400;
 
 /** Shares with quantities in the units in which they travel. */
-const TIME = { sourceNowMs: 5, epochMs: 1_700_000_000_000 };
+const TIME = { trueMs: 1_700_000_000_001, hops: 2 };
 const SHARE: fc.Arbitrary<EndpointShareOfLoad> = fc.record({
   endpoint: fc.integer({ min: 0, max: 2 ** 32 - 1 }),
   running: fc.nat(120),
--- a/src/peers/encode-telling.ts
+++ b/src/peers/encode-telling.ts
@@ -5,7 +5,8 @@
 import { LOAD_SCOPE } from '../load-sharing/load-telling.js';
 import type { LoadScope as Scope, LoadTelling } from '../load-sharing/load-telling.js';
 import type { EndpointShareOfLoad } from '../placement/told-loads.js';
-import type { KnowledgeSummary, TimeSummary } from './peer-links.js';
+import type { ToldTime } from '../duties/true-time.js';
+import type { KnowledgeSummary } from './peer-links.js';
 import type { PeerTelling } from './peer-telling.js';
 
 /** Shares in one datagram: up to 15 bytes each, so that it fits an Ethernet frame. */
@@ -37,6 +38,17 @@
   }
 }
 
+/** Time and hops share one number: the hops are what is left of a division by this. */
+const HOPS_UNIT = 4;
+
+function encodeTime({ trueMs, hops }: ToldTime): number {
+  return Math.floor(trueMs) * HOPS_UNIT + hops;
+}
+
+function decodeTime(value: number): ToldTime {
+  return { trueMs: Math.floor(value / HOPS_UNIT), hops: value % HOPS_UNIT };
+}
+
 /** An endpoint stays in its part from telling to telling: what a part does not name has nothing. */
 function listPart(
   shares: readonly EndpointShareOfLoad[],
@@ -52,7 +64,7 @@
   { scope, shares, heardDataCentres }: LoadTelling,
   dataCentre: string,
   { configurationRevision, endpointsRevision, confirmedAtMs }: KnowledgeSummary,
-  { sourceNowMs, epochMs }: TimeSummary,
+  time: ToldTime | undefined,
 ): TellLoad[] {
   const parts = Math.max(1, Math.ceil(shares.length / SHARES_MAX));
   return Array.from({ length: parts }, (_, part) => {
@@ -66,8 +78,7 @@
       configurationVersion: configurationRevision,
       endpointsRevision,
       ...(confirmedAtMs === undefined ? {} : { confirmedAtMs }),
-      ...(sourceNowMs === undefined ? {} : { sourceNowMs }),
-      ...(epochMs === undefined ? {} : { epochMs }),
+      ...(time === undefined ? {} : { trueNow: encodeTime(time) }),
       endpoints: named.map(({ endpoint }) => endpoint),
       running: named.map(({ running }) => Math.max(0, Math.round(running))),
       urgent: named.map(({ urgent }) => Math.max(0, Math.round(urgent))),
@@ -99,7 +110,7 @@
       endpointsRevision: load.endpointsRevision,
       confirmedAtMs: load.confirmedAtMs,
     },
-    time: { sourceNowMs: load.sourceNowMs, epochMs: load.epochMs },
+    time: load.trueNow === undefined ? undefined : decodeTime(load.trueNow),
     shares: load.endpoints.map((endpoint, index) => ({
       endpoint,
       running: load.running[index] ?? 0,
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -18,14 +18,6 @@
   readonly confirmedAtMs: number | undefined;
 }
 
-/** What an instance tells of time. */
-export interface TimeSummary {
-  /** The earliest that the source's clock can show as this is sent; undefined while unknown. */
-  readonly sourceNowMs: number | undefined;
-  /** True time at 0 of the source's clock, in milliseconds since the epoch; undefined while unknown. */
-  readonly epochMs: number | undefined;
-}
-
 /** Links to peers, by address. */
 export interface PeerLinks {
   /** Hands a message over some time; it may be lost. */
