Of usage only sums that changed are told

Cause, computed: each telling carried all organisations of a window; a keeper at 410 instances would get some 120 KB a second of 25 KB for control. A lost sum that does not change again is told three times in all, as before.

--- a/src/duties/usage-meter.test.ts
+++ b/src/duties/usage-meter.test.ts
@@ -72,6 +72,18 @@
     ]);
   });
 
+  // Guards against keepers of a large fleet that are told the same sums again and again.
+  it('are told alone where only they changed', (t) => {
+    const { meter, start } = createHarness('a');
+    start();
+    meter.record('x', 10);
+    listTold(meter, 100, 4000);
+    meter.record('y', 4100);
+    t.deepEqual(listTold(meter, 4200, 4700)[0]?.shares, [
+      { window: 0, counts: [{ organisation: 'y', count: 1 }] },
+    ]);
+  });
+
   it('wait for true time to be known', (t) => {
     const { meter, start } = createHarness('a');
     meter.record('x', 10);
--- a/src/duties/usage-meter.ts
+++ b/src/duties/usage-meter.ts
@@ -4,7 +4,7 @@
  *
  * The load it answers: each call changes a count, at hundreds of instances and tens of thousands of
  * organisations. Sums so far are told a few times a second, so that an instance that dies takes half a
- * second of its counts with it; only windows that changed are told, and each three times, as datagrams are lost.
+ * second of its counts with it; only sums that changed are told, and each three times, as datagrams are lost.
  */
 import type { TrueTime } from './true-time.js';
 import { createUsageLedger } from './usage-ledger.js';
@@ -14,7 +14,7 @@
 const TELL_PERIOD_MS = 400;
 /** In a larger one as much less often, so that who keeps the counts hears as many datagrams a second. */
 const PERIOD_FLEET = 80;
-/** Each state of a window is told so often. */
+/** Each sum is told so often. */
 const REPEATS = 3;
 /** Nothing new is said this many periods after the last telling, so that others see how far the counts reach. */
 const QUIET_PERIODS = 3;
@@ -80,8 +80,8 @@
   const source = formatSource(options.source);
   const ledger: UsageLedger = createUsageLedger();
   const early: Early[] = [];
-  /** How often each window is still to be told. */
-  const untold = new Map<number, number>();
+  /** How often each sum is still to be told, by window and organisation. */
+  const untold = new Map<number, Map<string, number>>();
   const reaches = new Map<string, Reach>();
   let toldMs = -Infinity;
   let quietPeriods = 0;
@@ -91,7 +91,8 @@
     if (trueMs === undefined) return false;
     const window = Math.floor(trueMs / windowMs);
     ledger.add(source, window, organisation);
-    untold.set(window, REPEATS);
+    const repeats = untold.get(window) ?? new Map<string, number>();
+    untold.set(window, repeats.set(organisation, REPEATS));
     return true;
   }
 
@@ -104,12 +105,18 @@
   }
 
   function takeUntold(): UsageShare[] {
-    const shares = ledger.listOf(source).filter(({ window }) => untold.has(window));
-    for (const [window, repeats] of untold) {
-      if (repeats > 1) untold.set(window, repeats - 1);
-      else untold.delete(window);
+    const shares = ledger.listOf(source).map(({ window, counts }) => ({
+      window,
+      counts: counts.filter(({ organisation }) => untold.get(window)?.has(organisation)),
+    }));
+    for (const [window, repeatsOf] of untold) {
+      for (const [organisation, repeats] of repeatsOf) {
+        if (repeats > 1) repeatsOf.set(organisation, repeats - 1);
+        else repeatsOf.delete(organisation);
+      }
+      if (repeatsOf.size === 0) untold.delete(window);
     }
-    return shares;
+    return shares.filter(({ counts }) => counts.length > 0);
   }
 
   return {
