A lease's row that nobody can read is replaced once it has stood for a lease

Found in reading: a row that is no lease was taken for none, whose takeover asks that there be none, so that no instance ever held the duties again. The test ('replace a lease that somebody overwrote') fails without the change. Also: the agreed moment is asked for again where the source's clock was not known the first time.

--- a/src/duties/duty-rows.ts
+++ b/src/duties/duty-rows.ts
@@ -1,6 +1,8 @@
 /** The documents of the lease and of the agreed moment. */
 import { z } from 'zod';
-import type { LeaseDocument } from '../leases/lease-document.js';
+import type { LeaseDocument, ReadLease } from '../leases/lease-document.js';
+import { DUTY_KEY, findRow } from './duty-store.js';
+import type { DutyRow } from './duty-store.js';
 
 const LEASE_SCHEMA = z.object({
   holder: z.string(),
@@ -20,9 +22,20 @@
   }
 }
 
-/** Reads the lease; undefined where the text is none. */
-export function decodeLease(text: string): LeaseDocument | undefined {
-  return parseText(LEASE_SCHEMA, text);
+/** What stands for a document that nobody can read: nobody's, and replaced once it has stood for a lease. */
+const UNREADABLE: LeaseDocument = {
+  holder: '',
+  fence: 0,
+  writeId: '',
+  earlier: [],
+  isReleased: false,
+};
+
+/** Reads the lease; undefined where there is none. */
+export function decodeLease(rows: readonly DutyRow[]): ReadLease | undefined {
+  const row = findRow(rows, DUTY_KEY.Lease);
+  if (row === undefined) return undefined;
+  return { version: row.version, document: parseText(LEASE_SCHEMA, row.text) ?? UNREADABLE };
 }
 
 /** Writes down true time at 0 of the source's clock, in milliseconds since the epoch. */
--- a/src/duties/fleet-duties.ts
+++ b/src/duties/fleet-duties.ts
@@ -3,7 +3,6 @@
  * has it, reports usage and orders endpoints.
  */
 import { createLease } from '../leases/lease.js';
-import { resolveLease } from '../leases/lease-document.js';
 import type { Grant, LeaseCommand, LeaseMessage, Moment } from '../leases/lease.js';
 import type { LeaseDocument } from '../leases/lease-document.js';
 import { resolveLeaseBounds } from '../leases/lease-bounds.js';
@@ -164,24 +163,13 @@
   async function readLease(): Promise<void> {
     const rows = await readRows();
     if (rows === undefined) return;
-    const row = findRow(rows.rows, DUTY_KEY.Lease);
-    const document = row === undefined ? undefined : decodeLease(row.text);
-    const found =
-      row === undefined || document === undefined ? undefined : resolveLease(row.version, document);
-    handleLease({ kind: 'read', lease: found, newestVersion: rows.newestVersion });
+    const { newestVersion } = rows;
+    handleLease({ kind: 'read', lease: decodeLease(rows.rows), newestVersion });
   }
 
   function buildEnding(write: DutyWrite): Extract<LeaseMessage, { kind: 'written' }>['ending'] {
     if (write.kind !== 'conflict') return write;
-    const row = findRow(write.rows, DUTY_KEY.Lease);
-    const document = row === undefined ? undefined : decodeLease(row.text);
-    return {
-      kind: 'conflict',
-      lease:
-        row === undefined || document === undefined
-          ? undefined
-          : resolveLease(row.version, document),
-    };
+    return { kind: 'conflict', lease: decodeLease(write.rows) };
   }
 
   async function writeLease(document: LeaseDocument, version: number): Promise<void> {
@@ -215,7 +203,10 @@
   /** Agrees on a moment of the source's clock; whoever is first decides for good. */
   async function writeEpoch(): Promise<void> {
     const sourceMs = time.computeSource(getNow());
-    if (sourceMs === undefined) return;
+    if (sourceMs === undefined) {
+      isEpochAsked = false;
+      return;
+    }
     const epochMs = Math.round(timers.clock.wallMs() - sourceMs);
     const write = await store.write({
       expected: [{ key: DUTY_KEY.Epoch, version: 0 }],
