Where no cheaper endpoints are offered, nothing is ordered

Found in reading: a pool of lasting endpoints alone, unevenly spread, would have been ordered even over its data centres, and so made anew for nothing. Its test (20, 14 and 8 in three) fails without the change: 14 each. Where cheaper ones are offered nothing changes.

--- a/src/duties/pool-sizing.ts
+++ b/src/duties/pool-sizing.ts
@@ -8,7 +8,7 @@
  */
 import type { ScalingBounds } from '../types/traffic.js';
 
-/** Where room is cheap, the pool is kept this many times as large as declared. */
+/** The pool is kept this many times as large as declared. */
 const ROOM_FACTOR = 4 / 3;
 /** Part of the pool that is never made of endpoints that may be taken back. */
 const LASTING_SHARE = 0.15;
@@ -54,12 +54,11 @@
 
 /** How many endpoints the load needs. */
 export function computeNeed(input: SizingInput): number {
-  const { scaling, present, least, held, backlogMs, targetMs } = input;
+  const { present, least, held, backlogMs, targetMs } = input;
   const open = present.reduce((sum, { lasting, spot }) => sum + lasting + spot, 0);
   const factor = Math.min(GROWTH_MAX, backlogMs / (targetMs * BACKLOG_SHARE));
   const grown = factor > 1 ? Math.ceil(open * factor) : 0;
-  const roomy = isSpotCheap(scaling) ? Math.ceil(least * ROOM_FACTOR) : least;
-  return Math.max(roomy, held, grown);
+  return Math.max(Math.ceil(least * ROOM_FACTOR), held, grown);
 }
 
 function computeSpot(need: number, lasting: number, dataCentres: number): number {
@@ -68,25 +67,22 @@
 }
 
 /**
- * What is to be there. Lasting endpoints go only once enough others take calls, and not all at one time:
+ * What is to be there; nothing where nothing cheaper is offered: the pool is left as it is. Lasting endpoints go only once enough others take calls, and not all at one time:
  * with them goes what their engines hold in memory.
  */
 export function computeDesired(input: SizingInput): DesiredCount[] {
   const { scaling, present } = input;
   const dataCentres = present.length;
-  if (dataCentres === 0) return [];
-  const need = computeNeed(input);
-  const isCheap = isSpotCheap(scaling);
-  const share = isCheap ? LASTING_SHARE : 1;
+  if (dataCentres === 0 || !isSpotCheap(scaling)) return [];
   const base = Math.min(
     scaling.max,
-    Math.max(scaling.min, Math.ceil((input.least * share) / dataCentres)),
+    Math.max(scaling.min, Math.ceil((input.least * LASTING_SHARE) / dataCentres)),
   );
-  const spot = isCheap ? computeSpot(need, base, dataCentres) : 0;
+  const spot = computeSpot(computeNeed(input), base, dataCentres);
   const spotNow = present.reduce((sum, each) => sum + each.spot, 0);
   // Room beyond the least is made of what is cheap, or not at all.
   const missing = Math.max(0, input.least - spotNow);
-  const wanted = isCheap ? Math.max(base, Math.ceil(missing / dataCentres)) : base;
+  const wanted = Math.max(base, Math.ceil(missing / dataCentres));
   return present.map((each) => {
     const floor = Math.floor(each.lasting * LOWERING_SHARE);
     const lasting = Math.min(scaling.max, Math.max(wanted, Math.min(each.lasting, floor)));
