--- a/src/duties/pool-orders.test.ts
+++ b/src/duties/pool-orders.test.ts
@@ -122,6 +122,18 @@
     t.is(counts.get('a|true'), wanted);
   });
 
+  it('end with the pool’s declaration', (t) => {
+    const { sent, run, setOutcome, advance } = createHarness();
+    setOutcome('rejected');
+    advance(10);
+    const other = { pool: 'q', scaling: SCALING, present: [], backlogMs: 0, targetMs: 400 };
+    run({ kind: 'tick', pools: [other], knowledgeAgeMs: 0 });
+    const before = sent.length;
+    for (let count = 0; count < 5; count += 1) run({ kind: 'tick', pools: [], knowledgeAgeMs: 0 });
+    t.true(before > 0);
+    t.is(sent.length, before);
+  });
+
   // Guards against a pool that shrinks because nobody can tell how it is.
   it('take nothing away on knowledge that is old', (t) => {
     const { counts, advance } = createHarness();
--- a/src/duties/pool-orders.ts
+++ b/src/duties/pool-orders.ts
@@ -169,6 +169,13 @@
     }
   }
 
+  /** An instance that knows no pool at all has not read the configuration yet. */
+  function removeUndeclared(pools: readonly SizedPool[]): void {
+    if (pools.length === 0) return;
+    const declared = new Set(pools.map(({ pool }) => pool));
+    for (const pool of states.keys()) if (!declared.has(pool)) states.delete(pool);
+  }
+
   function updatePool(sized: SizedPool, isStale: boolean, nowMs: number): void {
     const { pool, present } = sized;
     const state = getState(pool, nowMs);
@@ -234,6 +241,7 @@
       return [{ kind: 'read' }];
     }
     const isStale = knowledgeAgeMs > KNOWLEDGE_AGE_MAX_MS;
+    removeUndeclared(pools);
     for (const sized of pools) updatePool(sized, isStale, nowMs);
     if (!isKept && underWay === undefined) {
       underWay = buildChange();
