Whoever keeps counts from now on is told everything anew

Its test fails without the call. Left: counts of an instance that died before a new keeper was told.

--- a/src/duties/usage-meter.test.ts
+++ b/src/duties/usage-meter.test.ts
@@ -84,6 +84,20 @@
     ]);
   });
 
+  // Guards against a holder that reports what it was told since it keeps counts, which is less than there was.
+  it('are told anew to whoever keeps them from now on', (t) => {
+    const { meter, start } = createHarness('a');
+    start();
+    meter.record('x', 10);
+    meter.record('y', 5010);
+    listTold(meter, 5100, 9000);
+    meter.addKeeper();
+    const keeper = createHarness('b').meter;
+    for (const telling of listTold(meter, 9100, 10_000)) keeper.merge(telling, 10_000);
+    t.deepEqual(keeper.sum(0), [{ organisation: 'x', count: 1 }]);
+    t.deepEqual(keeper.sum(1), [{ organisation: 'y', count: 1 }]);
+  });
+
   it('wait for true time to be known', (t) => {
     const { meter, start } = createHarness('a');
     meter.record('x', 10);
--- a/src/duties/usage-meter.ts
+++ b/src/duties/usage-meter.ts
@@ -54,6 +54,8 @@
   record(organisation: string, begunMs: number): void;
   /** What is to be told now; undefined where nothing is. */
   advance(nowMs: number): UsageTelling | undefined;
+  /** Everything is told anew: somebody keeps counts now who was not told before. */
+  addKeeper(): void;
   merge(telling: UsageTelling, nowMs: number): void;
   sum(window: number): UsageCount[];
   /** Whether all that are heard have told everything that began before a moment of true time. */
@@ -136,6 +138,11 @@
         ? { source: options.source, reachedMs, shares }
         : undefined;
     },
+    addKeeper() {
+      for (const { window, counts } of ledger.listOf(source)) {
+        untold.set(window, new Map(counts.map(({ organisation }) => [organisation, REPEATS])));
+      }
+    },
     merge(telling, nowMs) {
       const teller = formatSource(telling.source);
       for (const share of telling.shares) ledger.merge(teller, share);
--- a/src/gateway/gateway-duties.ts
+++ b/src/gateway/gateway-duties.ts
@@ -44,7 +44,7 @@
   readonly time: TrueTime;
   readonly loads: EndpointLoads;
   readonly directory: Pick<EndpointDirectory, 'listAll'>;
-  readonly peers: Pick<PeerExchange, 'isKeeper' | 'sendUsage' | 'countInstances'>;
+  readonly peers: Pick<PeerExchange, 'isKeeper' | 'listKeepers' | 'sendUsage' | 'countInstances'>;
   readonly getConfiguration: () => TrafficConfiguration | undefined;
   readonly getKnowledgeAge: () => number;
   readonly isLeaving: () => boolean;
@@ -143,7 +143,17 @@
     getKnowledgeAge: options.getKnowledgeAge,
   });
 
+  let keepers: ReadonlySet<string> = new Set();
+
+  /** Tells who keeps counts from now on what the others were told before. */
+  function updateKeepers(): void {
+    const names = peers.listKeepers();
+    if (names.some((name) => !keepers.has(name))) meter.addKeeper();
+    keepers = new Set(names);
+  }
+
   timers.subscribe(TICK_MS, () => {
+    updateKeepers();
     const telling = meter.advance(getNow());
     if (telling === undefined) return;
     peers.sendUsage(telling);
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -71,6 +71,8 @@
   isCut(dataCentre: string): boolean;
   /** Whether this instance is one of those that keep what the fleet's duties need. */
   isKeeper(): boolean;
+  /** Names of the other keepers. */
+  listKeepers(): readonly string[];
   /** Tells the other keepers. */
   sendUsage(telling: UsageTelling): void;
   /** Instances that share the endpoints, this one included. */
@@ -88,8 +90,8 @@
   const hasContacts = seeds.length > 0 && !seeds.includes(self.address);
   let isListed = false;
   let cut: ReadonlySet<string> = new Set();
-  /** Addresses of the other keepers. */
-  let keepers: readonly string[] = [];
+  /** The other keepers. */
+  let keepers: readonly Contact[] = [];
   let isKeeper = false;
 
   /** Full exchanges outgrow a datagram; all other gossip fits one. */
@@ -176,9 +178,7 @@
   /** Keepers are those that follow the source: they reach what duties need. */
   function updateKeepers(alive: readonly Contact[]): void {
     const names = new Set(listWatchers(alive));
-    keepers = alive
-      .filter(({ name }) => names.has(name) && name !== self.name)
-      .map(({ address }) => address);
+    keepers = alive.filter(({ name }) => names.has(name) && name !== self.name);
   }
 
   function advanceDuty(): void {
@@ -245,8 +245,10 @@
     recordUnreachable: (address) => fleet.recordUnreachable(address),
     postQuestions,
     isKeeper: () => isKeeper,
+    listKeepers: () => keepers.map(({ name }) => name),
     sendUsage(telling) {
-      if (keepers.length > 0) options.datagrams.sendUsage(keepers, telling);
+      const addresses = keepers.map(({ address }) => address);
+      if (addresses.length > 0) options.datagrams.sendUsage(addresses, telling);
     },
     countInstances: () => fleet.listAlive().length,
     leave: () => fleet.leave(),
