--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -125,14 +125,20 @@
   }
 
   /** Records rows that were the newest at `knownAtMs` on the source's clock. */
-  function recordConfiguration(rows: readonly FeedRow[], knownAtMs: number, source: string): void {
+  function recordConfiguration(
+    rows: readonly FeedRow[],
+    knownAtMs: number,
+    source: string,
+    announcedVersion?: number,
+  ): void {
     for (const row of rows) {
       const configuration = decoder.decodeConfiguration(row);
       if (configuration !== undefined) {
         const { version } = configuration;
         const outcome = knowledge.record({ version, configuration, knownAtMs });
         if (outcome === 'applied') options.onConfiguration(configuration);
-        log.write({ event: 'configuration_reported', version, outcome, source });
+        const announced = announcedVersion === undefined ? {} : { announcedVersion };
+        log.write({ event: 'configuration_reported', version, outcome, source, ...announced });
       }
     }
   }
@@ -263,7 +269,7 @@
     if (table.hasRows) {
       const rows = decodeRows(table.rows);
       configurationRows.setAll(rows, configurationRows.getRevision());
-      recordConfiguration(rows, knownAtMs, peer);
+      recordConfiguration(rows, knownAtMs, peer, table.revision);
     } else {
       knowledge.record({ version: table.revision, configuration: undefined, knownAtMs });
     }
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -22,6 +22,8 @@
       readonly outcome: string;
       /** 'source' or the name of a peer. */
       readonly source: string;
+      /** Version that a peer sent the rows as; differs from `version` if the peer mixed them up. */
+      readonly announcedVersion?: number;
     }
   | {
       readonly event: 'row_refused';
