--- a/src/test/simulated-network.ts
+++ b/src/test/simulated-network.ts
@@ -1,10 +1,10 @@
 /** Links between simulated instances, with latency and datagram loss. */
-import type { PeerMessage } from '../gen/peer_pb.js';
+import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { Datagrams } from '../peers/datagrams.js';
 import { decodeCases, encodeCases } from '../peers/encode-cases.js';
 import { decodeLoadUpdate, encodeLoadUpdate } from '../peers/encode-load-update.js';
-import type { PeerLinks } from '../peers/peer-links.js';
+import type { KnownRevisions, PeerLinks } from '../peers/peer-links.js';
 import type { VirtualTime } from '../soak/virtual-time.js';
 import type { Random } from '../utils/random.js';
 import type { PeerExchange } from '../gateway/peer-exchange.js';
@@ -14,8 +14,24 @@
 const DELAY_SPREAD_MS = 3;
 const LOSS_PROBABILITY = 0.01;
 
+/** Time after which a call without a response fails. */
+const CALL_TIMEOUT_MS = 1000;
+/** Exponent that makes most calls much faster than the slowest. */
+const CALL_SKEW = 4;
+
+type BuildKnowledge = (request: FetchKnowledgeRequest) => FetchKnowledgeResponse;
+
+export interface SimulatedNetworkOptions {
+  /**
+   * Longest time from the sending of a call to its response.
+   * @default 10
+   */
+  readonly callMaxMs?: number;
+}
+
 export interface SimulatedNetwork {
-  add(address: string, exchange: PeerExchange): void;
+  /** Adds an instance; without `buildKnowledge`, calls that fetch knowledge from it fail. */
+  add(address: string, exchange: PeerExchange, buildKnowledge?: BuildKnowledge): void;
   createLinks(self: Contact): PeerLinks;
   createDatagrams(
     self: Contact,
@@ -24,8 +40,13 @@
   countSent(): number;
 }
 
-export function createSimulatedNetwork(time: VirtualTime, random: Random): SimulatedNetwork {
+export function createSimulatedNetwork(
+  time: VirtualTime,
+  random: Random,
+  { callMaxMs = 10 }: SimulatedNetworkOptions = {},
+): SimulatedNetwork {
   const peers = new Map<string, PeerExchange>();
+  const knowledgeBuilders = new Map<string, BuildKnowledge>();
   let sent = 0;
 
   function send(address: string, deliver: (peer: PeerExchange) => void): void {
@@ -40,19 +61,37 @@
     if (random.next() >= LOSS_PROBABILITY) send(address, deliver);
   }
 
+  /** The peer reads its knowledge at once; its response may overtake earlier ones or be overtaken. */
+  function fetchKnowledge(address: string, known: KnownRevisions): Promise<FetchKnowledgeResponse> {
+    return new Promise((resolve, reject) => {
+      time.add(undefined, CALL_TIMEOUT_MS, () => reject(new Error('no response in time')));
+      send(address, () => {
+        const buildKnowledge = knowledgeBuilders.get(address);
+        if (buildKnowledge === undefined) return;
+        const request = {
+          $typeName: 'hyssoptally.peer.v1.FetchKnowledgeRequest',
+          ...known,
+        } as const;
+        const response = buildKnowledge(request);
+        time.add(undefined, callMaxMs * random.next() ** CALL_SKEW, () => resolve(response));
+      });
+    });
+  }
+
   const rejectCall = (): Promise<never> =>
     Promise.reject(new Error('not supported by the simulated network'));
 
   return {
-    add(address, exchange) {
+    add(address, exchange, buildKnowledge) {
       peers.set(address, exchange);
+      if (buildKnowledge !== undefined) knowledgeBuilders.set(address, buildKnowledge);
     },
     createLinks: ({ name }) => ({
       send(address, body: PeerMessage['body']) {
         send(address, (peer) => peer.handleMessages(name, [body]));
       },
       fetchConfiguration: rejectCall,
-      fetchKnowledge: rejectCall,
+      fetchKnowledge,
       queryAttempt: rejectCall,
     }),
     createDatagrams: ({ name, dataCentre }) => ({
