Pass on the row of the configuration version in force, and confirm no other

What callers saw: a key that had been taken away went on working, or a new route was not served, at some instances for seconds beyond the bound, until about the next change (CONFIG).

Cause: the version in force (never decreases) and the rows passed on to peers (a mirror that took whatever came last) were two records. When a peer's response was overtaken by a newer one, or a resumed feed replayed older changes, the rows went back and the version did not. Who asked got old rows under the newer number with the time at which the newer one was confirmed, kept the old version, counted it as fresh and asked nobody else. An aggregator with such rows fed them to its group.

Why it holds: the row travels with its version in one record that only a newer version replaces, so an old row cannot leave under a newer number. A row that an instance of an earlier release sends under another number confirms nothing, so the receiver's age grows and it asks others.

--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -14,6 +14,7 @@
 import { createSourceClock } from '../knowledge/source-clock.js';
 import { createSuspensionDetector } from '../knowledge/suspension-detector.js';
 import { createTableMirror } from '../knowledge/table-mirror.js';
+import type { MirroredRow } from '../knowledge/table-mirror.js';
 import type { WatchRole } from '../knowledge/watch-role.js';
 import { decodeRows, encodeTable } from '../peers/encode-table.js';
 import type { KnowledgeSummary } from '../peers/peer-links.js';
@@ -73,7 +74,6 @@
   const sourceClock = createSourceClock();
   const suspensionDetector = createSuspensionDetector(timers.clock);
   const directory = createEndpointDirectory();
-  const configurationRows = createTableMirror();
   const endpointRows = createTableMirror();
   const lagDetector = createFeedLagDetector();
   let trustedSinceMs = -Infinity;
@@ -124,30 +124,45 @@
     applyDirectory({ kind: 'source_back' }, 'source');
   }
 
-  /** Records rows that were the newest at `knownAtMs` on the source's clock. */
-  function recordConfiguration(
-    rows: readonly FeedRow[],
+  /** Records one row; `knownAtMs` as in `ConfigurationReport`. */
+  function recordConfigurationRow(
+    row: MirroredRow,
     knownAtMs: number,
     source: string,
     announcedVersion?: number,
+  ): void {
+    const configuration = decoder.decodeConfiguration(row);
+    if (configuration === undefined) return;
+    const { version } = configuration;
+    // Guards against a peer of an earlier release that sends an old row under a newer version.
+    const isAsAnnounced = announcedVersion === undefined || announcedVersion === version;
+    const outcome = knowledge.record({
+      version,
+      content: { configuration, row },
+      knownAtMs: isAsAnnounced ? knownAtMs : -Infinity,
+    });
+    if (outcome === 'applied') options.onConfiguration(configuration);
+    const announced = announcedVersion === undefined ? {} : { announcedVersion };
+    log.write({ event: 'configuration_reported', version, outcome, source, ...announced });
+  }
+
+  /** Records rows of the source that were the newest at `knownAtMs` on its clock. */
+  function recordSourceRows(
+    rows: readonly FeedRow[],
+    responseRevision: number,
+    knownAtMs: number,
   ): void {
     for (const row of rows) {
-      const configuration = decoder.decodeConfiguration(row);
-      if (configuration !== undefined) {
-        const { version } = configuration;
-        const outcome = knowledge.record({ version, configuration, knownAtMs });
-        if (outcome === 'applied') options.onConfiguration(configuration);
-        const announced = announcedVersion === undefined ? {} : { announcedVersion };
-        log.write({ event: 'configuration_reported', version, outcome, source, ...announced });
-      }
+      const { revision = responseRevision } = row;
+      recordConfigurationRow({ ...row, revision }, knownAtMs, 'source');
     }
   }
 
-  function handleConfigurationList(rows: readonly FeedRow[]): void {
+  function handleConfigurationList(rows: readonly FeedRow[], revision: number): void {
     handleSourceAnswer('configuration');
     // Guards against accepting a revoked key from a stale list: a list does not confirm that its rows are
     // the newest.
-    recordConfiguration(rows, -Infinity, 'source');
+    recordSourceRows(rows, revision, -Infinity);
   }
 
   function handleConfigurationAnswer(rows: readonly FeedRow[], times: ResponseMetadata): void {
@@ -155,10 +170,10 @@
     // An answer to a request sent before a suspension confirms nothing.
     if (times.sentMs < trustedSinceMs) return;
     sourceClock.record(times);
-    recordConfiguration(rows, times.sourceNowMs, 'source');
+    recordSourceRows(rows, times.revision, times.sourceNowMs);
     const version = knowledge.getVersion();
     if (version > 0) {
-      knowledge.record({ version, configuration: undefined, knownAtMs: times.sourceNowMs });
+      knowledge.record({ version, content: undefined, knownAtMs: times.sourceNowMs });
     }
   }
 
@@ -207,14 +222,8 @@
     getPauseFactor,
     isPaused: true,
     listener: {
-      onListed(rows, answer) {
-        configurationRows.setAll(rows, answer.revision);
-        handleConfigurationList(rows);
-      },
-      onChanged(rows, answer) {
-        configurationRows.apply(rows, answer.revision);
-        handleConfigurationAnswer(rows, answer);
-      },
+      onListed: (rows, answer) => handleConfigurationList(rows, answer.revision),
+      onChanged: handleConfigurationAnswer,
       onLost: (reason) => handleSourceLost('configuration', reason),
     },
   });
@@ -250,8 +259,9 @@
   function buildConfigurationTable(known: number): FetchKnowledgeResponse['configuration'] {
     const version = knowledge.getVersion();
     const knownAtMs = knowledge.getKnownAt();
-    if (version === 0 || !Number.isFinite(knownAtMs)) return undefined;
-    const rows = version > known ? configurationRows.list() : [];
+    const row = knowledge.getRow();
+    if (row === undefined || !Number.isFinite(knownAtMs)) return undefined;
+    const rows = version > known ? [row] : [];
     return encodeTable({ kind: 'all', rows }, version, knownAtMs);
   }
 
@@ -267,11 +277,10 @@
   ): void {
     const { knownAtMs = -Infinity } = table;
     if (table.hasRows) {
-      const rows = decodeRows(table.rows);
-      configurationRows.setAll(rows, configurationRows.getRevision());
-      recordConfiguration(rows, knownAtMs, peer, table.revision);
+      for (const row of decodeRows(table.rows))
+        recordConfigurationRow(row, knownAtMs, peer, table.revision);
     } else {
-      knowledge.record({ version: table.revision, configuration: undefined, knownAtMs });
+      knowledge.record({ version: table.revision, content: undefined, knownAtMs });
     }
   }
 
@@ -308,7 +317,7 @@
   }
 
   function startWatching(): void {
-    configurationWatcher.resume(configurationRows.getContentRevision());
+    configurationWatcher.resume(knowledge.getRow()?.revision ?? 0);
     endpointWatcher.resume(endpointRows.getRevision());
   }
 
@@ -327,7 +336,7 @@
     applySummary({ configurationRevision: version, endpointsRevision, confirmedAtMs }) {
       const isNewer = version > knowledge.getVersion();
       if (confirmedAtMs !== undefined && !isNewer) {
-        knowledge.record({ version, configuration: undefined, knownAtMs: confirmedAtMs });
+        knowledge.record({ version, content: undefined, knownAtMs: confirmedAtMs });
       }
       checkLag(endpointsRevision);
       const isPeerAhead = isNewer || endpointsRevision > endpointRows.getContentRevision();
--- a/src/knowledge/configuration-knowledge.test.ts
+++ b/src/knowledge/configuration-knowledge.test.ts
@@ -5,23 +5,31 @@
 import type { SourceClock } from './source-clock.js';
 import { createSuspensionDetector } from './suspension-detector.js';
 
+const buildContent = (configuration: string) => ({
+  configuration,
+  row: { key: 'config', value: configuration, revision: 1 },
+});
+
 describe('configuration knowledge', ({ it }) => {
   // Guards against accepting a removed key again after a stale read of an older version.
   it('ignores an older version', (t) => {
     const knowledge = createConfigurationKnowledge<string>();
-    t.is(knowledge.record({ version: 9, configuration: 'nine', knownAtMs: 100 }), 'applied');
-    t.is(knowledge.record({ version: 7, configuration: 'seven', knownAtMs: 500 }), 'stale');
+    t.is(
+      knowledge.record({ version: 9, content: buildContent('nine'), knownAtMs: 100 }),
+      'applied',
+    );
+    t.is(knowledge.record({ version: 7, content: buildContent('seven'), knownAtMs: 500 }), 'stale');
     t.is(knowledge.get(), 'nine');
     t.is(knowledge.getKnownAt(), 100);
   });
 
   it('keeps the latest confirmation and reports a newer version without content as missing', (t) => {
     const knowledge = createConfigurationKnowledge<string>();
-    knowledge.record({ version: 9, configuration: 'nine', knownAtMs: 100 });
-    t.is(knowledge.record({ version: 9, configuration: undefined, knownAtMs: 400 }), 'confirmed');
-    t.is(knowledge.record({ version: 9, configuration: undefined, knownAtMs: 300 }), 'confirmed');
+    knowledge.record({ version: 9, content: buildContent('nine'), knownAtMs: 100 });
+    t.is(knowledge.record({ version: 9, content: undefined, knownAtMs: 400 }), 'confirmed');
+    t.is(knowledge.record({ version: 9, content: undefined, knownAtMs: 300 }), 'confirmed');
     t.is(knowledge.getKnownAt(), 400);
-    t.is(knowledge.record({ version: 12, configuration: undefined, knownAtMs: 450 }), 'missing');
+    t.is(knowledge.record({ version: 12, content: undefined, knownAtMs: 450 }), 'missing');
     t.is(knowledge.getVersion(), 9);
   });
 });
--- a/src/knowledge/configuration-knowledge.ts
+++ b/src/knowledge/configuration-knowledge.ts
@@ -1,13 +1,20 @@
 /**
- * The newest known configuration and when the source last confirmed it as the newest. The version
- * never decreases. Performs no I/O.
+ * The newest known configuration, its row, and when the source last confirmed it as the newest. The
+ * version never decreases. Performs no I/O.
  */
+import type { MirroredRow } from './table-mirror.js';
+
+export interface ConfigurationContent<T> {
+  readonly configuration: T;
+  /** The row that holds it, as passed on to peers. */
+  readonly row: MirroredRow;
+}
 
 /** A statement about the newest version, from the source or a peer. */
 export interface ConfigurationReport<T> {
   readonly version: number;
   /** Undefined if the report only confirms the version. */
-  readonly configuration: T | undefined;
+  readonly content: ConfigurationContent<T> | undefined;
   /** Time on the source's clock at which the version was the newest; minus infinity if unknown. */
   readonly knownAtMs: number;
 }
@@ -25,6 +32,8 @@
 export interface ConfigurationKnowledge<T> {
   record(report: ConfigurationReport<T>): ReportOutcome;
   get(): T | undefined;
+  /** Row of the known version; undefined before the first. */
+  getRow(): MirroredRow | undefined;
   /** 0 before the first version. */
   getVersion(): number;
   /**
@@ -36,7 +45,7 @@
 
 export function createConfigurationKnowledge<T>(): ConfigurationKnowledge<T> {
   let version = 0;
-  let configuration: T | undefined;
+  let content: ConfigurationContent<T> | undefined;
   let knownAtMs = -Infinity;
 
   return {
@@ -44,16 +53,17 @@
       // Guards against stale reads, which would bring back a removed key.
       if (report.version < version) return 'stale';
       if (report.version > version) {
-        if (report.configuration === undefined) return 'missing';
+        if (report.content === undefined) return 'missing';
         version = report.version;
-        configuration = report.configuration;
+        content = report.content;
         knownAtMs = report.knownAtMs;
         return 'applied';
       }
       knownAtMs = Math.max(knownAtMs, report.knownAtMs);
       return 'confirmed';
     },
-    get: () => configuration,
+    get: () => content?.configuration,
+    getRow: () => content?.row,
     getVersion: () => version,
     getKnownAt: () => knownAtMs,
   };
