Confirm nothing while a feed catches up

What callers could see: a key that was taken away while an instance was cut off from the source goes on working there for up to the maximum age of keys after the cut, if the source is lost again before the feed has caught up.

Failing before: configuration-relay.test 'is not confirmed by a feed that replays older changes', feed-watcher.test 'reports rows as the newest only after a response without any', configuration-knowledge.test (time of the version before).

Why it holds: after a list, failure or restart, watches return at once until one has no change; only that one, and what follows it, confirms. A newer version of unknown time is given the time at which the one before was the newest, so that catching up refuses no call. Cost: one more call of the store for each time a feed catches up on changes.

Three checks of feed-watcher.test got a response without a change where one with a change stood for a confirmation; what they ask (no wait after a list or failure, the full wait afterwards) is unchanged, and the new test asks more.

--- a/src/gateway/configuration-relay.test.ts
+++ b/src/gateway/configuration-relay.test.ts
@@ -2,6 +2,7 @@
 import { describe } from '../test/describe.js';
 import {
   FOLLOW,
+  WATCH,
   buildConfigurationResponse,
   buildKnowledgeRequest,
   createKnowledgeHarness,
@@ -42,6 +43,22 @@
     t.is(follower.store.getConfiguration()?.version, 9);
   });
 
+  // Guards against accepting a revoked key because a replay of older changes counts as a confirmation.
+  it('is not confirmed by a feed that replays older changes', async (t) => {
+    const relay = createKnowledgeHarness(t, FOLLOW);
+    relay.store.applyResponse(
+      'peer',
+      buildConfigurationResponse({ version: 9, announcedVersion: 9, ageMs: 1000 }),
+      performance.now(),
+    );
+    relay.configuration.setRows([{ key: 'config', value: '8' }]);
+    relay.configuration.setAnswersMax(1);
+    relay.store.setRole(WATCH);
+    await relay.waitUntilConfigurationCalls(2);
+    t.is(relay.store.getConfiguration()?.version, 9);
+    t.true(relay.store.computeAge() >= 1000);
+  });
+
   // Guards against taking an old version for confirmed when a peer sends it under a newer one.
   it('confirms no version but the one it was sent as', async (t) => {
     const follower = createKnowledgeHarness(t, FOLLOW);
--- a/src/gateway/knowledge-store.test.ts
+++ b/src/gateway/knowledge-store.test.ts
@@ -13,7 +13,7 @@
   // Guards against accepting a revoked key that is still present in a stale list.
   it('does not confirm a list before a watch has answered', async (t) => {
     const harness = createKnowledgeHarness(t);
-    harness.configuration.setWatchAnswered(false);
+    harness.configuration.setAnswersMax(0);
     await harness.waitUntilWatched();
     t.is(harness.store.getConfiguration()?.version, 7);
     t.is(harness.store.computeAge(), Infinity);
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -165,16 +165,19 @@
     recordSourceRows(rows, revision, -Infinity);
   }
 
-  function handleConfigurationAnswer(rows: readonly FeedRow[], times: ResponseMetadata): void {
+  function handleConfigurationAnswer(
+    rows: readonly FeedRow[],
+    times: ResponseMetadata,
+    isNewest: boolean,
+  ): void {
     handleSourceAnswer('configuration');
     // An answer to a request sent before a suspension confirms nothing.
     if (times.sentMs < trustedSinceMs) return;
     sourceClock.record(times);
-    recordSourceRows(rows, times.revision, times.sourceNowMs);
+    const knownAtMs = isNewest ? times.sourceNowMs : -Infinity;
+    recordSourceRows(rows, times.revision, knownAtMs);
     const version = knowledge.getVersion();
-    if (version > 0) {
-      knowledge.record({ version, content: undefined, knownAtMs: times.sourceNowMs });
-    }
+    if (version > 0) knowledge.record({ version, content: undefined, knownAtMs });
   }
 
   function parseEndpointRow(row: FeedRow): DirectoryMessage {
--- a/src/knowledge/configuration-knowledge.test.ts
+++ b/src/knowledge/configuration-knowledge.test.ts
@@ -23,6 +23,15 @@
     t.is(knowledge.getKnownAt(), 100);
   });
 
+  // Guards against refusing calls until the next confirmation: when the version before was the
+  // newest, all keys of its successor were still valid.
+  it('gives a version of unknown time at least the time of the version before', (t) => {
+    const knowledge = createConfigurationKnowledge<string>();
+    knowledge.record({ version: 7, content: buildContent('seven'), knownAtMs: 100 });
+    knowledge.record({ version: 9, content: buildContent('nine'), knownAtMs: -Infinity });
+    t.is(knowledge.getKnownAt(), 100);
+  });
+
   it('keeps the latest confirmation and reports a newer version without content as missing', (t) => {
     const knowledge = createConfigurationKnowledge<string>();
     knowledge.record({ version: 9, content: buildContent('nine'), knownAtMs: 100 });
--- a/src/knowledge/configuration-knowledge.ts
+++ b/src/knowledge/configuration-knowledge.ts
@@ -37,8 +37,8 @@
   /** 0 before the first version. */
   getVersion(): number;
   /**
-   * Last time on the source's clock at which the known version was the newest; minus infinity
-   * before the first confirmation.
+   * A time on the source's clock at which nothing newer than the known version existed; minus
+   * infinity before the first confirmation.
    */
   getKnownAt(): number;
 }
@@ -56,7 +56,8 @@
         if (report.content === undefined) return 'missing';
         version = report.version;
         content = report.content;
-        knownAtMs = report.knownAtMs;
+        // The newer version came after the time at which the version before was the newest.
+        knownAtMs = Math.max(knownAtMs, report.knownAtMs);
         return 'applied';
       }
       knownAtMs = Math.max(knownAtMs, report.knownAtMs);
--- a/src/knowledge/feed-watcher.test.ts
+++ b/src/knowledge/feed-watcher.test.ts
@@ -15,6 +15,11 @@
   return { kind: 'rows', rows: [{ key, value: 'v' }], revision, sourceNowMs: 1, sentMs: 1 };
 }
 
+/** A response to a watch after which nothing newer exists. */
+function buildUnchanged(revision: number): FeedResponse {
+  return { kind: 'rows', rows: [], revision, sourceNowMs: 1, sentMs: 1 };
+}
+
 /** Runs a watcher on scripted responses until they are used up. */
 async function runWatcher(responses: readonly FeedResponse[]) {
   const calls: Call[] = [];
@@ -43,7 +48,8 @@
       getWaitMs: () => 1500,
       listener: {
         onListed: (_, { revision }) => events.push(`listed ${revision}`),
-        onChanged: (_, { revision }) => events.push(`changed ${revision}`),
+        onChanged: (_, { revision }, isNewest) =>
+          events.push(`changed ${revision}${isNewest ? '' : ', perhaps more'}`),
         onLost: (reason) => events.push(`lost ${reason}`),
       },
     });
@@ -55,7 +61,7 @@
 
 describe('feed watcher', ({ it }) => {
   it('lists once, then watches', async (t) => {
-    const { calls, events } = await runWatcher([buildRows(5), buildRows(6)]);
+    const { calls, events } = await runWatcher([buildRows(5), buildUnchanged(6)]);
     t.deepEqual(events, ['listed 5', 'changed 6']);
     t.deepEqual(
       calls.map(({ kind }) => kind),
@@ -67,12 +73,13 @@
   it('lists again after a compaction and ignores a stale list', async (t) => {
     const { events } = await runWatcher([
       buildRows(5),
+      buildUnchanged(5),
       buildRows(9),
       { kind: 'compacted' },
       buildRows(7),
       buildRows(11),
     ]);
-    t.deepEqual(events, ['listed 5', 'changed 9', 'listed 11']);
+    t.deepEqual(events, ['listed 5', 'changed 5', 'changed 9', 'listed 11']);
   });
 
   // Guards against detecting the source's recovery late because the first call waits for a change.
@@ -80,7 +87,7 @@
     const { calls, events, resets } = await runWatcher([
       buildRows(5),
       { kind: 'unavailable', reason: 'silent' },
-      buildRows(5),
+      buildUnchanged(5),
     ]);
     t.deepEqual(events, ['listed 5', 'lost silent', 'changed 5']);
     t.is(resets, 1);
@@ -90,11 +97,34 @@
 
   // Guards against using a stale list, with a removed key in it, for a whole long-poll interval.
   it('watches without waiting after a list', async (t) => {
-    const { calls } = await runWatcher([buildRows(5), buildRows(6), buildRows(7)]);
+    const { calls } = await runWatcher([buildRows(5), buildUnchanged(5), buildRows(7)]);
     t.like(calls[1], { kind: 'watch', waitMs: 0 });
     t.like(calls[2], { kind: 'watch', waitMs: 1500 });
   });
 
+  // Guards against taking the version in force for the newest while a feed that was cut off replays
+  // the changes that it missed, each in a response of its own.
+  it('reports rows as the newest only after a response without any', async (t) => {
+    const { calls, events } = await runWatcher([
+      buildRows(5),
+      buildRows(6),
+      buildRows(7),
+      buildUnchanged(7),
+      buildRows(9),
+    ]);
+    t.deepEqual(events, [
+      'listed 5',
+      'changed 6, perhaps more',
+      'changed 7, perhaps more',
+      'changed 7',
+      'changed 9',
+    ]);
+    t.deepEqual(
+      calls.flatMap((call) => (call.kind === 'watch' ? [call.waitMs] : [])),
+      [0, 0, 0, 1500, 1500],
+    );
+  });
+
   // Guards against listing and watching at full rate while the lists are older than the compacted
   // history, which would use up the store's call rate.
   it('backs off while lists are older than the compacted history', async (t) => {
--- a/src/knowledge/feed-watcher.ts
+++ b/src/knowledge/feed-watcher.ts
@@ -16,8 +16,11 @@
    * the response to the watch after it confirms that nothing newer exists.
    */
   onListed(rows: readonly FeedRow[], response: ResponseMetadata): void;
-  /** Changed rows; empty if the call only confirmed that nothing changed. */
-  onChanged(rows: readonly FeedRow[], response: ResponseMetadata): void;
+  /**
+   * Changed rows; empty if the call only confirmed that nothing changed. `isNewest` is false while
+   * the feed catches up: the next response may hold later changes that were made long ago.
+   */
+  onChanged(rows: readonly FeedRow[], response: ResponseMetadata, isNewest: boolean): void;
   onLost(reason: string): void;
 }
 
@@ -67,8 +70,8 @@
   let compactions = 0;
   let isStopped = false;
   let isPaused = options.isPaused ?? false;
-  /** Whether a watch has been answered since the last list, failure or restart. */
-  let isConfirmed = false;
+  /** Whether a watch has been answered without a change since the last list, failure or restart. */
+  let isCaughtUp = false;
   /** Incremented on restart and pause; responses of an earlier generation are dropped. */
   let generation = 0;
 
@@ -84,11 +87,11 @@
     if (response.revision < highestRevision) return;
     highestRevision = response.revision;
     const isList = revision === undefined;
-    isConfirmed = !isList;
-    if (isConfirmed) compactions = 0;
+    isCaughtUp = !isList && (isCaughtUp || response.rows.length === 0);
+    if (!isList) compactions = 0;
     revision = response.revision;
     if (isList) listener.onListed(response.rows, response);
-    else listener.onChanged(response.rows, response);
+    else listener.onChanged(response.rows, response, isCaughtUp);
   }
 
   /** Returns the delay before the next call, in milliseconds. */
@@ -99,14 +102,14 @@
         return revision === undefined ? RETRY_MIN_MS : 0;
       case 'compacted':
         revision = undefined;
-        isConfirmed = false;
+        isCaughtUp = false;
         compactions += 1;
         // Guards against lists older than the compacted history: without a pause, list and refused
         // watch would alternate at full rate until the lists catch up.
         return compactions === 1 ? 0 : computeRetryDelayMs(compactions - 1);
       default:
         failures += 1;
-        isConfirmed = false;
+        isCaughtUp = false;
         reader.reset();
         listener.onLost(response.reason);
         return computeRetryDelayMs(failures);
@@ -115,8 +118,8 @@
 
   async function fetchNext(): Promise<FeedResponse> {
     if (revision === undefined) return reader.list();
-    // The first watch after a list, failure or restart returns at once, to confirm the rows early.
-    return reader.watch(revision, isConfirmed ? options.getWaitMs() : 0);
+    // Watches return at once until one has no change, to confirm the rows early.
+    return reader.watch(revision, isCaughtUp ? options.getWaitMs() : 0);
   }
 
   async function runCall(callGeneration: number): Promise<void> {
@@ -137,7 +140,7 @@
 
   function startNewGeneration(): void {
     generation += 1;
-    isConfirmed = false;
+    isCaughtUp = false;
     reader.reset();
     startCall(generation);
   }
--- a/src/test/knowledge-harness.ts
+++ b/src/test/knowledge-harness.ts
@@ -49,12 +49,15 @@
   },
 };
 
+const FIRST_REVISION = 5;
+
 /** A table of the source; its watches wait until the test changes its rows. */
 function createTable(rows: readonly FeedRow[]) {
-  let revision = 5;
+  let revision = FIRST_REVISION;
   let calls = 0;
   let isReachable = true;
-  let isWatchAnswered = true;
+  /** Watches that are still answered without a later change. */
+  let answersLeft = Infinity;
   const changes: FeedRow[] = [];
   let pendingWatch:
     | { readonly sinceRevision: number; readonly resolve: (answer: FeedResponse) => void }
@@ -83,7 +86,10 @@
       calls += 1;
       const changed = listChanges(sinceRevision);
       const isImmediate = !isReachable || waitsMs === 0 || changed.length > 0;
-      if (isWatchAnswered && isImmediate) return buildAnswer(changed);
+      if (answersLeft > 0 && isImmediate) {
+        answersLeft -= 1;
+        return buildAnswer(changed);
+      }
       return new Promise((resolve) => {
         pendingWatch = { sinceRevision, resolve };
       });
@@ -101,8 +107,9 @@
       isReachable = isNowReachable;
       if (!isReachable) resolvePendingWatch();
     },
-    setWatchAnswered(isAnswered: boolean) {
-      isWatchAnswered = isAnswered;
+    /** Limits the watches that are answered without a later change. */
+    setAnswersMax(answers: number) {
+      answersLeft = answers;
     },
     setRows(changed: readonly FeedRow[]) {
       revision += 1;
@@ -164,6 +171,8 @@
         'both tables are watched',
         () => configuration.isWatched() && endpoints.isWatched(),
       ),
+    waitUntilConfigurationCalls: (calls: number) =>
+      waitUntil(`${calls} calls for the configuration`, () => configuration.countCalls() >= calls),
     waitUntilSourceLost: () =>
       waitUntil('the source is lost', () => events.includes('source_lost')),
   };
@@ -219,7 +228,7 @@
           $typeName: 'hyssoptally.peer.v1.TableRow',
           key: 'config',
           value: String(version),
-          revision: version,
+          revision: FIRST_REVISION,
         },
       ],
     },
