Watchers take a newer configuration from peers when their own feed lags

What callers could see: up to 2.5 s (of 3 allowed) in which a key that was taken away works at instances whose aggregator lost the source silently.

Cause: a watcher took nothing newer from peers while its feed counted as open, up to 6.7 s after the feed fell silent; those it aggregates for hear of the old version from it until their own knowledge is 2.2 s old. Only the endpoints' feed was checked for lag, and any peer that lagged as well put that check back to the start.

Failing before: knowledge-store.test 'takes a newer configuration from peers that stay ahead of its feed', feed-lag-detector.test 'reports a feed while other peers lag as well'.

Why it holds: the highest revision of any peer decides, for both feeds; a feed that stays behind it for 0.7 s is restarted, and the configuration is fetched from the peer at once.

--- a/src/gateway/knowledge-store.test.ts
+++ b/src/gateway/knowledge-store.test.ts
@@ -170,6 +170,19 @@
     t.true(harness.endpoints.countCalls() > calls);
   });
 
+  // Guards against a watcher that hides newer versions from those it aggregates for, because its own
+  // feed fell silent.
+  it('takes a newer configuration from peers that stay ahead of its feed', async (t) => {
+    const harness = createKnowledgeHarness(t, { ...WATCH, isLeading: false });
+    await harness.waitUntilWatched();
+    const calls = harness.configuration.countCalls();
+    const ahead = { ...harness.store.getSummary(), configurationRevision: 99 };
+    t.false(harness.store.applySummary(ahead));
+    await waitMs(800);
+    t.true(harness.store.applySummary(ahead));
+    t.true(harness.configuration.countCalls() > calls);
+  });
+
   // Guards against waiting for a pending standby watch when this instance becomes a leading watcher.
   it('queries the source at once when it becomes a leading watcher', async (t) => {
     const harness = createKnowledgeHarness(t, { ...WATCH, isLeading: false });
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -75,7 +75,8 @@
   const suspensionDetector = createSuspensionDetector(timers.clock);
   const directory = createEndpointDirectory();
   const endpointRows = createTableMirror();
-  const lagDetector = createFeedLagDetector();
+  const endpointLagDetector = createFeedLagDetector();
+  const configurationLagDetector = createFeedLagDetector();
   let trustedSinceMs = -Infinity;
   let isSourceLost = false;
   let role: WatchRole = { kind: 'follow' };
@@ -312,11 +313,23 @@
     handleSourceAnswer('peers');
   }
 
-  function checkLag(endpointsRevision: number): void {
-    if (role.kind === 'follow') lagDetector.reset();
-    else if (lagDetector.checkLag(endpointsRevision, endpointRows.getRevision(), getNow())) {
-      endpointWatcher.restart();
+  /** Restarts a feed that lags behind those of peers; returns whether that of the configuration did. */
+  function checkLag({ configurationRevision, endpointsRevision }: KnowledgeSummary): boolean {
+    if (role.kind === 'follow') {
+      endpointLagDetector.reset();
+      configurationLagDetector.reset();
+      return false;
     }
+    const nowMs = getNow();
+    if (endpointLagDetector.checkLag(endpointsRevision, endpointRows.getRevision(), nowMs))
+      endpointWatcher.restart();
+    const isConfigurationLagging = configurationLagDetector.checkLag(
+      configurationRevision,
+      knowledge.getVersion(),
+      nowMs,
+    );
+    if (isConfigurationLagging) configurationWatcher.restart();
+    return isConfigurationLagging;
   }
 
   function startWatching(): void {
@@ -336,14 +349,15 @@
         confirmedAtMs: Number.isFinite(knownAtMs) ? knownAtMs : undefined,
       };
     },
-    applySummary({ configurationRevision: version, endpointsRevision, confirmedAtMs }) {
+    applySummary(summary) {
+      const { configurationRevision: version, endpointsRevision, confirmedAtMs } = summary;
       const isNewer = version > knowledge.getVersion();
       if (confirmedAtMs !== undefined && !isNewer) {
         knowledge.record({ version, content: undefined, knownAtMs: confirmedAtMs });
       }
-      checkLag(endpointsRevision);
+      const isFeedLagging = checkLag(summary);
       const isPeerAhead = isNewer || endpointsRevision > endpointRows.getContentRevision();
-      return isPeerAhead && (role.kind === 'follow' || isSourceLost);
+      return isPeerAhead && (role.kind === 'follow' || isSourceLost || isFeedLagging);
     },
     buildResponse(request) {
       const configuration = buildConfigurationTable(request.configurationRevision);
--- a/src/knowledge/feed-lag-detector.test.ts
+++ b/src/knowledge/feed-lag-detector.test.ts
@@ -18,4 +18,14 @@
     detector.reset();
     t.false(detector.checkLag(6, 5, 1800));
   });
+
+  // Guards against a stalled feed that stays unnoticed because some peers lag as well.
+  it('reports a feed while other peers lag as well', (t) => {
+    const detector = createFeedLagDetector();
+    const reports = [0, 200, 400, 600, 800].flatMap((nowMs) => [
+      detector.checkLag(9, 5, nowMs),
+      detector.checkLag(5, 5, nowMs + 50),
+    ]);
+    t.true(reports.includes(true));
+  });
 });
--- a/src/knowledge/feed-lag-detector.ts
+++ b/src/knowledge/feed-lag-detector.ts
@@ -17,9 +17,12 @@
 
 export function createFeedLagDetector(): FeedLagDetector {
   let laggingSinceMs: number | undefined;
+  /** Highest revision of any peer. Peers that lag as well do not show that the own feed works. */
+  let newestRevision = 0;
   return {
     checkLag(peerRevision, ownRevision, nowMs) {
-      if (peerRevision <= ownRevision) {
+      newestRevision = Math.max(newestRevision, peerRevision);
+      if (newestRevision <= ownRevision) {
         laggingSinceMs = undefined;
         return false;
       }
@@ -30,6 +33,7 @@
     },
     reset() {
       laggingSinceMs = undefined;
+      newestRevision = 0;
     },
   };
 }
