Log and count the rate limits that endpoints name

Now every response of an endpoint itself (an answer, a failure, a rejection, the head of a stream; not the 421 of another endpoint at its address) is read for it: `endpoint_limited` says who learned which rate, when it changed and ended, and hyssoptally_limited_endpoints counts them. A value that cannot be read is said once and changes nothing. Nothing is decided by it yet.

--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -9,6 +9,7 @@
   isWrongEndpoint: false,
   isSigned: true,
   isEventStream: false,
+  rateLimit: { kind: 'none' },
   headers: [],
 };
 
@@ -16,6 +17,9 @@
   const ends: AttemptEnd[] = [];
   const events: string[] = [];
   const reader = createAttemptReader('mine', isStreamExpected, {
+    onRateLimit: ({ kind }) => {
+      if (kind !== 'none') events.push(kind);
+    },
     onStreamStarted: () => events.push('head'),
     onEvent: ({ bytes }) => events.push(bytes.toString()),
     onEnded: (end) => ends.push(end),
@@ -66,4 +70,23 @@
     t.deepEqual(events, ['head', 'id: 1\n\n']);
     t.is(ends[0]?.kind, 'broken');
   });
+
+  // Guards against missing a limit that only a rejection, a failure or the head of a long stream names.
+  it('reports the rate limit of every response of the endpoint itself', (t) => {
+    const rateLimit = { kind: 'limited', perSecond: 2 } as const;
+    const heads: readonly [number, Partial<DecodedHead>][] = [
+      [200, {}],
+      [500, {}],
+      [503, { isNotRun: true, callId: undefined }],
+      [200, { isEventStream: true }],
+    ];
+    for (const [status, head] of heads) {
+      const { reader, events } = createHarness(true);
+      reader.readHead(status, { ...HEAD, ...head, rateLimit });
+      t.true(events.includes('limited'), `status ${status}`);
+    }
+    const { reader, events } = createHarness();
+    reader.readHead(421, { ...HEAD, isWrongEndpoint: true, rateLimit });
+    t.deepEqual(events, []);
+  });
 });
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -2,6 +2,7 @@
  * Reads the response of one attempt and reports its events and result. Checks that the response belongs
  * to the call, that it is complete, and whether the endpoint ran the call.
  */
+import type { RateLimitReading } from '../endpoint-limits/rate-limit.js';
 import type { ResponseHead, AttemptEnd, HeaderField } from './call-messages.js';
 import { RESPONSE_BYTES_MAX } from './response-limits.js';
 import { createEventSplitter } from './event-splitter.js';
@@ -18,10 +19,14 @@
   /** The response has the signature header that every endpoint adds. */
   readonly isSigned: boolean;
   readonly isEventStream: boolean;
+  /** What the response says about the endpoint's rate limit. */
+  readonly rateLimit: RateLimitReading;
   readonly headers: readonly HeaderField[];
 }
 
 export interface AttemptListener {
+  /** Called for each response of the endpoint, whether it ran the call or not. */
+  onRateLimit(reading: RateLimitReading): void;
   onStreamStarted(head: ResponseHead): void;
   onEvent(event: StreamEvent): void;
   /** Called once, last. */
@@ -85,6 +90,8 @@
         close({ kind: 'broken', reason: 'response has no call id or that of another call' });
         return false;
       }
+      // A limit in the response of another endpoint at this address is not this endpoint's.
+      if (!decoded.isWrongEndpoint) listener.onRateLimit(decoded.rateLimit);
       if (decoded.isNotRun || decoded.isWrongEndpoint) {
         mode = 'rejected';
         isWrongEndpoint = decoded.isWrongEndpoint;
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,6 +1,7 @@
 /** Executes the commands of call state machines: places attempts, talks to endpoints, delivers responses. */
 import { createPoolRetryBudgets } from '../attempts/pool-retry-budgets.js';
 import type { RetryBounds } from '../attempts/shared-retry-budget.js';
+import type { RateLimitReading } from '../endpoint-limits/rate-limit.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
 import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
@@ -55,6 +56,12 @@
   readonly quarantine: Pick<Quarantine, 'check' | 'isCondemned' | 'startWatch'>;
   /** An endpoint started the call, at a time of the monotonic clock; called once for each call. */
   readonly onStarted: (call: RoutedCall, startedMs: number) => void;
+  /** What a response to a request that was sent at `sentMs` says about the endpoint's rate limit. */
+  readonly onRateLimit: (
+    endpoint: RegisteredEndpoint,
+    reading: RateLimitReading,
+    sentMs: number,
+  ) => void;
   /** Returns a failure if the call must not be sent now. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
 }
@@ -145,6 +152,7 @@
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
+      onRateLimit: (reading) => options.onRateLimit(endpoint, reading, startedMs),
       onStreamStarted(head) {
         watch.recordStarted();
         advanceRun(run, { kind: 'stream_started', attempt, head });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,8 @@
 import { createFleetTime } from '../duties/fleet-time.js';
 import type { DutyStatus } from '../duties/fleet-duties.js';
 import type { UsageUpdate } from '../duties/usage-meter.js';
+import { createLimitLedger } from '../endpoint-limits/limit-ledger.js';
+import type { LimitObserver } from '../observability/limit-observer.js';
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { FeedReader } from '../knowledge/feed.js';
 import { createDrain, STAGE } from '../lifecycle/drain.js';
@@ -83,6 +85,7 @@
   readonly protocol: EndpointProtocol;
   readonly observer: CallObserver;
   readonly quarantineObserver: QuarantineObserver;
+  readonly limitObserver: LimitObserver;
   /** Persistent store of condemned contents. */
   readonly caseStore: CaseStore;
   readonly retryBounds: RetryBounds;
@@ -130,6 +133,8 @@
   releaseCase(content: string, who: string, reason: string): boolean;
   countInstances(): number;
   countCalls(): number;
+  /** Number of endpoints that name a rate limit. */
+  countLimitedEndpoints(): number;
   stop(): void;
 }
 
@@ -137,6 +142,7 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { timers, log, random } = options;
   const loads = createEndpointLoads();
+  const limits = createLimitLedger();
   const drain = createDrain(options.drainTimeoutMs, options.drainNoticeMs);
   const time = createFleetTime();
   let table: RouteTable | undefined;
@@ -156,6 +162,7 @@
     },
     onEndpointEnded(endpoint, isRestarted) {
       loads.remove(endpoint.startId);
+      limits.remove(hashStartId(endpoint.startId));
       quarantine.recordEnded(endpoint);
       if (isRestarted) closeConnectionsTo(endpoint);
     },
@@ -246,6 +253,12 @@
     countInstances: () => peers.countInstances(),
     quarantine,
     onStarted: (call, startedMs) => duties?.recordStarted(call, startedMs),
+    onRateLimit(endpoint, reading, sentMs) {
+      if (reading.kind === 'unreadable') options.limitObserver.onUnreadable(endpoint, reading.text);
+      const key = hashStartId(endpoint.startId);
+      const change = limits.recordAnswer(key, reading, sentMs, getNow());
+      if (change !== undefined) options.limitObserver.onChanged(change);
+    },
     checkSendable(call) {
       // Checked right before each send, since the key may have been revoked while the call waited.
       if (!call.isAuthenticated || areKeysValid()) return undefined;
@@ -324,6 +337,7 @@
     buildKnowledge: (request) => knowledge.buildResponse(request),
     countInstances: () => peers.countInstances(),
     countCalls: () => runner.count(),
+    countLimitedEndpoints: () => limits.list().length,
     stop: () => knowledge.stop(),
   };
 }
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -25,6 +25,8 @@
   /** Fencing number of the duty lease; 0 if this instance does not hold it. */
   readonly getDutyFence: () => number;
   readonly countUnsentWindows: () => number;
+  /** Endpoints that name a rate limit. */
+  readonly countLimitedEndpoints: () => number;
 }
 
 export interface CallMetrics {
@@ -176,6 +178,11 @@
     'Windows of usage that are fixed and not taken by the platform yet',
     sources.countUnsentWindows,
   );
+  addGauge(
+    'hyssoptally_limited_endpoints',
+    'Endpoints that name a rate limit for all instances together',
+    sources.countLimitedEndpoints,
+  );
 
   return {
     recordCall({ route: { kind }, urgency }, result, firstMs, tookMs) {
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -46,6 +46,21 @@
       readonly evidence: string;
       readonly contents: readonly string[];
     }
+  | {
+      /** The rate limit that an endpoint names was learned, changed or lifted. */
+      readonly event: 'endpoint_limited';
+      /** Name of the endpoint; a hash of its start id where this instance does not know the name. */
+      readonly endpoint: string;
+      /** Hash of the endpoint's start id. */
+      readonly start: string;
+      /** Requests a second for all instances together; null if there is no limit. */
+      readonly perSecond: number | null;
+      readonly previousPerSecond: number | null;
+      /** 'own' or the name of the instance that reported it. */
+      readonly source: string;
+      /** Time since a response said so. */
+      readonly ageMs: number;
+    }
   | {
       /** The quarantine standing of a content changed. */
       readonly event: 'content_judged';
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -59,6 +59,7 @@
     isWrongEndpoint: false,
     isSigned: true,
     isEventStream: true,
+    rateLimit: { kind: 'none' },
     headers: [],
   }),
 };
@@ -125,6 +126,7 @@
     countInstances: () => exchange.countInstances(),
     quarantine,
     onStarted: () => undefined,
+    onRateLimit: () => undefined,
     checkSendable: () => undefined,
   });
   return { runner, exchange, quarantine };
