--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -5,6 +5,7 @@
 import type { EndpointConnections } from '../calls/endpoint-connections.js';
 import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
 import { createFleetTime } from '../duties/fleet-time.js';
+import { parseRateLimit } from '../endpoint-limits/rate-limit.js';
 import { createPeerExchange } from '../gateway/peer-exchange.js';
 import type { PeerExchange } from '../gateway/peer-exchange.js';
 import type { Contact } from '../membership/membership-messages.js';
@@ -50,16 +51,18 @@
 /** The interval of the gateway. */
 const QUARANTINE_TICK_MS = 100;
 
-/** Simulated engines return the call ID in the only response header. */
+/** Simulated engines return the call ID, and perhaps their rate limit, in response headers. */
 const PROTOCOL: EndpointProtocol = {
   encode: ({ callId }) => ({ method: 'POST', target: callId, headers: [], body: Buffer.alloc(0) }),
-  decode: (status, [callId]) => ({
-    callId: callId?.value,
+  decode: (status, headers) => ({
+    callId: headers.find(({ name }) => name === 'call')?.value,
     isNotRun: status === QUEUE_FULL_STATUS,
     isWrongEndpoint: false,
     isSigned: true,
     isEventStream: true,
-    rateLimit: { kind: 'none' },
+    rateLimit: parseRateLimit(
+      headers.filter(({ name }) => name === 'limit').map(({ value }) => value),
+    ),
     headers: [],
   }),
 };
--- a/src/test/simulated-network.ts
+++ b/src/test/simulated-network.ts
@@ -27,6 +27,11 @@
    * @default 10
    */
   readonly callMaxMs?: number;
+  /**
+   * Share of datagrams that are lost.
+   * @default 0.01
+   */
+  readonly lossProbability?: number;
 }
 
 export interface SimulatedNetwork {
@@ -43,7 +48,7 @@
 export function createSimulatedNetwork(
   time: VirtualTime,
   random: Random,
-  { callMaxMs = 10 }: SimulatedNetworkOptions = {},
+  { callMaxMs = 10, lossProbability = LOSS_PROBABILITY }: SimulatedNetworkOptions = {},
 ): SimulatedNetwork {
   const peers = new Map<string, PeerExchange>();
   const knowledgeBuilders = new Map<string, BuildKnowledge>();
@@ -58,7 +63,7 @@
 
   function sendDatagram(address: string, deliver: (peer: PeerExchange) => void): void {
     sent += 1;
-    if (random.next() >= LOSS_PROBABILITY) send(address, deliver);
+    if (random.next() >= lossProbability) send(address, deliver);
   }
 
   /** The peer reads its knowledge at once; its response may overtake earlier ones or be overtaken. */
