Keep the fleet within the rate limits that endpoints name

The class: a bound on the fleet that is kept by nobody, or by each instance for itself.

What was changed (src/endpoint-limits): limits belong to a start of an endpoint, are learned from every response, and are reported to other instances beside the loads. A few holders, chosen by rendezvous hashing, share three quarters of the rate and pace their sends; the number of holders depends on the rate alone. All other instances leave the endpoint out: of the choice, of the pool's capacity, of reserves and homes, of the backlog by which pools are sized. Calls that have nowhere else to go ask a holder, which grants sends to the most urgent, to the organisation served longest ago, to the oldest, and refuses at arrival what it cannot serve in time. Every request to an endpoint passes one door (send-decision), where it is charged. An endpoint that was not heard for 3 s is tested by the next call that a holder may send.

Ways weighed: an even share for each instance (a seventh of a request a second at 7 instances, nothing at 195: not built); holders without messages only (a pool with no other endpoint serves a request only where it happens to arrive: not enough); holders and asking (kept).

Evidence: limited-endpoints.test, seven instances: 38 requests in 4 s before, 3 now, where 11.6 are allowed; at 195 with 40 instances killed, 0 and 1 of 11.6 and 14. Property over 7, 70, 195 and 410 instances, rates 0.2 to 50, loss up to 0.3 and cuts: 25 runs within the limit. Where calls have nowhere else to go, 5 a second at 7 to 410 instances: 48 requests in 13 s. A limit of 0.2 a second in a pool of its own got nothing at first, since the predicted wait left out that a send was free; mended.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,11 +1,11 @@
 /** Executes the commands of call state machines: places attempts, talks to endpoints, delivers responses. */
 import { createPoolRetryBudgets } from '../attempts/pool-retry-budgets.js';
 import type { RetryBounds } from '../attempts/shared-retry-budget.js';
-import type { RateLimitReading } from '../endpoint-limits/rate-limit.js';
+import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
 import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
-import { ADMISSION, compareWaiting } from '../placement/admission-decision.js';
+import { compareWaiting } from '../placement/admission-decision.js';
 import type { WaitingCall } from '../placement/admission-decision.js';
 import type { Placer } from '../placement/placer.js';
 import type { AttemptWatch, Quarantine } from '../quarantine/quarantine.js';
@@ -32,9 +32,10 @@
   RoutedCall,
 } from './call-messages.js';
 import type { AttemptRecord, CallObserver } from './call-records.js';
-import { NO_ENDPOINT, NO_CAPACITY } from './call-refusals.js';
 import type { EndpointConnections } from './endpoint-connections.js';
 import type { EndpointProtocol } from './endpoint-protocol.js';
+import { createSendDecider } from './send-decision.js';
+import type { AttemptCommand } from './send-decision.js';
 
 /** Interval at which deadlines and stalls are checked. */
 const TICK_MS = 100;
@@ -54,14 +55,9 @@
   /** Number of instances that share the endpoints, including this one. */
   readonly countInstances: () => number;
   readonly quarantine: Pick<Quarantine, 'check' | 'isCondemned' | 'startWatch'>;
+  readonly limits: Pick<SendLimits, 'choose' | 'take' | 'recordAnswer'>;
   /** An endpoint started the call, at a time of the monotonic clock; called once for each call. */
   readonly onStarted: (call: RoutedCall, startedMs: number) => void;
-  /** What a response to a request that was sent at `sentMs` says about the endpoint's rate limit. */
-  readonly onRateLimit: (
-    endpoint: RegisteredEndpoint,
-    reading: RateLimitReading,
-    sentMs: number,
-  ) => void;
   /** Returns a failure if the call must not be sent now. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
 }
@@ -77,8 +73,6 @@
   count(): number;
 }
 
-type AttemptCommand = Extract<CallCommand, { kind: 'attempt' }>;
-
 interface Run {
   readonly call: RoutedCall;
   readonly sink: CallSink;
@@ -106,6 +100,13 @@
   let stopTickTimer: Unsubscribe | undefined;
   let stopPlacementTimer: Unsubscribe | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
+  const decider = createSendDecider({
+    placer,
+    limits: options.limits,
+    quarantine: options.quarantine,
+    checkSendable: options.checkSendable,
+    getNow,
+  });
   const budgets = createPoolRetryBudgets(options.retryBounds, getNow());
 
   function buildWaitingCall({ call }: Run): WaitingCall {
@@ -152,7 +153,7 @@
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
-      onRateLimit: (reading) => options.onRateLimit(endpoint, reading, startedMs),
+      onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
       onStreamStarted(head) {
         watch.recordStarted();
         advanceRun(run, { kind: 'stream_started', attempt, head });
@@ -194,38 +195,19 @@
 
   /** Sends or rejects the requested attempt; false if it has to wait. */
   function sendAttempt(run: Run, command: AttemptCommand): boolean {
-    const { call } = run;
-    const failure = options.checkSendable(call);
-    if (failure !== undefined) {
-      advanceRun(run, { kind: 'unplaced', failure });
-      return true;
-    }
-    const verdict = options.quarantine.check(call);
-    if (verdict.kind === 'wait') return false;
-    if (verdict.kind === 'refuse') {
-      advanceRun(run, { kind: 'unplaced', failure: verdict.failure });
-      return true;
-    }
-    const nowMs = getNow();
-    const placement = placer.choose(call, run.triedEndpointIds, verdict.isAlone, nowMs);
-    if (placement === undefined) {
-      advanceRun(run, { kind: 'unplaced', failure: NO_ENDPOINT });
-      return true;
-    }
-    const isResumed = command.lastEventId !== undefined;
-    const admission = placer.chooseAdmission(call, placement, isResumed, nowMs);
-    switch (admission) {
-      case ADMISSION.Send:
-        run.triedEndpointIds.push(placement.endpoint.id);
-        startExchange(run, command.attempt, placement, command.lastEventId);
+    const decision = decider.choose(run.call, command, run.triedEndpointIds);
+    switch (decision.kind) {
+      case 'send':
+        run.triedEndpointIds.push(decision.placement.endpoint.id);
+        startExchange(run, command.attempt, decision.placement, command.lastEventId);
         return true;
-      case ADMISSION.Wait:
+      case 'wait':
         return false;
-      case ADMISSION.Refuse:
-        advanceRun(run, { kind: 'unplaced', failure: NO_CAPACITY });
+      case 'reject':
+        advanceRun(run, { kind: 'unplaced', failure: decision.failure });
         return true;
       default:
-        return assertNever(admission);
+        return assertNever(decision);
     }
   }
 
--- /dev/null
+++ b/src/calls/send-decision.ts
@@ -0,0 +1,110 @@
+/**
+ * Decides whether a requested attempt is sent now, to which endpoint, waits at this instance or is
+ * rejected. Performs no I/O.
+ */
+import type { SendChoice, SendLimits } from '../endpoint-limits/send-limits.js';
+import { ADMISSION } from '../placement/admission-decision.js';
+import type { Admission } from '../placement/admission-decision.js';
+import type { Placement } from '../placement/choose-endpoint.js';
+import type { Placer } from '../placement/placer.js';
+import type { Quarantine } from '../quarantine/quarantine.js';
+import type { RequestFailure } from '../types/outcomes.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import { assertNever } from '../utils/assert-never.js';
+import type { CallCommand, RoutedCall } from './call-messages.js';
+import { NO_CAPACITY, NO_ENDPOINT } from './call-refusals.js';
+
+export type AttemptCommand = Extract<CallCommand, { kind: 'attempt' }>;
+
+export type SendDecision =
+  | { readonly kind: 'send'; readonly placement: Placement }
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'reject'; readonly failure: RequestFailure };
+
+export interface SendDeciderOptions {
+  readonly placer: Pick<Placer, 'choose' | 'chooseAdmission'>;
+  readonly limits: Pick<SendLimits, 'choose' | 'take'>;
+  readonly quarantine: Pick<Quarantine, 'check'>;
+  /** Returns a failure if the call must not be sent now. */
+  readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
+  readonly getNow: () => number;
+}
+
+export interface SendDecider {
+  /** `tried` holds the ids of endpoints that the call was sent to before. */
+  choose(call: RoutedCall, command: AttemptCommand, tried: readonly string[]): SendDecision;
+}
+
+interface Target {
+  readonly placement: Placement;
+  readonly admission: Admission;
+}
+
+interface TargetInput {
+  readonly call: RoutedCall;
+  readonly command: AttemptCommand;
+  readonly tried: readonly string[];
+  readonly isAlone: boolean;
+}
+
+const WAIT: SendDecision = { kind: 'wait' };
+
+export function createSendDecider(options: SendDeciderOptions): SendDecider {
+  const { placer, limits, getNow } = options;
+
+  function findTarget(
+    { call, command, tried, isAlone }: TargetInput,
+    endpoints: readonly RegisteredEndpoint[],
+  ): Target | undefined {
+    const nowMs = getNow();
+    const placement = placer.choose(call, endpoints, tried, isAlone, nowMs);
+    if (placement === undefined) return undefined;
+    const isResumed = command.lastEventId !== undefined;
+    return { placement, admission: placer.chooseAdmission(call, placement, isResumed, nowMs) };
+  }
+
+  function chooseTarget(
+    input: TargetInput,
+    { endpoints, untested }: Extract<SendChoice, { kind: 'send' }>,
+  ): Target | undefined {
+    if (untested !== undefined) {
+      const target = findTarget(input, [untested]);
+      if (target?.admission === ADMISSION.Send) return target;
+    }
+    return findTarget(input, endpoints);
+  }
+
+  function resolveTarget({ call, command }: TargetInput, target: Target): SendDecision {
+    const { placement, admission } = target;
+    switch (admission) {
+      case ADMISSION.Send:
+        // Every request to an endpoint is charged here, whatever its reason.
+        return limits.take(call, command.attempt, placement.endpoint)
+          ? { kind: 'send', placement }
+          : WAIT;
+      case ADMISSION.Wait:
+        return WAIT;
+      case ADMISSION.Refuse:
+        return { kind: 'reject', failure: NO_CAPACITY };
+      default:
+        return assertNever(admission);
+    }
+  }
+
+  return {
+    choose(call, command, tried) {
+      const failure = options.checkSendable(call);
+      if (failure !== undefined) return { kind: 'reject', failure };
+      const verdict = options.quarantine.check(call);
+      if (verdict.kind === 'wait') return WAIT;
+      if (verdict.kind === 'refuse') return { kind: 'reject', failure: verdict.failure };
+      const choice = limits.choose(call, command.attempt, tried);
+      if (choice.kind === 'wait') return WAIT;
+      if (choice.kind === 'refuse') return { kind: 'reject', failure: choice.failure };
+      const input: TargetInput = { call, command, tried, isAlone: verdict.isAlone };
+      const target = chooseTarget(input, choice);
+      if (target === undefined) return { kind: 'reject', failure: NO_ENDPOINT };
+      return resolveTarget(input, target);
+    },
+  };
+}
--- a/src/cli/ctl-main.ts
+++ b/src/cli/ctl-main.ts
@@ -312,6 +312,13 @@
           args.json,
         ),
     )
+    .command(
+      'limits',
+      'list endpoints that name a rate limit for all instances together',
+      (command) => command.demandOption(['router', 'operator-secret']),
+      (args) =>
+        routerCommands.runLimits({ url: args.router, secret: args.operatorSecret }, args.json),
+    )
     .command(
       'duties [step-down]',
       'show the holder of the fleet duties; step-down: make the router hand them over',
--- a/src/cli/format-output.ts
+++ b/src/cli/format-output.ts
@@ -2,6 +2,7 @@
 import type { FileChange, FolderFiles } from '../configuration/manifest.js';
 import type { AuditRecord } from '../configuration/store.js';
 import type { DutyStatus } from '../duties/fleet-duties.js';
+import type { ListedLimit } from '../endpoint-limits/limits-api.js';
 import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
 
@@ -104,6 +105,23 @@
   ].join('\n');
 }
 
+/** Formats the rate limits that endpoints name. */
+export function formatLimits(limits: readonly ListedLimit[]): string {
+  if (limits.length === 0) return 'no endpoint names a rate limit';
+  const rows = limits.map(({ endpoint, start, perSecond, source, knownForMs, observedAgoMs }) => [
+    endpoint,
+    start,
+    `${perSecond}/s`,
+    source,
+    `${Math.round(knownForMs / 1000)} s`,
+    `${(observedAgoMs / 1000).toFixed(1)} s ago`,
+  ]);
+  return formatTable([
+    ['endpoint', 'start', 'limit', 'source', 'known for', 'last named'],
+    ...rows,
+  ]);
+}
+
 /** Formats the holder of the fleet duties and, if it is this router, the requested scale of each pool. */
 export function formatDuties(duties: DutyStatus | null): string {
   if (duties === null) return 'the platform does not use fleet duties';
--- a/src/cli/router-commands.ts
+++ b/src/cli/router-commands.ts
@@ -1,9 +1,10 @@
 /** Commands of `hyssoptally-ctl` that call a router. */
 import type { DutyStatus } from '../duties/fleet-duties.js';
+import type { ListedLimit } from '../endpoint-limits/limits-api.js';
 import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
 import type { ExitCode } from './command-line.js';
-import { formatQuarantine, formatDuties, formatStatus } from './format-output.js';
+import { formatQuarantine, formatDuties, formatLimits, formatStatus } from './format-output.js';
 import { queryRouter } from './query-router.js';
 
 /** URL and secret of a router's operator port. */
@@ -28,6 +29,8 @@
     release: { readonly content: string; readonly who: string; readonly reason: string },
     isJson: boolean,
   ): Promise<void>;
+  /** Lists the endpoints that name a rate limit. */
+  runLimits(router: RouterAddress, isJson: boolean): Promise<void>;
   runDuties(router: RouterAddress, isJson: boolean): Promise<void>;
   /** Makes the router release the fleet duties to another one. */
   runStepDown(router: RouterAddress, isJson: boolean): Promise<void>;
@@ -64,6 +67,12 @@
       const request = { ...router, path, body: { who, reason } };
       return runRequest(request, isJson, () => `released ${content}`);
     },
+    runLimits: (router, isJson) =>
+      runRequest<{ readonly limits: readonly ListedLimit[] }>(
+        { ...router, path: '/limits' },
+        isJson,
+        ({ limits }) => formatLimits(limits),
+      ),
     runDuties: (router, isJson) =>
       runRequest<{ readonly duties: DutyStatus | null }>(
         { ...router, path: '/duties' },
--- a/src/gateway/gateway-duties.ts
+++ b/src/gateway/gateway-duties.ts
@@ -43,6 +43,8 @@
   readonly time: FleetTime;
   readonly loads: EndpointLoads;
   readonly directory: Pick<EndpointDirectory, 'listAll'>;
+  /** Whether an endpoint takes only a limited rate of requests. */
+  readonly isLimited: (startId: string) => boolean;
   readonly peers: Pick<
     PeerExchange,
     'isDutyCandidate' | 'listDutyCandidates' | 'sendUsage' | 'countInstances'
@@ -101,7 +103,10 @@
   function computeBacklogMs(pool: string): number {
     const openEndpoints = directory
       .listAll()
-      .filter((endpoint) => endpoint.pool === pool && !endpoint.isLeaving);
+      .filter(
+        ({ pool: name, isLeaving, startId }) =>
+          name === pool && !isLeaving && !options.isLimited(startId),
+      );
     const msPerToken = loads.getPoolTiming(pool).prefillSpeed?.msPerToken ?? 0;
     const unread = openEndpoints.reduce(
       (sum, { startId }) => sum + loads.get(startId).unreadTokens,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,8 +12,9 @@
 import { createFleetTime } from '../duties/fleet-time.js';
 import type { DutyStatus } from '../duties/fleet-duties.js';
 import type { UsageUpdate } from '../duties/usage-meter.js';
-import { createLimitLedger } from '../endpoint-limits/limit-ledger.js';
-import type { LimitObserver } from '../observability/limit-observer.js';
+import type { KnownLimit, LimitReport } from '../endpoint-limits/limit-ledger.js';
+import type { PermitReply, PermitRequest } from '../endpoint-limits/permit-messages.js';
+import type { SendLimitsObserver } from '../endpoint-limits/send-limits.js';
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { FeedReader } from '../knowledge/feed.js';
 import { createDrain, STAGE } from '../lifecycle/drain.js';
@@ -46,6 +47,7 @@
 import type { Result } from '../utils/result.js';
 import { createLeavingFailure, createNotReadyFailure, resolveCall } from './resolve-call.js';
 import type { CallerRequest } from './resolve-call.js';
+import { createCallLimits } from './call-limits.js';
 import { createCallQuarantine } from './call-quarantine.js';
 import { createGatewayDuties, createTimedFeed } from './gateway-duties.js';
 import type { DutyOptions, GatewayDuties } from './gateway-duties.js';
@@ -74,7 +76,7 @@
   readonly invariants: Invariants;
   readonly log: DecisionLog;
   readonly links: PeerLinks;
-  readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage'>;
+  readonly datagrams: Omit<Datagrams, 'close'>;
   readonly instances: InstanceListClient;
   readonly configurationFeed: FeedReader;
   readonly endpointFeed: FeedReader;
@@ -85,7 +87,7 @@
   readonly protocol: EndpointProtocol;
   readonly observer: CallObserver;
   readonly quarantineObserver: QuarantineObserver;
-  readonly limitObserver: LimitObserver;
+  readonly limitObserver: SendLimitsObserver;
   /** Persistent store of condemned contents. */
   readonly caseStore: CaseStore;
   readonly retryBounds: RetryBounds;
@@ -133,8 +135,11 @@
   releaseCase(content: string, who: string, reason: string): boolean;
   countInstances(): number;
   countCalls(): number;
-  /** Number of endpoints that name a rate limit. */
-  countLimitedEndpoints(): number;
+  handleLimits(from: string, reports: readonly LimitReport[]): void;
+  handlePermitRequests(from: string, requests: readonly PermitRequest[]): void;
+  handlePermitReplies(replies: readonly PermitReply[]): void;
+  /** Rate limits that endpoints name. */
+  listLimits(): readonly KnownLimit[];
   stop(): void;
 }
 
@@ -142,7 +147,6 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { timers, log, random } = options;
   const loads = createEndpointLoads();
-  const limits = createLimitLedger();
   const drain = createDrain(options.drainTimeoutMs, options.drainNoticeMs);
   const time = createFleetTime();
   let table: RouteTable | undefined;
@@ -162,7 +166,7 @@
     },
     onEndpointEnded(endpoint, isRestarted) {
       loads.remove(endpoint.startId);
-      limits.remove(hashStartId(endpoint.startId));
+      limits.remove(endpoint.startId);
       quarantine.recordEnded(endpoint);
       if (isRestarted) closeConnectionsTo(endpoint);
     },
@@ -203,6 +207,7 @@
     instances: options.instances,
     loads,
     quarantine,
+    limits: { takeReports: () => limits.takeReports() },
     knowledge: {
       ...knowledge,
       setRole(role) {
@@ -214,6 +219,16 @@
     isLeaving,
   });
 
+  const limits = createCallLimits({
+    self: options.self.name,
+    timers,
+    random,
+    observer: options.limitObserver,
+    datagrams: options.datagrams,
+    peers,
+    listOpen: (pool) => knowledge.directory.listOpen(pool),
+  });
+
   const duties: GatewayDuties | undefined =
     options.duties === undefined
       ? undefined
@@ -226,6 +241,7 @@
           time,
           loads,
           directory: knowledge.directory,
+          isLimited: (startId) => limits.isLimited(startId),
           peers,
           getConfiguration: () => knowledge.getConfiguration(),
           getKnowledgeAge: () => knowledge.computeAge(),
@@ -235,7 +251,7 @@
   const placer = createPlacer({
     loads,
     random,
-    listOpen: (pool) => knowledge.directory.listOpen(pool),
+    listOpen: (pool) => limits.listPreferred(pool),
     getRouteRank: (route, pool) => table?.getRouteRank(route, pool) ?? TOP_RANK,
     isDataCentreUnreachable: (dataCentre) => peers.isDataCentreUnreachable(dataCentre),
     isAvoided: (endpoint) => quarantine.isInTrial(endpoint),
@@ -252,13 +268,8 @@
     findPool: (name) => table?.findPool(name),
     countInstances: () => peers.countInstances(),
     quarantine,
+    limits,
     onStarted: (call, startedMs) => duties?.recordStarted(call, startedMs),
-    onRateLimit(endpoint, reading, sentMs) {
-      if (reading.kind === 'unreadable') options.limitObserver.onUnreadable(endpoint, reading.text);
-      const key = hashStartId(endpoint.startId);
-      const change = limits.recordAnswer(key, reading, sentMs, getNow());
-      if (change !== undefined) options.limitObserver.onChanged(change);
-    },
     checkSendable(call) {
       // Checked right before each send, since the key may have been revoked while the call waited.
       if (!call.isAuthenticated || areKeysValid()) return undefined;
@@ -337,7 +348,10 @@
     buildKnowledge: (request) => knowledge.buildResponse(request),
     countInstances: () => peers.countInstances(),
     countCalls: () => runner.count(),
-    countLimitedEndpoints: () => limits.list().length,
+    handleLimits: (from, reports) => limits.mergeReports(reports, from),
+    handlePermitRequests: (from, requests) => limits.handleRequests(requests, from),
+    handlePermitReplies: (replies) => limits.handleReplies(replies),
+    listLimits: () => limits.list(),
     stop: () => knowledge.stop(),
   };
 }
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -6,6 +6,7 @@
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import { createWatchRoleSelector, listWatchers } from '../knowledge/watch-role.js';
 import { LOAD_UPDATE_PERIOD_MS, createLoadExchange } from '../load-sharing/load-exchange.js';
+import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import type { AddressedLoadUpdate } from '../load-sharing/load-update.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import type { PeerMessage } from '../gen/peer_pb.js';
@@ -43,11 +44,15 @@
   readonly invariants: Invariants;
   readonly log: DecisionLog;
   readonly links: PeerLinks;
-  readonly datagrams: Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage'>;
+  readonly datagrams: Pick<
+    Datagrams,
+    'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage' | 'sendLimits'
+  >;
   readonly time: FleetTime;
   readonly instances: InstanceListClient;
   readonly loads: EndpointLoads;
   readonly quarantine: Pick<Quarantine, 'takeReports' | 'merge'>;
+  readonly limits: Pick<SendLimits, 'takeReports'>;
   readonly knowledge: Pick<
     KnowledgeStore,
     'applyResponse' | 'applySummary' | 'computeAge' | 'getSummary' | 'setRole'
@@ -73,6 +78,9 @@
   sendUsage(usage: UsageUpdate): void;
   /** Number of instances that share the endpoints, including this one. */
   countInstances(): number;
+  /** Names of the live instances, including this one. */
+  listAliveNames(): readonly string[];
+  findAddress(name: string): string | undefined;
   /** Announces that this instance is leaving. */
   leave(): void;
   /** Announces that this instance has left. */
@@ -167,12 +175,14 @@
     );
   }
 
-  /** Sends quarantine cases to the recipients of the loads, so that they spread as fast. */
-  function sendCases(updates: readonly AddressedLoadUpdate[]): void {
+  /** Sends other reports to the recipients of the loads, so that they spread as fast. */
+  function sendReports(updates: readonly AddressedLoadUpdate[]): void {
     const addresses = [...new Set(updates.flatMap((update) => update.addresses))];
     if (addresses.length === 0) return;
     const cases = options.quarantine.takeReports();
     if (cases.length > 0) options.datagrams.sendCases(addresses, cases);
+    const limits = options.limits.takeReports();
+    if (limits.length > 0) options.datagrams.sendLimits(addresses, limits);
   }
 
   /** Duty candidates are the instances that watch the source, which duties depend on. */
@@ -205,7 +215,7 @@
     const updates = loadExchange.advance(getNow());
     const time = options.time.buildPeerTime(getNow());
     for (const update of updates) options.datagrams.sendLoads(update, summary, time);
-    sendCases(updates);
+    sendReports(updates);
   });
   timers.subscribe(WATCH_ROLE_PERIOD_MS, () => {
     advanceWatchRole();
@@ -252,6 +262,8 @@
       if (addresses.length > 0) options.datagrams.sendUsage(addresses, usage);
     },
     countInstances: () => fleet.listAlive().length,
+    listAliveNames: () => fleet.listAlive().map(({ subject }) => subject),
+    findAddress: (name) => fleet.findAddress(name),
     leave: () => fleet.leave(),
     announceLeft: () => fleet.announceLeft(),
   };
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -48,6 +48,10 @@
   recordStanding(standing: string): void;
   /** Records a call refused because of crashes of its content or organisation. */
   recordQuarantineRefusal(): void;
+  /** Records a request that was sent to an endpoint with a rate limit. */
+  recordLimitedSend(): void;
+  /** Records a call refused because of the rate limits of endpoints. */
+  recordLimitRefusal(): void;
   /** Records a request refused before routing. */
   recordRefusal(failure: string): void;
   /** Records a value of a newer release. */
@@ -95,6 +99,16 @@
     help: 'Calls refused because endpoints crashed under their content',
     registers,
   });
+  const limitedSends = new Counter({
+    name: 'hyssoptally_limited_sends_total',
+    help: 'Requests sent to endpoints that name a rate limit',
+    registers,
+  });
+  const limitRefusals = new Counter({
+    name: 'hyssoptally_limit_refusals_total',
+    help: 'Calls refused because all endpoints of their pool name rate limits',
+    registers,
+  });
   const unknownValues = new Counter({
     name: 'hyssoptally_unknown_values_total',
     help: 'Words of a newer release that this one does not know, by where they were read',
@@ -197,6 +211,8 @@
     recordCrash: (evidence) => crashes.inc({ evidence }),
     recordStanding: (standing) => standings.inc({ standing }),
     recordQuarantineRefusal: () => quarantineRefusals.inc(),
+    recordLimitedSend: () => limitedSends.inc(),
+    recordLimitRefusal: () => limitRefusals.inc(),
     recordRefusal: (failure) => refusals.inc({ failure }),
     recordUnknown: (place) => unknownValues.inc({ place }),
     recordDuty: (duty, outcome) => dutyCalls.inc({ duty, outcome }),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -61,6 +61,17 @@
       /** Time since a response said so. */
       readonly ageMs: number;
     }
+  | {
+      /** A call was refused because of the rate limits of endpoints. */
+      readonly event: 'limit_refused';
+      readonly request: string;
+      readonly pool: string;
+      readonly urgency: number;
+      readonly organisation: string;
+      /** Endpoints of the pool with their rate, source and the age of the observation. */
+      readonly limits: readonly string[];
+      readonly retryAfterMs: number;
+    }
   | {
       /** The quarantine standing of a content changed. */
       readonly event: 'content_judged';
@@ -208,6 +219,7 @@
   switch (event.event) {
     case 'request_refused':
     case 'content_refused':
+    case 'limit_refused':
     case 'attempt_failed':
       return LOG_KIND.Failure;
     case 'attempt_started':
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -5,13 +5,23 @@
 import { timingSafeEqual } from 'node:crypto';
 import { createSocket } from 'node:dgram';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
-import { DatagramSchema } from '../gen/peer_pb.js';
+import { DatagramSchema, PeerMessageSchema } from '../gen/peer_pb.js';
 import type { Datagram, PeerMessage, TellLoad } from '../gen/peer_pb.js';
 import type { PeerTime } from '../duties/fleet-time.js';
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import type { AddressedLoadUpdate } from '../load-sharing/load-update.js';
 import type { CaseReport } from '../quarantine/case-ledger.js';
+import type { LimitReport } from '../endpoint-limits/limit-ledger.js';
+import type { PermitReply, PermitRequest } from '../endpoint-limits/permit-messages.js';
 import { decodeCases, encodeCases } from './encode-cases.js';
+import {
+  decodeLimits,
+  decodePermitReplies,
+  decodePermitRequests,
+  encodeLimits,
+  encodePermitReplies,
+  encodePermitRequests,
+} from './encode-limits.js';
 import { decodeLoadUpdate, encodeLoadUpdate } from './encode-load-update.js';
 import { decodeUsage, encodeUsage } from './encode-usage.js';
 import type { KnowledgeSummary } from './peer-links.js';
@@ -26,6 +36,9 @@
   sendGossip(address: string, body: PeerMessage['body']): void;
   sendCases(addresses: readonly string[], cases: readonly CaseReport[]): void;
   sendUsage(addresses: readonly string[], update: UsageUpdate): void;
+  sendLimits(addresses: readonly string[], reports: readonly LimitReport[]): void;
+  sendPermitRequests(address: string, requests: readonly PermitRequest[]): void;
+  sendPermitReplies(address: string, replies: readonly PermitReply[]): void;
   close(): void;
 }
 
@@ -40,6 +53,9 @@
   readonly onGossip: (from: string, body: PeerMessage['body']) => void;
   readonly onCases: (from: string, cases: readonly CaseReport[]) => void;
   readonly onUsage: (update: UsageUpdate) => void;
+  readonly onLimits: (from: string, reports: readonly LimitReport[]) => void;
+  readonly onPermitRequests: (from: string, requests: readonly PermitRequest[]) => void;
+  readonly onPermitReplies: (replies: readonly PermitReply[]) => void;
   /** Called for a message kind or value of a newer release, which is ignored. */
   readonly onUnknown: (field: string, value: string) => void;
   /** Called if a datagram cannot be sent, authenticated or decoded. */
@@ -77,6 +93,15 @@
       case 'usage':
         options.onUsage(decodeUsage(from, body.value));
         break;
+      case 'limits':
+        options.onLimits(from, decodeLimits(body.value));
+        break;
+      case 'permitRequests':
+        options.onPermitRequests(from, decodePermitRequests(body.value));
+        break;
+      case 'permitReplies':
+        options.onPermitReplies(decodePermitReplies(body.value));
+        break;
       default:
         options.onUnknown('datagram', `of ${from}`);
     }
@@ -97,39 +122,35 @@
   });
   socket.bind(options.port, options.host);
 
+  function sendBody(addresses: readonly string[], body: Datagram['body']): void {
+    const message = create(DatagramSchema, { from: self, secret, body });
+    const bytes = toBinary(DatagramSchema, message);
+    for (const address of addresses) sendBytes(address, bytes);
+  }
+
   return {
     sendLoads(update, knowledge, time) {
-      for (const value of encodeLoadUpdate(update, dataCentre, knowledge, time)) {
-        const body = { case: 'load', value } as const;
-        const bytes = toBinary(
-          DatagramSchema,
-          create(DatagramSchema, { from: self, secret, body }),
-        );
-        for (const address of update.addresses) sendBytes(address, bytes);
-      }
+      for (const value of encodeLoadUpdate(update, dataCentre, knowledge, time))
+        sendBody(update.addresses, { case: 'load', value });
     },
     sendGossip(address, body) {
-      const message = create(DatagramSchema, {
-        from: self,
-        secret,
-        body: { case: 'gossip', value: { body } },
-      });
-      sendBytes(address, toBinary(DatagramSchema, message));
+      const value = create(PeerMessageSchema, { body });
+      sendBody([address], { case: 'gossip', value });
     },
     sendCases(addresses, cases) {
-      const body = { case: 'cases', value: encodeCases(cases) } as const;
-      const bytes = toBinary(DatagramSchema, create(DatagramSchema, { from: self, secret, body }));
-      for (const address of addresses) sendBytes(address, bytes);
+      sendBody(addresses, { case: 'cases', value: encodeCases(cases) });
     },
     sendUsage(addresses, update) {
-      for (const value of encodeUsage(update)) {
-        const body = { case: 'usage', value } as const;
-        const bytes = toBinary(
-          DatagramSchema,
-          create(DatagramSchema, { from: self, secret, body }),
-        );
-        for (const address of addresses) sendBytes(address, bytes);
-      }
+      for (const value of encodeUsage(update)) sendBody(addresses, { case: 'usage', value });
+    },
+    sendLimits(addresses, reports) {
+      sendBody(addresses, { case: 'limits', value: encodeLimits(reports) });
+    },
+    sendPermitRequests(address, requests) {
+      sendBody([address], { case: 'permitRequests', value: encodePermitRequests(requests) });
+    },
+    sendPermitReplies(address, replies) {
+      sendBody([address], { case: 'permitReplies', value: encodePermitReplies(replies) });
     },
     close: () => socket.close(),
   };
--- a/src/placement/admission-decision.ts
+++ b/src/placement/admission-decision.ts
@@ -86,13 +86,21 @@
   return running < slots * (1 - reserve) * overflow;
 }
 
+/** Time that a call may still wait at this instance; negative once it must be sent or refused. */
+export function computeWaitLeftMs(
+  { receivedMs, deadlineMs }: Pick<AdmissionInput, 'receivedMs' | 'deadlineMs'>,
+  nowMs: number,
+): number {
+  return receivedMs + (deadlineMs - receivedMs) * WAIT_SHARE_MAX - nowMs;
+}
+
 /**
  * Decides on one call. Only the most urgent calls may use part of the engine's own queue; all
  * others wait at this instance, since an engine refuses calls once its queue is full.
  */
 export function chooseAdmission(input: AdmissionInput): Admission {
-  const { rank, running, slots, receivedMs, deadlineMs, nowMs } = input;
-  const isWaitExhausted = nowMs - receivedMs >= (deadlineMs - receivedMs) * WAIT_SHARE_MAX;
+  const { rank, running, slots, nowMs } = input;
+  const isWaitExhausted = computeWaitLeftMs(input, nowMs) <= 0;
   if (rank === 0) {
     const isWaiting = !isWaitExhausted && running >= slots * URGENT_QUEUE_FACTOR;
     return isWaiting ? ADMISSION.Wait : ADMISSION.Send;
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -20,6 +20,7 @@
 export interface PlacerOptions {
   readonly loads: EndpointLoads;
   readonly random: Random;
+  /** Endpoints that make up the capacity of a pool. */
   readonly listOpen: (pool: string) => readonly RegisteredEndpoint[];
   /** Rank of a route among the routes that stream from the pool. */
   readonly getRouteRank: (route: Route, pool: string) => RouteRank;
@@ -31,12 +32,13 @@
 
 export interface Placer {
   /**
-   * Returns where to send a call, or undefined if no endpoint may get it. `tried` holds the ids of
-   * endpoints it was sent to before. A call suspected of crashing endpoints goes to the least
-   * loaded one.
+   * Returns to which of the endpoints a call is sent, or undefined if none may get it. `tried` holds
+   * the ids of endpoints it was sent to before. A call suspected of crashing endpoints goes to the
+   * least loaded one.
    */
   choose(
     call: RoutedCall,
+    endpoints: readonly RegisteredEndpoint[],
     tried: readonly string[],
     isCrashSuspect: boolean,
     nowMs: number,
@@ -113,11 +115,11 @@
   }
 
   return {
-    choose(call, tried, isCrashSuspect, nowMs) {
+    choose(call, endpoints, tried, isCrashSuspect, nowMs) {
       const { route, pool } = call;
       const prompt = isCrashSuspect ? undefined : call.prompt;
       const placement = chooseEndpoint({
-        endpoints: options.listOpen(pool),
+        endpoints,
         isDataCentreUnreachable: options.isDataCentreUnreachable,
         isAvoided: options.isAvoided,
         prompt,
--- a/src/test/configuration-simulation.ts
+++ b/src/test/configuration-simulation.ts
@@ -108,6 +108,7 @@
     },
     loads: createEndpointLoads(),
     quarantine: { takeReports: () => [], merge: () => undefined },
+    limits: { takeReports: () => [] },
     knowledge: store,
     knowledgeAgeMaxMs: KNOWLEDGE_AGE_MAX_MS,
     isLeaving: () => false,
--- a/src/test/limit-simulation.ts
+++ b/src/test/limit-simulation.ts
@@ -232,6 +232,7 @@
       onAttempt: () => undefined,
     });
     network.add(self.address, instance.exchange);
+    network.addLimits(self.address, instance.limits);
     return instance;
   });
   return { instances, actors, timers, countDatagrams: () => network.countSent() };
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -6,6 +6,8 @@
 import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
 import { createFleetTime } from '../duties/fleet-time.js';
 import { parseRateLimit } from '../endpoint-limits/rate-limit.js';
+import type { SendLimits } from '../endpoint-limits/send-limits.js';
+import { createCallLimits } from '../gateway/call-limits.js';
 import { createPeerExchange } from '../gateway/peer-exchange.js';
 import type { PeerExchange } from '../gateway/peer-exchange.js';
 import type { Contact } from '../membership/membership-messages.js';
@@ -44,6 +46,7 @@
   readonly runner: CallRunner;
   readonly exchange: PeerExchange;
   readonly quarantine: Quarantine;
+  readonly limits: SendLimits;
 }
 
 /** Instances whose addresses every instance is configured with. */
@@ -95,6 +98,7 @@
     loads,
     time: createFleetTime(),
     quarantine,
+    limits: { takeReports: () => limits.takeReports() },
     knowledge: {
       applyResponse: () => undefined,
       applySummary: () => false,
@@ -105,6 +109,20 @@
     knowledgeAgeMaxMs: Infinity,
     isLeaving: () => false,
   });
+  const limits = createCallLimits({
+    self: self.name,
+    timers,
+    random,
+    observer: {
+      onChanged: () => undefined,
+      onUnreadable: () => undefined,
+      onSent: () => undefined,
+      onRefused: () => undefined,
+    },
+    datagrams: network.createDatagrams(self),
+    peers: exchange,
+    listOpen,
+  });
   const runner = createCallRunner({
     connections: options.connections,
     protocol: PROTOCOL,
@@ -112,7 +130,7 @@
     placer: createPlacer({
       loads,
       random,
-      listOpen,
+      listOpen: (pool) => limits.listPreferred(pool),
       getRouteRank: (route, pool) => ranks.get(route, pool),
       isDataCentreUnreachable: (dataCentre) => exchange.isDataCentreUnreachable(dataCentre),
       isAvoided: (endpoint) => quarantine.isInTrial(endpoint),
@@ -128,9 +146,9 @@
     findPool: () => undefined,
     countInstances: () => exchange.countInstances(),
     quarantine,
+    limits,
     onStarted: () => undefined,
-    onRateLimit: () => undefined,
     checkSendable: () => undefined,
   });
-  return { runner, exchange, quarantine };
+  return { runner, exchange, quarantine, limits };
 }
--- a/src/test/simulated-network.ts
+++ b/src/test/simulated-network.ts
@@ -1,8 +1,17 @@
 /** Links between simulated instances, with latency and datagram loss. */
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
+import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { Datagrams } from '../peers/datagrams.js';
 import { decodeCases, encodeCases } from '../peers/encode-cases.js';
+import {
+  decodeLimits,
+  decodePermitReplies,
+  decodePermitRequests,
+  encodeLimits,
+  encodePermitReplies,
+  encodePermitRequests,
+} from '../peers/encode-limits.js';
 import { decodeLoadUpdate, encodeLoadUpdate } from '../peers/encode-load-update.js';
 import type { KnownRevisions, PeerLinks } from '../peers/peer-links.js';
 import type { VirtualTime } from '../soak/virtual-time.js';
@@ -37,10 +46,10 @@
 export interface SimulatedNetwork {
   /** Adds an instance; without `buildKnowledge`, calls that fetch knowledge from it fail. */
   add(address: string, exchange: PeerExchange, buildKnowledge?: BuildKnowledge): void;
+  /** Adds the receiver of messages about rate limits at an address. */
+  addLimits(address: string, limits: SendLimits): void;
   createLinks(self: Contact): PeerLinks;
-  createDatagrams(
-    self: Contact,
-  ): Pick<Datagrams, 'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage'>;
+  createDatagrams(self: Contact): Omit<Datagrams, 'close'>;
   /** Counts the datagrams sent so far, including lost ones. */
   countSent(): number;
 }
@@ -52,6 +61,7 @@
 ): SimulatedNetwork {
   const peers = new Map<string, PeerExchange>();
   const knowledgeBuilders = new Map<string, BuildKnowledge>();
+  const limitsByAddress = new Map<string, SendLimits>();
   let sent = 0;
 
   function send(address: string, deliver: (peer: PeerExchange) => void): void {
@@ -66,6 +76,13 @@
     if (random.next() >= lossProbability) send(address, deliver);
   }
 
+  function sendToLimits(address: string, deliver: (limits: SendLimits) => void): void {
+    sendDatagram(address, () => {
+      const limits = limitsByAddress.get(address);
+      if (limits !== undefined) deliver(limits);
+    });
+  }
+
   /** The peer reads its knowledge at once; its response may overtake earlier ones or be overtaken. */
   function fetchKnowledge(address: string, known: KnownRevisions): Promise<FetchKnowledgeResponse> {
     return new Promise((resolve, reject) => {
@@ -99,6 +116,9 @@
       fetchKnowledge,
       queryAttempt: rejectCall,
     }),
+    addLimits(address, limits) {
+      limitsByAddress.set(address, limits);
+    },
     createDatagrams: ({ name, dataCentre }) => ({
       sendLoads(loads, knowledge, sentTime) {
         for (const datagram of encodeLoadUpdate(loads, dataCentre, knowledge, sentTime)) {
@@ -116,6 +136,19 @@
         }
       },
       sendUsage: () => undefined,
+      sendLimits(addresses, reports) {
+        const decodedReports = decodeLimits(encodeLimits(reports));
+        for (const address of addresses)
+          sendToLimits(address, (limits) => limits.mergeReports(decodedReports, name));
+      },
+      sendPermitRequests(address, requests) {
+        const decoded = decodePermitRequests(encodePermitRequests(requests));
+        sendToLimits(address, (limits) => limits.handleRequests(decoded, name));
+      },
+      sendPermitReplies(address, replies) {
+        const decoded = decodePermitReplies(encodePermitReplies(replies));
+        sendToLimits(address, (limits) => limits.handleReplies(decoded));
+      },
       sendGossip(address, body) {
         sendDatagram(address, (peer) => peer.handleMessages(name, [body]));
       },
