--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -3,8 +3,7 @@
  * Watches the feeds of both tables, uses the copies of peers while the source is unreachable, and requires
  * a new confirmation after the process was suspended.
  */
-import { createEndpointDirectory } from '../directory/endpoint-directory.js';
-import type { DirectoryMessage, EndpointDirectory } from '../directory/endpoint-directory.js';
+import type { EndpointDirectory } from '../directory/endpoint-directory.js';
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse } from '../gen/peer_pb.js';
 import { createFeedLagDetector } from '../knowledge/feed-lag-detector.js';
 import { createConfigurationKnowledge } from '../knowledge/configuration-knowledge.js';
@@ -13,7 +12,6 @@
 import type { ResponseMetadata } from '../knowledge/feed-watcher.js';
 import { createSourceClock } from '../knowledge/source-clock.js';
 import { createSuspensionDetector } from '../knowledge/suspension-detector.js';
-import { createTableMirror } from '../knowledge/table-mirror.js';
 import type { MirroredRow } from '../knowledge/table-mirror.js';
 import type { WatchRole } from '../knowledge/watch-role.js';
 import { decodeRows, encodeTable } from '../peers/encode-table.js';
@@ -22,6 +20,7 @@
 import type { TimerService } from '../runtime/timer-service.js';
 import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
+import { createEndpointKnowledge } from './endpoint-knowledge.js';
 
 const TICK_MS = 100;
 /**
@@ -73,8 +72,13 @@
   const knowledge = createConfigurationKnowledge<TrafficConfiguration>();
   const sourceClock = createSourceClock();
   const suspensionDetector = createSuspensionDetector(timers.clock);
-  const directory = createEndpointDirectory();
-  const endpointRows = createTableMirror();
+  const endpoints = createEndpointKnowledge({
+    log,
+    getNow: () => timers.clock.monotonicMs(),
+    decodeEndpoint: (row) => decoder.decodeEndpoint(row),
+    onEndpointEnded: options.onEndpointEnded,
+  });
+  const { directory } = endpoints;
   const endpointLagDetector = createFeedLagDetector();
   const configurationLagDetector = createFeedLagDetector();
   let trustedSinceMs = -Infinity;
@@ -100,20 +104,11 @@
     return sourceClock.computeAge(knowledge.getKnownAt(), getNow());
   }
 
-  function applyDirectory(message: DirectoryMessage, source: string): void {
-    for (const { endpoint, change } of directory.handle(message, getNow())) {
-      const isRestarted = change === 'restarted';
-      if (isRestarted || change === 'removed') options.onEndpointEnded(endpoint, isRestarted);
-      const { id, pool } = endpoint;
-      log.write({ event: 'endpoint_changed', endpoint: id, pool, change, source });
-    }
-  }
-
   function handleSourceLost(feed: string, reason: string): void {
     if (isSourceLost) return;
     isSourceLost = true;
     log.write({ event: 'source_lost', feed, reason, knowledgeAgeMs: Math.round(computeAge()) });
-    applyDirectory({ kind: 'source_lost' }, 'source');
+    endpoints.apply({ kind: 'source_lost' }, 'source');
     // The connection of the other feed may have failed too.
     if (feed === 'configuration') endpointWatcher.restart();
   }
@@ -122,7 +117,7 @@
     if (!isSourceLost) return;
     isSourceLost = false;
     log.write({ event: 'source_back', feed });
-    applyDirectory({ kind: 'source_back' }, 'source');
+    endpoints.apply({ kind: 'source_back' }, 'source');
   }
 
   /** Records one row; `knownAtMs` as in `ConfigurationReport`. */
@@ -181,35 +176,6 @@
     if (version > 0) knowledge.record({ version, content: undefined, knownAtMs });
   }
 
-  function parseEndpointRow(row: FeedRow): DirectoryMessage {
-    const endpoint = decoder.decodeEndpoint(row);
-    if (endpoint !== undefined) return { kind: 'registered', endpoint };
-    return { kind: row.value === undefined ? 'removed' : 'unreadable', id: row.key };
-  }
-
-  function handleEndpointRows(rows: readonly FeedRow[], source: string): void {
-    for (const row of rows) applyDirectory(parseEndpointRow(row), source);
-  }
-
-  function handleEndpointList(rows: readonly FeedRow[], source: string): void {
-    const messages = rows.map(parseEndpointRow);
-    for (const message of messages) {
-      if (message.kind === 'unreadable') applyDirectory(message, source);
-    }
-    const endpoints = messages.flatMap((message) =>
-      message.kind === 'registered' ? [message.endpoint] : [],
-    );
-    applyDirectory({ kind: 'listed', endpoints }, source);
-  }
-
-  /**
-   * Guards against reverting to older rows when the feed resumes at a revision before the one received from
-   * peers, which would send calls to an endpoint that is leaving or to its previous start.
-   */
-  function isBehindPeers({ revision }: ResponseMetadata): boolean {
-    return revision < endpointRows.getContentRevision();
-  }
-
   function getWaitMs(): number {
     return role.kind === 'watch' && role.isLeading ? LEADING_WATCH_WAIT_MS : STANDBY_WATCH_WAIT_MS;
   }
@@ -241,15 +207,11 @@
     listener: {
       onListed(rows, answer) {
         handleSourceAnswer('endpoints');
-        if (isBehindPeers(answer)) return;
-        endpointRows.setAll(rows, answer.revision);
-        handleEndpointList(rows, 'source');
+        endpoints.applyList(rows, answer);
       },
       onChanged(rows, answer) {
         handleSourceAnswer('endpoints');
-        if (isBehindPeers(answer)) return;
-        endpointRows.apply(rows, answer.revision);
-        handleEndpointRows(rows, 'source');
+        endpoints.applyChanges(rows, answer);
       },
       onLost: (reason) => handleSourceLost('endpoints', reason),
     },
@@ -257,7 +219,7 @@
 
   timers.subscribe(TICK_MS, () => {
     checkSuspension();
-    applyDirectory({ kind: 'tick' }, 'renewal time');
+    endpoints.apply({ kind: 'tick' }, 'renewal time');
   });
 
   function buildConfigurationTable(known: number): FetchKnowledgeResponse['configuration'] {
@@ -269,12 +231,6 @@
     return encodeTable({ kind: 'all', rows }, version, knownAtMs);
   }
 
-  function buildEndpointTable(known: number): FetchKnowledgeResponse['endpoints'] {
-    const revision = endpointRows.getContentRevision();
-    if (revision === 0 || isSourceLost) return undefined;
-    return encodeTable(endpointRows.listSince(known), revision, undefined);
-  }
-
   function applyConfigurationTable(
     table: NonNullable<FetchKnowledgeResponse['configuration']>,
     peer: string,
@@ -288,24 +244,6 @@
     }
   }
 
-  function applyEndpointTable(
-    table: NonNullable<FetchKnowledgeResponse['endpoints']>,
-    renewalLeftMs: number,
-    peer: string,
-  ): void {
-    if (table.revision <= endpointRows.getContentRevision()) return;
-    // A peer that has just started sends an empty table.
-    if (table.isComplete && !table.hasRows) return;
-    applyDirectory({ kind: 'renewing', forMs: renewalLeftMs }, peer);
-    const rows = decodeRows(table.rows);
-    endpointRows.applyFromPeer(
-      { kind: table.isComplete ? 'all' : 'changed', rows },
-      table.revision,
-    );
-    if (table.isComplete) handleEndpointList(rows, peer);
-    else handleEndpointRows(rows, peer);
-  }
-
   function stopWatching(): void {
     configurationWatcher.pause();
     endpointWatcher.pause();
@@ -321,7 +259,7 @@
       return false;
     }
     const nowMs = getNow();
-    if (endpointLagDetector.checkLag(endpointsRevision, endpointRows.getRevision(), nowMs))
+    if (endpointLagDetector.checkLag(endpointsRevision, endpoints.getRevision(), nowMs))
       endpointWatcher.restart();
     const isConfigurationLagging = configurationLagDetector.checkLag(
       configurationRevision,
@@ -334,7 +272,7 @@
 
   function startWatching(): void {
     configurationWatcher.resume(knowledge.getRow()?.revision ?? 0);
-    endpointWatcher.resume(endpointRows.getRevision());
+    endpointWatcher.resume(endpoints.getRevision());
   }
 
   return {
@@ -345,7 +283,7 @@
       const knownAtMs = knowledge.getKnownAt();
       return {
         configurationRevision: knowledge.getVersion(),
-        endpointsRevision: endpointRows.getContentRevision(),
+        endpointsRevision: endpoints.getContentRevision(),
         confirmedAtMs: Number.isFinite(knownAtMs) ? knownAtMs : undefined,
       };
     },
@@ -356,12 +294,14 @@
         knowledge.record({ version, content: undefined, knownAtMs: confirmedAtMs });
       }
       const isFeedLagging = checkLag(summary);
-      const isPeerAhead = isNewer || endpointsRevision > endpointRows.getContentRevision();
+      const isPeerAhead = isNewer || endpointsRevision > endpoints.getContentRevision();
       return isPeerAhead && (role.kind === 'follow' || isSourceLost || isFeedLagging);
     },
     buildResponse(request) {
       const configuration = buildConfigurationTable(request.configurationRevision);
-      const endpoints = buildEndpointTable(request.endpointsRevision);
+      const endpointTable = isSourceLost
+        ? undefined
+        : endpoints.buildTable(request.endpointsRevision);
       // Guards against passing on a source time computed from a clock that stood still.
       checkSuspension();
       const sourceNowMs = sourceClock.computeSourceNow(getNow());
@@ -370,17 +310,19 @@
         ...(sourceNowMs === undefined ? {} : { sourceNowMs }),
         renewalLeftMs: directory.computeRenewalLeft(getNow()),
         ...(configuration === undefined ? {} : { configuration }),
-        ...(endpoints === undefined ? {} : { endpoints }),
+        ...(endpointTable === undefined ? {} : { endpoints: endpointTable }),
       };
     },
-    applyResponse(peer, { configuration, endpoints, renewalLeftMs, sourceNowMs }, sentMs) {
+    applyResponse(peer, response, sentMs) {
+      const { configuration, endpoints: endpointTable, renewalLeftMs, sourceNowMs } = response;
       checkSuspension();
       if (sentMs < trustedSinceMs) return;
       if (sourceNowMs !== undefined) sourceClock.record({ sourceNowMs, sentMs });
       if (configuration !== undefined) applyConfigurationTable(configuration, peer);
       // The feed of this instance takes precedence while it answers.
-      const isNeeded = role.kind === 'follow' || isSourceLost || endpointRows.getRevision() === 0;
-      if (isNeeded && endpoints !== undefined) applyEndpointTable(endpoints, renewalLeftMs, peer);
+      const isNeeded = role.kind === 'follow' || isSourceLost || endpoints.getRevision() === 0;
+      if (isNeeded && endpointTable !== undefined)
+        endpoints.applyTable(endpointTable, renewalLeftMs, peer);
     },
     setRole(nextRole) {
       const previousRole = role;
