--- a/src/endpoint-limits/permit-requests.ts
+++ b/src/endpoint-limits/permit-requests.ts
@@ -26,6 +26,7 @@
 export interface PermitRequests {
   /** Starts or continues a request at one of the holders and returns its state. */
   query(request: PermitRequest, holders: readonly string[], nowMs: number): PermitState;
+  has(id: PermitId): boolean;
   handle(reply: PermitReply, nowMs: number): void;
   /** Uses up a grant; false if there is none for the endpoint. */
   takeGrant(id: PermitId, endpoint: EndpointKey, nowMs: number): boolean;
@@ -92,6 +93,7 @@
       known.queriedMs = nowMs;
       return known.state;
     },
+    has: (id) => pending.has(id),
     handle(reply, nowMs) {
       const known = pending.get(reply.id);
       if (known === undefined || known.state.kind === 'granted') return;
--- a/src/endpoint-limits/send-limits.ts
+++ b/src/endpoint-limits/send-limits.ts
@@ -233,8 +233,9 @@
     const holders = new Set(
       request.endpoints.flatMap((endpoint) => shares.listHolders(endpoint, nowMs)),
     );
+    const isNew = !requests.has(request.id);
     const state = requests.query(request, [...holders], nowMs);
-    if (state.kind !== 'pending') return state;
+    if (!isNew) return state;
     sendRequests();
     return requests.query(request, [...holders], nowMs);
   }
--- a/src/endpoint-limits/send-shares.ts
+++ b/src/endpoint-limits/send-shares.ts
@@ -98,7 +98,9 @@
 
   function getState(endpoint: EndpointKey, nowMs: number): ShareState {
     const state = states.get(endpoint) ?? createState();
-    states.set(endpoint, state);
+    // Peers may ask about endpoints that this instance does not know.
+    if (options.getRate(endpoint) === undefined) states.delete(endpoint);
+    else states.set(endpoint, state);
     updateState(state, endpoint, nowMs);
     return state;
   }
