Simulations share one source of arrivals

Three simulations scheduled Poisson arrivals each in its own words (fleet, crash, and the new one of rate limits). Comments above new tests are one line now.

--- a/src/endpoint-limits/limited-endpoints.test.ts
+++ b/src/endpoint-limits/limited-endpoints.test.ts
@@ -35,8 +35,7 @@
     assertWithinLimits(t, await runLimitSimulation({ ...FLEET, seed: 1 }));
   });
 
-  // Guards against a limit that is kept in a small fleet only: with one request from each of 195
-  // instances it would be broken at once.
+  // Guards against one request from each of many instances, and holders that are gone.
   it('gets no more than it allows in a fleet of 195 instances, while its holders are killed', async (t) => {
     const result = await runLimitSimulation({
       ...FLEET,
@@ -63,8 +62,7 @@
     t.true(after >= before / 2, `${before} requests a second before, ${after} after`);
   });
 
-  // Guards against calls lost because their pool has nothing but a limited endpoint: the most urgent
-  // get what it takes, and the others are told when to return.
+  // Guards against calls that are lost because their pool has nothing but a limited endpoint.
   it('serves the most urgent calls and refuses the others if its pool has no other', async (t) => {
     const result = await runLimitSimulation({
       ...FLEET,
@@ -87,8 +85,7 @@
 });
 
 describe('send limits of many instances', ({ it }) => {
-  // Guards against shares that add up to more than the limit at some size of the fleet, rate or loss
-  // of messages, or while instances are cut off from each other.
+  // Guards against shares that add up to more than the limit at some size, rate, loss or cut.
   it('keep every span of four seconds within the limit', (t) => {
     fc.assert(
       fc.property(
--- a/src/gateway/knowledge-store.test.ts
+++ b/src/gateway/knowledge-store.test.ts
@@ -170,8 +170,7 @@
     t.true(harness.endpoints.countCalls() > calls);
   });
 
-  // Guards against a watcher that hides newer versions from those it aggregates for, because its own
-  // feed fell silent.
+  // Guards against a watcher whose feed fell silent and that hides newer versions from its group.
   it('takes a newer configuration from peers that stay ahead of its feed', async (t) => {
     const harness = createKnowledgeHarness(t, { ...WATCH, isLeading: false });
     await harness.waitUntilWatched();
--- a/src/knowledge/configuration-knowledge.test.ts
+++ b/src/knowledge/configuration-knowledge.test.ts
@@ -23,8 +23,7 @@
     t.is(knowledge.getKnownAt(), 100);
   });
 
-  // Guards against refusing calls until the next confirmation: when the version before was the
-  // newest, all keys of its successor were still valid.
+  // Guards against refusing calls after a change until the next confirmation.
   it('gives a version of unknown time at least the time of the version before', (t) => {
     const knowledge = createConfigurationKnowledge<string>();
     knowledge.record({ version: 7, content: buildContent('seven'), knownAtMs: 100 });
--- a/src/knowledge/feed-watcher.test.ts
+++ b/src/knowledge/feed-watcher.test.ts
@@ -102,8 +102,7 @@
     t.like(calls[2], { kind: 'watch', waitMs: 1500 });
   });
 
-  // Guards against taking the version in force for the newest while a feed that was cut off replays
-  // the changes that it missed, each in a response of its own.
+  // Guards against taking a version for the newest while a feed replays the changes it missed.
   it('reports rows as the newest only after a response without any', async (t) => {
     const { calls, events } = await runWatcher([
       buildRows(5),
--- a/src/test/crash-simulation.ts
+++ b/src/test/crash-simulation.ts
@@ -10,6 +10,7 @@
 import type { Random } from '../utils/random.js';
 import { createCrashingEngines } from './crashing-engines.js';
 import type { CrashingEngines, CulpritSend } from './crashing-engines.js';
+import { addArrivals } from './simulated-arrivals.js';
 import { buildContacts } from './simulated-contacts.js';
 import { createSimulatedInstance } from './simulated-instance.js';
 import type { SimulatedInstance } from './simulated-instance.js';
@@ -169,23 +170,6 @@
   );
 }
 
-/** Schedules the calls of a route as a Poisson process. */
-function addArrivals(simulation: Simulation, simulatedRoute: SimulatedRoute): void {
-  const { options, time, random, instances } = simulation;
-  const addNext = (): void => {
-    if (time.getNow() - WARM_UP_MS >= options.lengthMs) return;
-    time.add(
-      undefined,
-      (-Math.log(1 - random.next()) * 1000) / simulatedRoute.callsPerSecond,
-      () => {
-        startCall(simulation, random.nextIndex(instances.length), simulatedRoute, undefined);
-        addNext();
-      },
-    );
-  };
-  addNext();
-}
-
 /** Copies with the same arrival time go to consecutive instances. */
 function addRepeats(
   simulation: Simulation,
@@ -205,9 +189,18 @@
   options: CrashSimulationOptions,
 ): Promise<CrashSimulationResult> {
   const simulation = createSimulation(options);
-  const { time, pool, timers, observedCalls } = simulation;
+  const { time, random, instances, pool, timers, observedCalls } = simulation;
   await time.runUntil(WARM_UP_MS);
-  for (const simulatedRoute of options.routes) addArrivals(simulation, simulatedRoute);
+  for (const simulatedRoute of options.routes) {
+    addArrivals({
+      time,
+      random,
+      endMs: WARM_UP_MS + options.lengthMs,
+      getRate: () => simulatedRoute.callsPerSecond,
+      start: () =>
+        startCall(simulation, random.nextIndex(instances.length), simulatedRoute, undefined),
+    });
+  }
   for (const repeat of options.repeats) addRepeats(simulation, repeat);
   for (const { atMs, engine } of options.crashes ?? []) {
     time.add(undefined, atMs, () => pool.crash(engine));
--- a/src/test/fleet-simulation.ts
+++ b/src/test/fleet-simulation.ts
@@ -12,6 +12,7 @@
 import type { RegisteredEndpoint, Route } from '../types/traffic.js';
 import { createRandom } from '../utils/random.js';
 import type { Random } from '../utils/random.js';
+import { addArrivals } from './simulated-arrivals.js';
 import { buildContacts, buildDataCentre } from './simulated-contacts.js';
 import { createSimulatedInstance } from './simulated-instance.js';
 import type { SimulatedInstance } from './simulated-instance.js';
@@ -242,24 +243,14 @@
   return result;
 }
 
-/** Schedules the calls of a route as a Poisson process. */
-function addArrivals(
-  { options, time, random, arrivalsStartMs }: Simulation,
-  simulatedRoute: SimulatedRoute,
-  start: () => void,
-): void {
-  const { burst } = options;
-  const addNext = (): void => {
-    const nowMs = time.getNow() - arrivalsStartMs;
-    if (nowMs >= options.lengthMs) return;
-    const isBurst = nowMs >= burst.fromMs && nowMs < burst.toMs;
-    const rate = simulatedRoute.callsPerSecond * (isBurst ? burst.factor : 1);
-    time.add(undefined, (-Math.log(1 - random.next()) * 1000) / rate, () => {
-      start();
-      addNext();
-    });
-  };
-  addNext();
+function computeRate(
+  { options: { burst }, time, arrivalsStartMs }: Simulation,
+  { callsPerSecond }: SimulatedRoute,
+): number {
+  const nowMs = time.getNow() - arrivalsStartMs;
+  return nowMs >= burst.fromMs && nowMs < burst.toMs
+    ? callsPerSecond * burst.factor
+    : callsPerSecond;
 }
 
 function createSimulation(options: FleetSimulationOptions): Simulation {
@@ -294,9 +285,15 @@
   await time.runUntil(arrivalsStartMs);
   const callResults: SimulatedCall[] = [];
   for (const simulatedRoute of options.routes) {
-    addArrivals(simulation, simulatedRoute, () => {
-      const { runner } = instances[random.nextIndex(instances.length)] as SimulatedInstance;
-      callResults.push(startCall(simulation, runner, simulatedRoute));
+    addArrivals({
+      time,
+      random,
+      endMs: arrivalsStartMs + options.lengthMs,
+      getRate: () => computeRate(simulation, simulatedRoute),
+      start() {
+        const { runner } = instances[random.nextIndex(instances.length)] as SimulatedInstance;
+        callResults.push(startCall(simulation, runner, simulatedRoute));
+      },
     });
   }
   await time.runUntil(arrivalsStartMs + options.lengthMs + DRAIN_MS);
--- a/src/test/limit-simulation.ts
+++ b/src/test/limit-simulation.ts
@@ -9,6 +9,7 @@
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { createRandom } from '../utils/random.js';
 import type { Random } from '../utils/random.js';
+import { addArrivals } from './simulated-arrivals.js';
 import { buildContacts, buildDataCentre } from './simulated-contacts.js';
 import { createSimulatedEngine } from './simulated-engine.js';
 import type { SimulatedEngine } from './simulated-engine.js';
@@ -256,20 +257,6 @@
   return result;
 }
 
-/** Schedules the calls of a route as a Poisson process. */
-function addArrivals(simulation: Simulation, route: SimulatedRoute, start: () => void): void {
-  const { options, time, random } = simulation;
-  const addNext = (): void => {
-    if (time.getNow() - WARM_UP_MS >= options.lengthMs) return;
-    const delayMs = (-Math.log(1 - random.next()) * 1000) / route.callsPerSecond;
-    time.add(undefined, delayMs, () => {
-      start();
-      addNext();
-    });
-  };
-  addNext();
-}
-
 export async function runLimitSimulation(
   options: LimitSimulationOptions,
 ): Promise<LimitSimulationResult> {
@@ -296,11 +283,17 @@
   }
   const results: SimulatedLimitedCall[] = [];
   for (const simulatedRoute of options.routes) {
-    addArrivals(simulation, simulatedRoute, () => {
-      const index = simulation.random.nextIndex(fleet.instances.length);
-      if (fleet.actors[index]?.isDead === true) return;
-      const instance = fleet.instances[index] as SimulatedInstance;
-      results.push(startCall(simulation, instance, simulatedRoute));
+    addArrivals({
+      time,
+      random: simulation.random,
+      endMs: WARM_UP_MS + options.lengthMs,
+      getRate: () => simulatedRoute.callsPerSecond,
+      start() {
+        const index = simulation.random.nextIndex(fleet.instances.length);
+        if (fleet.actors[index]?.isDead === true) return;
+        const instance = fleet.instances[index] as SimulatedInstance;
+        results.push(startCall(simulation, instance, simulatedRoute));
+      },
     });
   }
   await time.runUntil(WARM_UP_MS + options.lengthMs + DRAIN_MS);
