--- a/src/soak/fake-network.ts
+++ b/src/soak/fake-network.ts
@@ -1,11 +1,11 @@
-/** Links between instances for randomised runs: late, lossy, cut as the run wants. */
+/** Simulated links between instances, with latency, message loss and partitions. */
 import type { AttemptVerdict } from '../claims/claim.js';
 import type { FetchConfigurationResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { PeerLinks } from '../peers/peer-links.js';
 import type { Random } from '../utils/random.js';
 import type { Actor, VirtualTime } from './virtual-time.js';
 
-/** Faults, all off at the start. */
+/** Injected faults; all are off initially. */
 export interface NetworkTroubles {
   /** Share of messages that are lost. */
   loss: number;
@@ -13,7 +13,7 @@
   readonly cuts: Set<string>;
 }
 
-/** Who can be reached. */
+/** An instance on the network. */
 export interface NetworkPeer {
   readonly actor: Actor;
   readonly name: string;
@@ -24,14 +24,13 @@
   getAttemptVerdict(attemptId: string): AttemptVerdict;
 }
 
-/** Called when an address could not be reached. */
+/** Called when a connection to an address is refused. */
 export type UnreachableListener = (address: string) => void;
 
-/** The network. */
 export interface FakeNetwork {
   readonly troubles: NetworkTroubles;
   add(peer: NetworkPeer): void;
-  /** Whether something passes from one data centre to another now. */
+  /** Whether messages currently pass from one data centre to another. */
   isOpen(from: string, to: string): boolean;
   createLinks(
     self: Pick<NetworkPeer, 'actor' | 'name' | 'dataCentre'>,
@@ -43,7 +42,6 @@
 const JITTER_MS = 1.5;
 const CALL_TIMEOUT_MS = 1000;
 
-/** Builds a network without anybody on it. */
 export function createFakeNetwork(time: VirtualTime, random: Random): FakeNetwork {
   const troubles: NetworkTroubles = { loss: 0, cuts: new Set() };
   const peers = new Map<string, NetworkPeer>();
@@ -63,7 +61,7 @@
     },
     isOpen,
     createLinks(self, onUnreachable) {
-      /** A call there and back; rejected when either way is closed. */
+      /** Runs a call at a peer; rejects if the request or the response is cut off. */
       function runCall<T>(address: string, answer: (peer: NetworkPeer) => T): Promise<T> {
         return new Promise((resolve, reject) => {
           let isAnswered = false;
@@ -88,7 +86,7 @@
           const peer = peers.get(address);
           if (peer === undefined) return;
           if (peer.actor.isDead) {
-            // A dead process refuses connections, which shows at once.
+            // A dead process refuses connections, which is reported without a timeout.
             time.add(self.actor, computeDelay(), () => onUnreachable(address));
             return;
           }
@@ -98,8 +96,8 @@
         },
         fetchConfiguration: (address, hashes) =>
           runCall(address, (peer) => peer.buildConfigurationResponse(hashes)),
-        // Routers of the soak follow no source tables.
-        fetchKnowledge: () => Promise.reject(new Error('no source tables are followed here')),
+        // Routers of the soak have no source tables.
+        fetchKnowledge: () => Promise.reject(new Error('not supported by the fake network')),
         queryAttempt: (address, attemptId) =>
           runCall(address, (peer) => peer.getAttemptVerdict(attemptId)),
       };
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -1,9 +1,8 @@
-/** The faults of the brief, for randomised runs. Each begins at a moment of its own and ends again. */
+/** Faults of randomised runs; each starts at a random time and ends again. */
 import type { Random } from '../utils/random.js';
 import type { FakeEndpoint } from './fake-endpoints.js';
 import type { SoakWorld } from './soak-world.js';
 
-/** What goes wrong. */
 export const FAULT = {
   Burst: 'burst',
   PlatformDown: 'platform_down',
--- a/src/soak/soak-world.ts
+++ b/src/soak/soak-world.ts
@@ -1,4 +1,4 @@
-/** A randomised run: a few real routers on fakes, faults drawn from a seed, promises checked. */
+/** A randomised run of a few routers on fakes, with seeded faults, that checks their guarantees. */
 import { stringify } from 'yaml';
 import type { EndpointDeclaration } from '../types/declarations.js';
 import { hashText } from '../utils/hash.js';
@@ -19,52 +19,50 @@
 import { createVirtualTime } from './virtual-time.js';
 import type { VirtualTime } from './virtual-time.js';
 
-/** What faults may touch. */
+/** Parts of the run that faults act on. */
 export interface SoakWorld {
   readonly time: VirtualTime;
   readonly platform: FakePlatform;
   readonly network: FakeNetwork;
   readonly endpoints: FakeEndpoints;
   readonly dataCentres: readonly string[];
-  /** Multiplies the load. */
+  /** Multiplies the arrival rate. */
   setLoad(factor: number): void;
-  /** Ends an entry at once; its name. */
+  /** Kills an entry and returns its name. */
   crashEntry(): string;
-  /** Asks an entry to leave; its name. */
+  /** Drains an entry and returns its name. */
   drainEntry(): string;
-  /** Starts an entry anew under an earlier name, if none of that name runs. */
+  /** Restarts an entry unless one of that name is running. */
   startEntry(name: string): void;
   pauseEntry(): () => void;
-  /** Operators publish at the same moments until stopped. */
+  /** Makes operators publish concurrently until the returned function is called. */
   startRace(): () => void;
 }
 
-/** What to run. */
 export interface SoakRequest {
   readonly seed: number;
   readonly faults: readonly Fault[];
-  /** Virtual time in which faults and traffic happen, in milliseconds. */
+  /** Virtual time of traffic and faults. */
   readonly durationMs: number;
 }
 
-/** What a run came to. */
 export interface SoakResult {
   readonly steps: number;
   readonly sent: number;
   readonly answered: number;
   readonly breaches: readonly string[];
-  /** What was done to the system, in order. */
+  /** Faults and their ends, in order. */
   readonly story: readonly string[];
 }
 
 const DATA_CENTRES = ['one', 'two', 'three'] as const;
 const ENTRIES = 4;
 const START_MS = 3000;
-/** After the last fault: enough for every deadline, every lease and every version to settle. */
+/** Time after the last fault in which all deadlines, leases and versions settle. */
 const SETTLE_MS = 25_000;
 const ARRIVAL_MS = 25;
 const RACE_PERIOD_MS = 700;
-/** A version must be in force everywhere this long after the last fault, in milliseconds. */
+/** Time after the last fault within which a version must be in force everywhere. */
 const IN_FORCE_MS = 6000;
 
 const ENGINES: readonly EndpointDeclaration[] = Array.from({ length: 4 }, (_, index) => ({
--- a/src/soak/virtual-time.ts
+++ b/src/soak/virtual-time.ts
@@ -1,22 +1,22 @@
 /**
- * Time for long randomised runs: events in one queue, run one after the other without waiting. Each
- * event belongs to an instance; a paused instance's events wait, a dead one's are dropped.
+ * Virtual time for simulations: a queue of events that run one after the other without waiting. Events
+ * of a paused instance are deferred until it resumes; those of a dead one are dropped.
  */
 import Emittery from 'emittery';
 import type { Clock } from '../runtime/clock.js';
 import type { TimerEvents, TimerService, Unsubscribe } from '../runtime/timer-service.js';
 
-/** A pause longer than this, in milliseconds, is told to the instance. */
-const PAUSE_TOLD_MS = 1000;
-/** The wall clock at virtual time 0. */
+/** Longer pauses are reported to the instance. */
+const PAUSE_REPORTED_MIN_MS = 1000;
+/** Wall clock at virtual time 0. */
 const EPOCH_MS = 1_700_000_000_000;
 
-/** Something events belong to. */
+/** An instance that events belong to. */
 export interface Actor {
   readonly name: string;
   isPaused: boolean;
   isDead: boolean;
-  /** Events that wait for the end of a pause. */
+  /** Events that are due and run when it resumes. */
   readonly deferred: (() => void)[];
 }
 
@@ -28,19 +28,18 @@
   isCancelled: boolean;
 }
 
-/** The queue. */
 export interface VirtualTime {
   getNow(): number;
-  /** Runs `run` after `delayMs`, for an instance or, without one, for the world itself. */
+  /** Schedules `run` after `delayMs`; without an actor it is neither deferred nor dropped. */
   add(actor: Actor | undefined, delayMs: number, run: () => void): Unsubscribe;
-  /** Runs events up to a moment; the number that ran. */
+  /** Runs all events up to a time and returns their number. */
   runUntil(untilMs: number): Promise<number>;
   resume(actor: Actor): void;
-  /** Timers of one instance, whose wall clock is off by `skewMs`. */
+  /** Creates the timers of an instance whose wall clock is ahead by `skewMs`. */
   createTimers(actor: Actor, skewMs: number): TimerService;
 }
 
-/** A binary heap by time, then by order of arrival. */
+/** A binary heap, ordered by time and then by insertion. */
 function createQueue() {
   const heap: QueuedEvent[] = [];
 
@@ -87,14 +86,13 @@
   return { add, take, find: (): QueuedEvent | undefined => heap[0] };
 }
 
-/** Lets every promise that is settled run on. */
+/** Runs the callbacks of settled promises. */
 function waitSettled(): Promise<void> {
   return new Promise((resolve) => {
     setImmediate(resolve);
   });
 }
 
-/** Builds an empty queue at time 0. */
 export function createVirtualTime(): VirtualTime {
   const queue = createQueue();
   let nowMs = 0;
@@ -146,10 +144,10 @@
     }
 
     let seenMs = nowMs;
-    subscribe(PAUSE_TOLD_MS / 4, () => {
-      const pausedMs = nowMs - seenMs - PAUSE_TOLD_MS / 4;
+    subscribe(PAUSE_REPORTED_MIN_MS / 4, () => {
+      const pausedMs = nowMs - seenMs - PAUSE_REPORTED_MIN_MS / 4;
       seenMs = nowMs;
-      if (pausedMs > PAUSE_TOLD_MS) events.emit('pause', { pausedMs });
+      if (pausedMs > PAUSE_REPORTED_MIN_MS) events.emit('pause', { pausedMs });
     });
     return {
       clock,
@@ -174,7 +172,7 @@
         nowMs = next.atMs;
         runEvent(next);
         ran += 1;
-        // Events of one moment may run on before promises do, as they may on a real loop.
+        // Events due at the same time may run before the callbacks of promises, as on a real event loop.
         // eslint-disable-next-line no-await-in-loop
         if (queue.find()?.atMs !== nowMs) await waitSettled();
       }
@@ -189,7 +187,6 @@
   };
 }
 
-/** Builds something that events can belong to. */
 export function createActor(name: string): Actor {
   return { name, isPaused: false, isDead: false, deferred: [] };
 }
