Test the send decision; plainer comments on shares, the queue and tests of limits

Read as a newcomer: a limited endpoint without room that is due for a test must not hold up calls, and no request may pass uncharged; no test brought either about on its own. Removing the check of room, or of the send left, fails send-decision.test.

--- /dev/null
+++ b/src/calls/send-decision.test.ts
@@ -0,0 +1,72 @@
+import type { SendChoice } from '../endpoint-limits/send-limits.js';
+import { ADMISSION } from '../placement/admission-decision.js';
+import { describe } from '../test/describe.js';
+import { createRandom } from '../utils/random.js';
+import { buildCall, buildSimulatedRoute } from '../test/simulated-routes.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import { createSendDecider } from './send-decision.js';
+
+function buildEndpoint(id: string): RegisteredEndpoint {
+  return {
+    id,
+    startId: id,
+    pool: 'engines',
+    address: id,
+    dataCentre: 'd',
+    slots: 1,
+    isLeaving: false,
+    isSpot: false,
+  };
+}
+
+const FREE = buildEndpoint('free');
+const LIMITED = buildEndpoint('limited');
+const CALL = buildCall(
+  {
+    route: buildSimulatedRoute('call', {}),
+    sharedTokens: 1,
+    ownTokens: 1,
+    outputTokens: 1,
+    callsPerSecond: 1,
+  },
+  'c',
+  0,
+  createRandom(1),
+);
+
+/** Decides on a call; `full` endpoints have no room and `spent` ones no send left. */
+function chooseFor(choice: SendChoice, full: readonly string[], spent: readonly string[] = []) {
+  const decider = createSendDecider({
+    placer: {
+      choose: (_, [endpoint]) => (endpoint === undefined ? undefined : { endpoint, readTokens: 0 }),
+      chooseAdmission: (_, { endpoint }) =>
+        full.includes(endpoint.id) ? ADMISSION.Wait : ADMISSION.Send,
+    },
+    limits: { choose: () => choice, take: (_, __, { id }) => !spent.includes(id) },
+    quarantine: { check: () => ({ kind: 'send', isAlone: false }) },
+    checkSendable: () => undefined,
+    getNow: () => 0,
+  });
+  const decision = decider.choose(
+    CALL,
+    { kind: 'attempt', attempt: 1, lastEventId: undefined },
+    [],
+  );
+  return decision.kind === 'send' ? decision.placement.endpoint.id : decision.kind;
+}
+
+describe('send decision', ({ it }) => {
+  const choice: SendChoice = { kind: 'send', endpoints: [FREE], untested: LIMITED };
+
+  // Guards against calls that all wait for a limited endpoint without room.
+  it('tests a limit only if the endpoint has room', (t) => {
+    t.is(chooseFor(choice, []), 'limited');
+    t.is(chooseFor(choice, ['limited']), 'free');
+  });
+
+  // Guards against a request that reaches a limited endpoint without being charged.
+  it('sends nothing to an endpoint that has no send left', (t) => {
+    t.is(chooseFor({ kind: 'send', endpoints: [LIMITED] }, [], ['limited']), 'wait');
+    t.is(chooseFor({ kind: 'wait' }, []), 'wait');
+  });
+});
--- a/src/endpoint-limits/permit-queue.ts
+++ b/src/endpoint-limits/permit-queue.ts
@@ -13,7 +13,7 @@
 const REQUEST_TIMEOUT_MS = 700;
 /** Time for which a grant is repeated if its request comes again, since replies are lost. */
 const GRANT_MEMORY_MS = 2000;
-/** Share of the time that a call can wait for which it may be predicted to wait. */
+/** Largest predicted wait of a request that is queued, as a share of the time its call can wait. */
 const PREDICTED_WAIT_SHARE_MAX = 0.8;
 /** Limit of the requests that wait. */
 const QUEUE_MAX = 512;
--- a/src/endpoint-limits/send-limits.ts
+++ b/src/endpoint-limits/send-limits.ts
@@ -153,7 +153,7 @@
     );
   }
 
-  /** A limited endpoint that has said nothing for a while, and so cannot have lifted its limit. */
+  /** Finds a limited endpoint without a recent response, whose limit may no longer hold. */
   function findUntested(ready: readonly RegisteredEndpoint[]): RegisteredEndpoint | undefined {
     const nowMs = getNow();
     return ready.find(({ startId }) => {
--- a/src/endpoint-limits/send-shares.ts
+++ b/src/endpoint-limits/send-shares.ts
@@ -14,13 +14,13 @@
  * together stay within one and a half times the rate.
  */
 const RATE_USED_SHARE = 0.75;
-/** Smallest share worth a holder, in requests a second. */
+/** Smallest share of one holder, in requests a second. */
 const HOLDER_RATE_MIN_PER_SECOND = 1;
 /** Time for which a starting instance holds no share, since it does not know the others yet. */
 const SETTLE_MS = 3000;
 /** Interval at which the holders are chosen again. */
 const REFRESH_MS = 500;
-/** Delay of a send, by the interval of a timer, that does not delay those after it. */
+/** A send that is late by no more than this, as timers are, does not delay the sends after it. */
 const CATCH_UP_MS = 100;
 /** Longest wait of a new holder for its first send. */
 const FIRST_WAIT_MAX_MS = 3000;
