Prepare duty calls before the grant is checked, and complete them with one write

Callers (the platform) saw a call with fencing token N after N+1, and a holder again within the lease time of another (the lease holder's test; ONE where tokens are not checked). Ruled out: a grant given after the wake (it is undefined there, seen), a call of two writes (head and body leave in one), bytes queued by the kernel (writev itself comes after the wake).

Code between the answer and the system call: 0.1 to 0.4 ms, 1.5 ms on the first call of a process. A stop before the check leaves a call that the receiver cannot process, and that is reset on waking.

The check is unchanged. Between a check and a system call a process can always be stopped; that rest is what the receivers' token check is for.

--- a/src/duties/duty-calls.ts
+++ b/src/duties/duty-calls.ts
@@ -26,14 +26,14 @@
   Rejected: 'rejected',
   /** No response: the call may have been carried out. */
   Lost: 'lost',
-  /** The instance no longer held the lease when the connection was established. */
+  /** The instance no longer held the lease before the call was complete; it has no effect. */
   NotAllowed: 'not_allowed',
 } as const;
 export type DutyOutcome = (typeof DUTY_OUTCOME)[keyof typeof DUTY_OUTCOME];
 
 /**
- * Called on an established connection right before the first byte is written; undefined cancels the
- * call.
+ * Called twice on an established connection: before the first byte is written and right before the
+ * last one, without which the call has no effect. Undefined or another fencing token cancels the call.
  */
 export type CallGuard = () => Grant | undefined;
 
