--- a/eslint.config.js
+++ b/eslint.config.js
@@ -78,7 +78,7 @@
     },
   },
   {
-    files: ['src/cli/**/*.ts', 'platform/router-main.ts', 'scripts/**/*.mjs'],
+    files: ['src/cli/**/*.ts', 'platform/run-router.ts', 'scripts/**/*.mjs'],
     rules: {
       // Binaries and build scripts are where exit codes are decided.
       'n/no-process-exit': 'off',
