Use one system timer for all periods that are multiples of 100 ms

Same fault: an idle instance woke 31 times a second, ten of them for periods of 200, 250, 300, 1000 and 2000 ms with a timer each. First tried: moving slower subscriptions to any faster timer; withdrawn, since the 25 ms timer of waiting calls comes and goes and would postpone the others at each end. The test of one timer fails on the code before.

--- a/src/runtime/timer-service.test.ts
+++ b/src/runtime/timer-service.test.ts
@@ -8,7 +8,7 @@
   });
 }
 
-describe('timer service', ({ it }) => {
+describe('timer service', ({ it, itSerial }) => {
   it('calls all subscribers of a period until each unsubscribes', async (t) => {
     const timers = createTimerService(createSystemClock());
     const calls: string[] = [];
@@ -57,4 +57,37 @@
     t.true(calls >= 1);
     timers.stop();
   });
+
+  it('calls subscribers of a shared timer at their own periods', async (t) => {
+    const timers = createTimerService(createSystemClock());
+    let fastCalls = 0;
+    let slowCalls = 0;
+    timers.subscribe(300, () => {
+      slowCalls += 1;
+    });
+    timers.subscribe(100, () => {
+      fastCalls += 1;
+    });
+    await waitMs(1250);
+    timers.stop();
+    t.true(slowCalls === 3 || slowCalls === 4, `${slowCalls} calls`);
+    t.true(fastCalls >= 10 && fastCalls <= 13, `${fastCalls} calls`);
+  });
+
+  // Guards against a process that wakes for each of its periods.
+  itSerial('uses one system timer for periods that are multiples of 100 ms', (t) => {
+    const { setInterval: original } = globalThis;
+    const periods: unknown[] = [];
+    t.teardown(() => {
+      globalThis.setInterval = original;
+    });
+    globalThis.setInterval = ((handler: () => void, periodMs: number) => {
+      periods.push(periodMs);
+      return original(handler, periodMs);
+    }) as typeof setInterval;
+    const timers = createTimerService(createSystemClock());
+    [100, 200, 300, 1000, 25].forEach((periodMs) => timers.subscribe(periodMs, () => undefined));
+    timers.stop();
+    t.deepEqual(periods, [100, 25]);
+  });
 });
--- a/src/runtime/timer-service.ts
+++ b/src/runtime/timer-service.ts
@@ -4,7 +4,9 @@
 
 export type Unsubscribe = () => void;
 
-const PAUSE_PROBE_MS = 250;
+/** Periods that are multiples of this share one system timer. */
+const SHARED_TIMER_MS = 100;
+const PAUSE_PROBE_MS = 200;
 /** A probe delayed by more than this is reported as a pause. */
 const PAUSE_THRESHOLD_MS = 1000;
 
@@ -17,8 +19,7 @@
   readonly clock: Clock;
   readonly events: Emittery<TimerEvents>;
   /**
-   * Calls `handler` every `periodMs`. The first call may come sooner, since subscriptions of the same
-   * period share a timer.
+   * Calls `handler` every `periodMs`. The first call may come sooner, since subscriptions share timers.
    */
   subscribe(periodMs: number, handler: () => void): Unsubscribe;
   /** Calls `handler` once, after `delayMs`. */
@@ -27,40 +28,62 @@
   stop(): void;
 }
 
-/** The subscribers of one period. */
+interface Subscription {
+  readonly periodMs: number;
+  readonly handler: () => void;
+  /** When the next call is due, on the monotonic clock. */
+  dueMs: number;
+}
+
+/** A system timer and its subscribers. */
 interface Interval {
   readonly timer: NodeJS.Timeout;
-  readonly handlers: Set<() => void>;
+  readonly subscriptions: Set<Subscription>;
+}
+
+function resolveTimerMs(periodMs: number): number {
+  return periodMs % SHARED_TIMER_MS === 0 ? SHARED_TIMER_MS : periodMs;
 }
 
-/** Uses one system timer per period, so that an idle process wakes less often. */
+/** Shares system timers between subscriptions, so that an idle process wakes less often. */
 export function createTimerService(clock: Clock): TimerService {
   const events = new Emittery<TimerEvents>();
   const active = new Set<NodeJS.Timeout>();
   const intervals = new Map<number, Interval>();
 
-  function startInterval(periodMs: number): Interval {
-    const handlers = new Set<() => void>();
+  function runDue(subscription: Subscription, timerMs: number): void {
+    const nowMs = clock.monotonicMs();
+    const { periodMs, dueMs, handler } = subscription;
+    // Slower subscriptions are called at the tick nearest to when they are due.
+    if (periodMs > timerMs && nowMs < dueMs - timerMs / 2) return;
+    subscription.dueMs = nowMs + periodMs;
+    handler();
+  }
+
+  function startInterval(timerMs: number): Interval {
+    const subscriptions = new Set<Subscription>();
     const timer = setInterval(() => {
-      for (const handler of [...handlers]) if (handlers.has(handler)) handler();
-    }, periodMs);
-    const interval: Interval = { timer, handlers };
+      for (const subscription of [...subscriptions]) {
+        if (subscriptions.has(subscription)) runDue(subscription, timerMs);
+      }
+    }, timerMs);
+    const interval: Interval = { timer, subscriptions };
     active.add(timer);
-    intervals.set(periodMs, interval);
+    intervals.set(timerMs, interval);
     return interval;
   }
 
   function subscribe(periodMs: number, handler: () => void): Unsubscribe {
-    const interval = intervals.get(periodMs) ?? startInterval(periodMs);
-    // The same function may be subscribed twice.
-    const call = (): void => handler();
-    interval.handlers.add(call);
+    const timerMs = resolveTimerMs(periodMs);
+    const interval = intervals.get(timerMs) ?? startInterval(timerMs);
+    const subscription = { periodMs, handler, dueMs: clock.monotonicMs() + periodMs };
+    interval.subscriptions.add(subscription);
     return () => {
-      interval.handlers.delete(call);
-      if (interval.handlers.size > 0 || intervals.get(periodMs) !== interval) return;
+      interval.subscriptions.delete(subscription);
+      if (interval.subscriptions.size > 0 || intervals.get(timerMs) !== interval) return;
       clearInterval(interval.timer);
       active.delete(interval.timer);
-      intervals.delete(periodMs);
+      intervals.delete(timerMs);
     };
   }
 
