--- a/src/duties/fleet-duties.ts
+++ b/src/duties/fleet-duties.ts
@@ -37,6 +37,10 @@
 /** Time before an instance that stepped down competes again, in milliseconds. */
 const STEP_DOWN_MS = 10_000;
 
+/** Commands and messages that the usage reporter and the pool scaler have in common. */
+type StoreCommand = Exclude<UsageCommand | ScalerCommand, { kind: 'send' }>;
+type StoreMessage = Extract<UsageMessage & ScalerMessage, { kind: 'read' | 'changed' | 'lost' }>;
+
 export interface FleetDutiesOptions {
   /** Machine name. */
   readonly self: string;
@@ -262,50 +266,29 @@
     handleScaler({ kind: 'sent', request, outcome });
   }
 
-  async function runReporterCommand(command: UsageCommand): Promise<void> {
+  async function runStoreCommand(command: StoreCommand): Promise<StoreMessage> {
     switch (command.kind) {
       case 'read': {
         const rows = await readRows();
-        if (rows === undefined) handleReporter({ kind: 'lost' });
-        else handleReporter({ kind: 'read', rows: rows.rows });
-        break;
+        return rows === undefined ? { kind: 'lost' } : { kind: 'read', rows: rows.rows };
+      }
+      case 'change': {
+        const { change } = command;
+        return { kind: 'changed', change, write: await store.write(change) };
       }
-      case 'change':
-        handleReporter({
-          kind: 'changed',
-          change: command.change,
-          write: await store.write(command.change),
-        });
-        break;
-      case 'send':
-        await sendReport(command.report);
-        break;
       default:
-        assertNever(command);
+        return assertNever(command);
     }
   }
 
+  async function runReporterCommand(command: UsageCommand): Promise<void> {
+    if (command.kind === 'send') await sendReport(command.report);
+    else handleReporter(await runStoreCommand(command));
+  }
+
   async function runScalerCommand(command: ScalerCommand): Promise<void> {
-    switch (command.kind) {
-      case 'read': {
-        const rows = await readRows();
-        if (rows === undefined) handleScaler({ kind: 'lost' });
-        else handleScaler({ kind: 'read', rows: rows.rows });
-        break;
-      }
-      case 'change':
-        handleScaler({
-          kind: 'changed',
-          change: command.change,
-          write: await store.write(command.change),
-        });
-        break;
-      case 'send':
-        await sendScaleRequest(command.request);
-        break;
-      default:
-        assertNever(command);
-    }
+    if (command.kind === 'send') await sendScaleRequest(command.request);
+    else handleScaler(await runStoreCommand(command));
   }
 
   function handleReporter(message: UsageMessage): void {
