Check the lease right before an order to an engine is complete

Now the body's last byte waits for a second check on the open connection. The new test fails on the code before (the parameter is ignored there, the order arrives).

--- a/src/node/control-runner.ts
+++ b/src/node/control-runner.ts
@@ -164,13 +164,15 @@
     const orders = control.reconciler.handle(control.reports, declaredModels, fence, nowMs);
     for (const order of orders) {
       const endpoint = shard.endpoints.find((candidate) => candidate.name === order.endpoint);
-      // Checked without an await before the send, so that no order is sent under a lost lease.
-      const isStillHeld = control.lease.getGrant(getClockReading())?.fence === order.fence;
-      if (endpoint !== undefined && isStillHeld) {
+      const isStillHeld = (): boolean =>
+        control.lease.getGrant(getClockReading())?.fence === order.fence;
+      if (endpoint !== undefined && isStillHeld()) {
         metrics.count(METRIC.OrdersSent);
         logger.info('order sent', { endpoint: order.endpoint, fence, models: order.models });
         const body = { fence: order.fence, models: order.models };
-        endpoints.fetchJson(endpoint, '/v1/orders', body, ORDER_TIMEOUT_MS).catch(() => undefined);
+        endpoints
+          .fetchJson(endpoint, '/v1/orders', body, ORDER_TIMEOUT_MS, isStillHeld)
+          .catch(() => undefined);
       }
     }
   }
--- /dev/null
+++ b/src/node/endpoint-client.test.ts
@@ -0,0 +1,61 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { ExecutionContext } from 'ava';
+import { describe } from '../test/describe.js';
+import { createEndpointClient } from './endpoint-client.js';
+
+const TIMEOUT_MS = 500;
+const ORDER = { fence: 4, models: ['small'] };
+
+async function startEndpoint(t: ExecutionContext) {
+  const bodies: string[] = [];
+  const server = createServer((request, response) => {
+    let text = '';
+    request.on('error', () => undefined);
+    request.on('data', (bytes: Buffer) => {
+      text += bytes.toString();
+    });
+    request.on('end', () => {
+      bodies.push(text);
+      response.end('{"models":["small"]}');
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const endpoint = {
+    name: 'e-1',
+    pool: 'small',
+    url: `http://127.0.0.1:${port}`,
+    dataCentre: 'hall',
+    slots: 4,
+  };
+  const client = createEndpointClient();
+  t.teardown(async () => {
+    await client.close();
+    server.closeAllConnections();
+    server.close();
+  });
+  return { bodies, endpoint, client };
+}
+
+describe('control requests to endpoints', ({ it }) => {
+  it('arrive whole and return the decoded response', async (t) => {
+    const { bodies, endpoint, client } = await startEndpoint(t);
+    const answer = await client.fetchJson(endpoint, '/v1/orders', ORDER, TIMEOUT_MS, () => true);
+    t.deepEqual(answer, { models: ['small'] });
+    t.deepEqual(bodies, [JSON.stringify(ORDER)]);
+    t.deepEqual(await client.fetchJson(endpoint, '/load', undefined, TIMEOUT_MS), {
+      models: ['small'],
+    });
+  });
+
+  // Guards against an order that a suspended process completes after another instance has taken over.
+  it('are not completed if they are no longer allowed once the connection is open', async (t) => {
+    const { bodies, endpoint, client } = await startEndpoint(t);
+    const answer = await client.fetchJson(endpoint, '/v1/orders', ORDER, TIMEOUT_MS, () => false);
+    t.is(answer, undefined);
+    t.deepEqual(bodies, []);
+  });
+});
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -2,6 +2,7 @@
  * Sends attempts to endpoints over HTTP and parses their responses. Endpoints echo the attempt's id in
  * the response header and in every frame, so that frames of other attempts can be detected.
  */
+import { Readable } from 'node:stream';
 import { StringDecoder } from 'node:string_decoder';
 import { createParser } from 'eventsource-parser';
 import { Pool } from 'undici';
@@ -62,12 +63,17 @@
     attempt: ServiceAttempt,
     onEnded: (ending: ServiceResult) => void,
   ): () => void;
-  /** Sends a control request; undefined on an error, a timeout or a status other than 200. */
+  /**
+   * Sends a control request; undefined on an error, a timeout or a status other than 200. If `isAllowed`
+   * returns false once the connection is open, the request is abandoned before it is complete.
+   * @default isAllowed () => true
+   */
   fetchJson(
     endpoint: EndpointDeclaration,
     path: string,
     body: object | undefined,
     timeoutMs: number,
+    isAllowed?: () => boolean,
   ): Promise<unknown>;
   close(): Promise<void>;
 }
@@ -88,6 +94,16 @@
   }[];
 }
 
+/**
+ * Checks `isAllowed` right before the last byte, without which the endpoint cannot process the request.
+ * Guards against a process that is suspended after an earlier check.
+ */
+async function* listGuardedParts(bytes: Buffer, isAllowed: () => boolean): AsyncGenerator<Buffer> {
+  yield bytes.subarray(0, -1);
+  if (!isAllowed()) throw new Error('request abandoned: it is not allowed any more');
+  yield bytes.subarray(-1);
+}
+
 /**
  * Parses a completion frame; undefined for other events. Runs for every token, so it avoids the cost of
  * schema validation.
@@ -244,13 +260,17 @@
         });
       return () => controller.abort();
     },
-    async fetchJson(endpoint, path, body, timeoutMs) {
+    async fetchJson(endpoint, path, body, timeoutMs, isAllowed = () => true) {
       try {
+        const bytes = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
         const response = await getPool(endpoint.url).request({
-          method: body === undefined ? 'GET' : 'POST',
+          method: bytes === undefined ? 'GET' : 'POST',
           path,
-          headers: { 'content-type': 'application/json' },
-          body: body === undefined ? null : JSON.stringify(body),
+          headers: {
+            'content-type': 'application/json',
+            ...(bytes === undefined ? {} : { 'content-length': String(bytes.length) }),
+          },
+          body: bytes === undefined ? null : Readable.from(listGuardedParts(bytes, isAllowed)),
           signal: AbortSignal.timeout(timeoutMs),
         });
         const text = await response.body.text();
--- a/src/soak/fake-endpoints.ts
+++ b/src/soak/fake-endpoints.ts
@@ -245,13 +245,17 @@
             isStopped = true;
           };
         },
-        fetchJson(declaration, path, body, timeoutMs) {
+        fetchJson(declaration, path, body, timeoutMs, isAllowed = () => true) {
           return new Promise((resolve) => {
             time.add(actor, timeoutMs, () => resolve(undefined));
             openConnection(
               declaration,
               (endpoint) => {
                 if (endpoint.isFrozen) return;
+                if (!isAllowed()) {
+                  resolve(undefined);
+                  return;
+                }
                 if (path === '/v1/orders') {
                   const order = body as { fence: number; models: readonly string[] };
                   if (order.fence < endpoint.fence) {
