--- a/src/duties/fleet-duties.ts
+++ b/src/duties/fleet-duties.ts
@@ -22,11 +22,11 @@
 import { createUsageReporter } from './usage-reporter.js';
 import type { UsageCommand, UsageMessage } from './usage-reporter.js';
 
-/** Interval at which the lease is checked, in milliseconds. */
+/** Interval at which the lease is checked. */
 const TICK_MS = 100;
 /**
- * A change of candidacy takes effect after this time, in milliseconds, because a starting instance
- * discovers the others one by one.
+ * A change of candidacy takes effect after this time, because a starting instance discovers the others
+ * one by one.
  */
 const CANDIDACY_STABLE_MS = 1000;
 /**
@@ -34,7 +34,7 @@
  * may reach the platform.
  */
 const UNANSWERED_CALLS_MAX = 3;
-/** Time before an instance that stepped down competes again, in milliseconds. */
+/** Time before an instance that stepped down competes again. */
 const STEP_DOWN_MS = 10_000;
 
 /** Commands and messages that the usage reporter and the pool scaler have in common. */
@@ -51,13 +51,11 @@
   readonly observer: DutyObserver;
   readonly time: FleetTime;
   readonly meter: UsageMeter;
-  /** Lease duration, in milliseconds. */
   readonly leaseMs: number;
   /** On the first start of the whole fleet no earlier holder can exist. */
   readonly isFirstStart: boolean;
   /**
-   * Length of a usage window and the reporting deadline after its end, in milliseconds; undefined
-   * disables reports.
+   * Length of a usage window and the reporting deadline after its end; undefined disables reports.
    */
   readonly usage: { readonly windowMs: number; readonly dueMs: number } | undefined;
   readonly isScalingEnabled: boolean;
@@ -73,7 +71,7 @@
   readonly holder: string | undefined;
   readonly fence: number;
   readonly isOwn: boolean;
-  /** Time since this instance observed the holder, in milliseconds. */
+  /** Time since this instance observed the holder. */
   readonly ageMs: number;
   readonly unsentWindows: number;
   readonly desired: readonly ScaleRequest[];
--- a/src/duties/pool-scaler.ts
+++ b/src/duties/pool-scaler.ts
@@ -13,18 +13,18 @@
 import type { RunningCount, SizingInput } from './pool-sizing.js';
 
 /**
- * A pool is sized once its endpoint count has been stable for this time, in milliseconds, because a
- * starting fleet discovers endpoints one by one.
+ * A pool is sized once its endpoint count has been stable for this time, because a starting fleet
+ * discovers endpoints one by one.
  */
 const COUNT_STABLE_MS = 900;
-/** Time for which a higher required count is kept after load drops, in milliseconds. */
+/** Time for which a higher required count is kept after load drops. */
 const SCALE_DOWN_DELAY_MS = 60_000;
-/** Retry delays after an unavailable or rejected request, in milliseconds. */
+/** Retry delays after an unavailable or rejected request. */
 const UNAVAILABLE_RETRY_MS = 3000;
 const REJECTED_RETRY_MS = 1000;
-/** Endpoints missing this long after their boot time are requested again, in milliseconds. */
+/** Endpoints missing this long after their boot time are requested again. */
 const BOOT_GRACE_MS = 2000;
-/** No count is lowered on information older than this, in milliseconds. */
+/** No count is lowered on information older than this. */
 const KNOWLEDGE_AGE_MAX_MS = 4000;
 
 /** Load and running endpoints of a pool. */
--- a/src/duties/pool-sizing.ts
+++ b/src/duties/pool-sizing.ts
@@ -40,9 +40,9 @@
   readonly baseline: number;
   /** Highest count required recently. */
   readonly peakCount: number;
-  /** Estimated wait of a prompt before it is processed, in milliseconds; 0 if unknown. */
+  /** Estimated wait of a prompt before it is processed; 0 if unknown. */
   readonly backlogMs: number;
-  /** Tightest latency target of the pool's routes, in milliseconds; infinite if there is none. */
+  /** Tightest latency target of the pool's routes; infinite if there is none. */
   readonly targetMs: number;
 }
 
--- a/src/duties/usage-meter.ts
+++ b/src/duties/usage-meter.ts
@@ -9,7 +9,7 @@
 import { createUsageLedger } from './usage-ledger.js';
 import type { UsageCount, UsageLedger, WindowCounts } from './usage-ledger.js';
 
-/** Interval between updates, in milliseconds, for fleets of up to `BASE_FLEET_SIZE` instances. */
+/** Interval between updates in fleets of up to `BASE_FLEET_SIZE` instances. */
 const UPDATE_INTERVAL_MS = 400;
 /** In larger fleets the interval grows with the size, to bound the datagram rate at aggregators. */
 const BASE_FLEET_SIZE = 80;
@@ -18,7 +18,7 @@
 const EMPTY_UPDATE_INTERVALS = 3;
 /** Maximum number of calls buffered until fleet time is known. */
 const BUFFERED_CALLS_MAX = 10_000;
-/** A source silent for this time, in milliseconds, no longer delays completeness. */
+/** A source silent for this time no longer delays completeness. */
 const SOURCE_TIMEOUT_MS = 6000;
 
 /** One process lifetime of an instance. */
@@ -38,7 +38,6 @@
 
 export interface UsageMeterOptions {
   readonly source: UsageSource;
-  /** Length of a window, in milliseconds. */
   readonly windowMs: number;
   readonly time: FleetTime;
   readonly countInstances: () => number;
--- a/src/duties/usage-reporter.ts
+++ b/src/duties/usage-reporter.ts
@@ -18,22 +18,19 @@
 } from './usage-rows.js';
 import type { UsageCount } from './usage-ledger.js';
 
-/**
- * Minimum delay between the end of a window and its commit, in milliseconds, for counts in flight.
- */
+/** Minimum delay between the end of a window and its commit, for counts in flight. */
 const COMMIT_DELAY_MS = 700;
 /** Share of the reporting deadline by which a window is committed even if counts are missing. */
 const COMMIT_DEADLINE_SHARE = 0.5;
 /** Maximum number of past windows reported after a time without a holder. */
 const BACKFILL_WINDOWS_MAX = 12;
 const COMMIT_BATCH_MAX = 4;
-/** Delay before an unacknowledged report is sent again, in milliseconds. */
+/** Delay before an unacknowledged report is sent again. */
 const RETRY_DELAY_MS = 1500;
 
 export interface UsageReporterOptions {
-  /** Length of a window, in milliseconds. */
   readonly windowMs: number;
-  /** Reporting deadline after the end of a window, in milliseconds. */
+  /** Reporting deadline after the end of a window. */
   readonly dueMs: number;
   readonly sum: (window: number) => readonly UsageCount[];
   /** Whether the sums include every call started before this fleet time. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -48,7 +48,7 @@
   readonly random: Random;
   readonly invariants: Invariants;
   /**
-   * Interval of probe rounds, in milliseconds.
+   * Interval of probe rounds.
    * @default PROBE_PERIOD_MS
    */
   readonly probePeriodMs?: number;
--- a/src/soak/fake-endpoints.ts
+++ b/src/soak/fake-endpoints.ts
@@ -50,7 +50,7 @@
 const CONNECT_MS = 1;
 const CONNECT_TIMEOUT_MS = 800;
 const SERVICE_MS = 15;
-/** An endpoint that is leaving may still get work for this long, in milliseconds. */
+/** An endpoint that is leaving may still get work for this long. */
 const LEAVING_GRACE_MS = 3000;
 
 /** The text of one frame, fixed by the prompt. */
--- a/src/soak/fake-platform.ts
+++ b/src/soak/fake-platform.ts
@@ -12,7 +12,7 @@
 /** Faults, all off at the start. */
 export interface PlatformTroubles {
   isDown: boolean;
-  /** Longest delay of a call, in milliseconds. */
+  /** Longest delay of a call. */
   slowMs: number;
   /** Share of writes that take effect and whose answer is lost. */
   lostAnswers: number;
@@ -39,7 +39,7 @@
 }
 
 const CALL_MS = 3;
-/** A caller gives up after this long, in milliseconds. */
+/** A caller gives up after this long. */
 const GIVE_UP_MS = 1500;
 const LATE_MS = 8000;
 const LIST_LAG_MS = 3000;
