--- a/src/duties/fleet-duties.ts
+++ b/src/duties/fleet-duties.ts
@@ -39,7 +39,7 @@
 
 /** Commands and messages that the usage reporter and the pool scaler have in common. */
 type StoreCommand = Exclude<UsageCommand | ScalerCommand, { kind: 'send' }>;
-type StoreMessage = Extract<UsageMessage & ScalerMessage, { kind: 'read' | 'changed' | 'lost' }>;
+type StoreMessage = Extract<UsageMessage, { kind: 'read' | 'changed' | 'lost' }>;
 
 export interface FleetDutiesOptions {
   /** Machine name. */
