Log what endpoints say of their availability, without acting on it

The words are read at the head of every response of the endpoint itself; nothing is decided by them yet.

--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -1,4 +1,5 @@
 import { describe } from '../test/describe.js';
+import { NO_NOTICE } from '../endpoint-availability/availability-notice.js';
 import { createAttemptReader } from './attempt-reader.js';
 import type { DecodedHead } from './attempt-reader.js';
 import type { AttemptEnd } from './call-messages.js';
@@ -10,6 +11,7 @@
   isSigned: true,
   isEventStream: false,
   rateLimit: { kind: 'none' },
+  notice: NO_NOTICE,
   headers: [],
 };
 
@@ -20,6 +22,9 @@
     onRateLimit: ({ kind }) => {
       if (kind !== 'none') events.push(kind);
     },
+    onNotice({ isLeaving }) {
+      if (isLeaving) events.push('leaving');
+    },
     onStreamStarted: () => events.push('head'),
     onEvent: ({ bytes }) => events.push(bytes.toString()),
     onEnded: (end) => ends.push(end),
@@ -89,4 +94,22 @@
     reader.readHead(421, { ...HEAD, isWrongEndpoint: true, rateLimit });
     t.deepEqual(events, []);
   });
+
+  // Guards against a notice that is read at the end of a stream only, or taken from another endpoint.
+  it('reports the notice of every response of the endpoint itself, at its head', (t) => {
+    const notice = { ...NO_NOTICE, isLeaving: true };
+    const heads: readonly [number, Partial<DecodedHead>, boolean][] = [
+      [200, {}, true],
+      [500, {}, true],
+      [503, { isNotRun: true, callId: undefined }, true],
+      [200, { isEventStream: true }, true],
+      [421, { isWrongEndpoint: true }, false],
+      [200, { callId: 'theirs' }, false],
+    ];
+    for (const [status, head, isExpected] of heads) {
+      const { reader, events } = createHarness(true);
+      reader.readHead(status, { ...HEAD, ...head, notice });
+      t.is(events.includes('leaving'), isExpected, `status ${status}`);
+    }
+  });
 });
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -2,6 +2,7 @@
  * Reads the response of one attempt and reports its events and result. Checks that the response belongs
  * to the call, that it is complete, and whether the endpoint ran the call.
  */
+import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type { RateLimitReading } from '../endpoint-limits/rate-limit.js';
 import type { ResponseHead, AttemptEnd, HeaderField } from './call-messages.js';
 import { RESPONSE_BYTES_MAX } from './response-limits.js';
@@ -21,12 +22,15 @@
   readonly isEventStream: boolean;
   /** What the response says about the endpoint's rate limit. */
   readonly rateLimit: RateLimitReading;
+  readonly notice: AvailabilityNotice;
   readonly headers: readonly HeaderField[];
 }
 
 export interface AttemptListener {
   /** Called for each response of the endpoint, whether it ran the call or not. */
   onRateLimit(reading: RateLimitReading): void;
+  /** Called for each response of the endpoint with what it says of its availability. */
+  onNotice(notice: AvailabilityNotice): void;
   onStreamStarted(head: ResponseHead): void;
   onEvent(event: StreamEvent): void;
   /** Called once, last. */
@@ -90,8 +94,11 @@
         close({ kind: 'broken', reason: 'response has no call id or that of another call' });
         return false;
       }
-      // A limit in the response of another endpoint at this address is not this endpoint's.
-      if (!decoded.isWrongEndpoint) listener.onRateLimit(decoded.rateLimit);
+      // What another endpoint at this address says of itself does not concern this endpoint.
+      if (!decoded.isWrongEndpoint) {
+        listener.onRateLimit(decoded.rateLimit);
+        listener.onNotice(decoded.notice);
+      }
       if (decoded.isNotRun || decoded.isWrongEndpoint) {
         mode = 'rejected';
         isWrongEndpoint = decoded.isWrongEndpoint;
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,6 +1,7 @@
 /** Executes the commands of call state machines: places attempts, talks to endpoints, delivers responses. */
 import { createPoolRetryBudgets } from '../attempts/pool-retry-budgets.js';
 import type { RetryBounds } from '../attempts/shared-retry-budget.js';
+import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
 import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
@@ -56,6 +57,7 @@
   readonly countInstances: () => number;
   readonly quarantine: Pick<Quarantine, 'check' | 'isCondemned' | 'startWatch'>;
   readonly limits: Pick<SendLimits, 'choose' | 'take' | 'recordAnswer'>;
+  readonly availability: Pick<EndpointAvailability, 'recordAnswer'>;
   /** An endpoint started the call, at a time of the monotonic clock; called once for each call. */
   readonly onStarted: (call: RoutedCall, startedMs: number) => void;
   /** Returns a failure if the call must not be sent now. */
@@ -154,6 +156,7 @@
     run.watch = watch;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
       onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
+      onNotice: (notice) => options.availability.recordAnswer(endpoint, notice),
       onStreamStarted(head) {
         watch.recordStarted();
         advanceRun(run, { kind: 'stream_started', attempt, head });
--- a/src/cli/ctl-main.ts
+++ b/src/cli/ctl-main.ts
@@ -319,6 +319,13 @@
       (args) =>
         routerCommands.runLimits({ url: args.router, secret: args.operatorSecret }, args.json),
     )
+    .command(
+      'notices',
+      'list endpoints that said that they are leaving or want rest',
+      (command) => command.demandOption(['router', 'operator-secret']),
+      (args) =>
+        routerCommands.runNotices({ url: args.router, secret: args.operatorSecret }, args.json),
+    )
     .command(
       'duties [step-down]',
       'show the holder of the fleet duties; step-down: make the router hand them over',
--- a/src/cli/format-output.ts
+++ b/src/cli/format-output.ts
@@ -2,6 +2,7 @@
 import type { FileChange, FolderFiles } from '../configuration/manifest.js';
 import type { AuditRecord } from '../configuration/store.js';
 import type { DutyStatus } from '../duties/fleet-duties.js';
+import type { ListedNotice } from '../endpoint-availability/availability-api.js';
 import type { ListedLimit } from '../endpoint-limits/limits-api.js';
 import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
@@ -122,6 +123,20 @@
   ]);
 }
 
+/** Formats the endpoints that said that they are leaving or want rest. */
+export function formatNotices(notices: readonly ListedNotice[]): string {
+  if (notices.length === 0) return 'no endpoint is leaving or wants rest';
+  const rows = notices.map(({ endpoint, start, notice, source, heardAgoMs, endsInMs }) => [
+    endpoint,
+    start,
+    notice,
+    source,
+    `${(heardAgoMs / 1000).toFixed(1)} s ago`,
+    `${(endsInMs / 1000).toFixed(1)} s`,
+  ]);
+  return formatTable([['endpoint', 'start', 'notice', 'source', 'heard', 'ends in'], ...rows]);
+}
+
 /** Formats the holder of the fleet duties and, if it is this router, the requested scale of each pool. */
 export function formatDuties(duties: DutyStatus | null): string {
   if (duties === null) return 'the platform does not use fleet duties';
--- a/src/cli/router-commands.ts
+++ b/src/cli/router-commands.ts
@@ -1,10 +1,11 @@
 /** Commands of `hyssoptally-ctl` that call a router. */
 import type { DutyStatus } from '../duties/fleet-duties.js';
+import type { ListedNotice } from '../endpoint-availability/availability-api.js';
 import type { ListedLimit } from '../endpoint-limits/limits-api.js';
 import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
 import type { ExitCode } from './command-line.js';
-import { formatQuarantine, formatDuties, formatLimits, formatStatus } from './format-output.js';
+import { formatQuarantine, formatDuties, formatLimits, formatNotices, formatStatus } from './format-output.js';
 import { queryRouter } from './query-router.js';
 
 /** URL and secret of a router's operator port. */
@@ -31,6 +32,8 @@
   ): Promise<void>;
   /** Lists the endpoints that name a rate limit. */
   runLimits(router: RouterAddress, isJson: boolean): Promise<void>;
+  /** Lists the endpoints that said that they are leaving or want rest. */
+  runNotices(router: RouterAddress, isJson: boolean): Promise<void>;
   runDuties(router: RouterAddress, isJson: boolean): Promise<void>;
   /** Makes the router release the fleet duties to another one. */
   runStepDown(router: RouterAddress, isJson: boolean): Promise<void>;
@@ -73,6 +76,12 @@
         isJson,
         ({ limits }) => formatLimits(limits),
       ),
+    runNotices: (router, isJson) =>
+      runRequest<{ readonly notices: readonly ListedNotice[] }>(
+        { ...router, path: '/notices' },
+        isJson,
+        ({ notices }) => formatNotices(notices),
+      ),
     runDuties: (router, isJson) =>
       runRequest<{ readonly duties: DutyStatus | null }>(
         { ...router, path: '/duties' },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,6 +14,9 @@
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import type { KnownLimit, LimitReport } from '../endpoint-limits/limit-ledger.js';
 import type { PermitReply, PermitRequest } from '../endpoint-limits/permit-messages.js';
+import type { KnownNotice } from '../endpoint-availability/availability-ledger.js';
+import { createEndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
+import type { AvailabilityObserver } from '../endpoint-availability/endpoint-availability.js';
 import type { SendLimitsObserver } from '../endpoint-limits/send-limits.js';
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { FeedReader } from '../knowledge/feed.js';
@@ -88,6 +91,7 @@
   readonly observer: CallObserver;
   readonly quarantineObserver: QuarantineObserver;
   readonly limitObserver: SendLimitsObserver;
+  readonly availabilityObserver: AvailabilityObserver;
   /** Persistent store of condemned contents. */
   readonly caseStore: CaseStore;
   readonly retryBounds: RetryBounds;
@@ -140,6 +144,8 @@
   handlePermitReplies(replies: readonly PermitReply[]): void;
   /** Rate limits that endpoints name. */
   listLimits(): readonly KnownLimit[];
+  /** Endpoints that said that they are leaving or want rest. */
+  listNotices(): readonly KnownNotice[];
   stop(): void;
 }
 
@@ -167,6 +173,7 @@
     onEndpointEnded(endpoint, isRestarted) {
       loads.remove(endpoint.startId);
       limits.remove(endpoint.startId);
+      availability.remove(endpoint.startId);
       quarantine.recordEnded(endpoint);
       if (isRestarted) closeConnectionsTo(endpoint);
     },
@@ -219,6 +226,11 @@
     isLeaving,
   });
 
+  const availability = createEndpointAvailability({
+    getNow,
+    observer: options.availabilityObserver,
+  });
+
   const limits = createCallLimits({
     self: options.self.name,
     timers,
@@ -269,6 +281,7 @@
     countInstances: () => peers.countInstances(),
     quarantine,
     limits,
+    availability,
     onStarted: (call, startedMs) => duties?.recordStarted(call, startedMs),
     checkSendable(call) {
       // Checked right before each send, since the key may have been revoked while the call waited.
@@ -308,6 +321,7 @@
 
   timers.subscribe(TICK_MS, () => {
     quarantine.advance();
+    availability.advance();
     runDrain({ kind: 'tick', inFlight: runner.count() });
   });
 
@@ -352,6 +366,7 @@
     handlePermitRequests: (from, requests) => limits.handleRequests(requests, from),
     handlePermitReplies: (replies) => limits.handleReplies(replies),
     listLimits: () => limits.list(),
+    listNotices: () => availability.list(),
     stop: () => knowledge.stop(),
   };
 }
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -27,6 +27,7 @@
   readonly countUnsentWindows: () => number;
   /** Endpoints that name a rate limit. */
   readonly countLimitedEndpoints: () => number;
+  readonly countNotices: () => number;
 }
 
 export interface CallMetrics {
@@ -52,6 +53,8 @@
   recordLimitedSend(): void;
   /** Records a call refused because of the rate limits of endpoints. */
   recordLimitRefusal(): void;
+  /** What is known of an endpoint that is leaving or wants rest changed. */
+  recordNotice(notice: string, change: string): void;
   /** Records a request refused before routing. */
   recordRefusal(failure: string): void;
   /** Records a value of a newer release. */
@@ -109,6 +112,12 @@
     help: 'Calls refused because all endpoints of their pool name rate limits',
     registers,
   });
+  const notices = new Counter({
+    name: 'hyssoptally_endpoint_notices_total',
+    help: 'Changes in what is known of endpoints that are leaving or want rest',
+    labelNames: ['notice', 'change'],
+    registers,
+  });
   const unknownValues = new Counter({
     name: 'hyssoptally_unknown_values_total',
     help: 'Words of a newer release that this one does not know, by where they were read',
@@ -197,6 +206,11 @@
     'Endpoints that name a rate limit for all instances together',
     sources.countLimitedEndpoints,
   );
+  addGauge(
+    'hyssoptally_noticed_endpoints',
+    'Notices in force of endpoints that are leaving or want rest',
+    sources.countNotices,
+  );
 
   return {
     recordCall({ route: { kind }, urgency }, result, firstMs, tookMs) {
@@ -213,6 +227,7 @@
     recordQuarantineRefusal: () => quarantineRefusals.inc(),
     recordLimitedSend: () => limitedSends.inc(),
     recordLimitRefusal: () => limitRefusals.inc(),
+    recordNotice: (notice, change) => notices.inc({ notice, change }),
     recordRefusal: (failure) => refusals.inc({ failure }),
     recordUnknown: (place) => unknownValues.inc({ place }),
     recordDuty: (duty, outcome) => dutyCalls.inc({ duty, outcome }),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -61,6 +61,22 @@
       /** Time since a response said so. */
       readonly ageMs: number;
     }
+  | {
+      /** That an endpoint is leaving or wants rest was learned, extended or ended. */
+      readonly event: 'endpoint_notice';
+      /** Name of the endpoint; a hash of its start id where this instance does not know the name. */
+      readonly endpoint: string;
+      /** Hash of the endpoint's start id. */
+      readonly start: string;
+      /** 'leaving' or 'resting'. */
+      readonly notice: string;
+      readonly change: string;
+      /** 'own' or the name of the instance that reported it. */
+      readonly source: string;
+      /** Time since a response said so. */
+      readonly ageMs: number;
+      readonly endsInMs: number;
+    }
   | {
       /** A call was refused because of the rate limits of endpoints. */
       readonly event: 'limit_refused';
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -5,6 +5,9 @@
 import type { EndpointConnections } from '../calls/endpoint-connections.js';
 import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
 import { createFleetTime } from '../duties/fleet-time.js';
+import { parseRetryAfter } from '../endpoint-availability/availability-notice.js';
+import { createEndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
+import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
 import { parseRateLimit } from '../endpoint-limits/rate-limit.js';
 import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import { createCallLimits } from '../gateway/call-limits.js';
@@ -47,6 +50,7 @@
   readonly exchange: PeerExchange;
   readonly quarantine: Quarantine;
   readonly limits: SendLimits;
+  readonly availability: EndpointAvailability;
 }
 
 /** Instances whose addresses every instance is configured with. */
@@ -66,6 +70,12 @@
     rateLimit: parseRateLimit(
       headers.filter(({ name }) => name === 'limit').map(({ value }) => value),
     ),
+    notice: {
+      isLeaving: headers.some(({ name }) => name === 'leaving'),
+      rest: parseRetryAfter(
+        headers.filter(({ name }) => name === 'rest').map(({ value }) => value),
+      ),
+    },
     headers: [],
   }),
 };
@@ -109,6 +119,10 @@
     knowledgeAgeMaxMs: Infinity,
     isLeaving: () => false,
   });
+  const availability = createEndpointAvailability({
+    getNow: () => timers.clock.monotonicMs(),
+    observer: { onChanged: () => undefined, onUnreadable: () => undefined },
+  });
   const limits = createCallLimits({
     self: self.name,
     timers,
@@ -147,8 +161,9 @@
     countInstances: () => exchange.countInstances(),
     quarantine,
     limits,
+    availability,
     onStarted: () => undefined,
     checkSendable: () => undefined,
   });
-  return { runner, exchange, quarantine, limits };
+  return { runner, exchange, quarantine, limits, availability };
 }
