DRAIN: an endpoint that says in an answer that it leaves gets no more requests

Callers of an endpoint that leaves while the store is away, or is slow to say so, were sent there for as long as the registry listed it as ready: 10 s and more after the endpoint itself had said, in an answer that the same instance passed on, that it leaves. Some of these calls are cut when it exits.

Cause: nobody read the header; whether an endpoint leaves was known from the registry alone, which is the one thing that is out of reach in an outage. Ruled out: calls under way (sent 9.8 s later), a row or a lapse that overrules (nothing was there to be overruled).

EndpointAvailability now stands between the registry and everything that chooses an endpoint: first sends, second tries, resumed streams, tests of limits, permits, trials of the quarantine, homes of prefixes, reserves, the sizing of pools. It is told at the head of each response. A request that waits for its connection is checked once more right before it is written and then placed again (withheld). In a pool whose every endpoint leaves, calls are refused as before where no endpoint is listed.

--- a/src/calls/attempt-policy.ts
+++ b/src/calls/attempt-policy.ts
@@ -18,6 +18,11 @@
   return kind === CALL_KIND.Stream || kind === CALL_KIND.ResumableStream;
 }
 
+/** Whether an attempt that ended so provably did not run. */
+export function isNotRun({ kind }: AttemptEnd): boolean {
+  return kind === 'unsent' || kind === 'withheld' || kind === 'rejected';
+}
+
 /** Returns the time after which an attempt without a response counts as stalled. */
 export function computeFirstResponseTimeoutMs({ route }: RoutedCall): number {
   return Math.max(
@@ -36,6 +41,8 @@
   switch (end.kind) {
     case 'unsent':
       return ENDPOINT_VERDICT.Unreachable;
+    case 'withheld':
+      return ENDPOINT_VERDICT.None;
     case 'broken':
       return ENDPOINT_VERDICT.Failed;
     case 'rejected':
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -45,6 +45,8 @@
   readEnd(): void;
   /** The exchange failed; `isSent`: bytes of the request may have reached the endpoint. */
   readError(isSent: boolean, reason: string): void;
+  /** The request was not sent, since the endpoint takes none any more. */
+  readWithheld(): void;
 }
 
 const SUCCESS_STATUS_MIN = 200;
@@ -140,5 +142,6 @@
       else if (!isSent) close({ kind: 'unsent' });
       else close({ kind: 'broken', reason });
     },
+    readWithheld: () => close({ kind: 'withheld' }),
   };
 }
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -66,6 +66,8 @@
 export type AttemptEnd =
   /** No byte of the request reached the endpoint. */
   | { readonly kind: 'unsent' }
+  /** Nothing was sent, since the endpoint had meanwhile said that it takes no requests. */
+  | { readonly kind: 'withheld' }
   /** The endpoint reports that it did not run the call: it is full, or is not the intended endpoint. */
   | { readonly kind: 'rejected'; readonly isWrongEndpoint: boolean }
   /** A complete response other than an event stream, with any status. */
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -18,6 +18,7 @@
   computeStreamIdleTimeoutMs,
   computeFirstResponseTimeoutMs,
   computeEndpointVerdict,
+  isNotRun,
   isStream,
 } from './attempt-policy.js';
 import { createAttemptReader } from './attempt-reader.js';
@@ -25,7 +26,6 @@
 import { computeConnectionsMax } from './connection-limit.js';
 import type { CallStateMachine } from './call-state-machine.js';
 import type {
-  AttemptEnd,
   CallCommand,
   CallMessage,
   CancelReason,
@@ -57,7 +57,7 @@
   readonly countInstances: () => number;
   readonly quarantine: Pick<Quarantine, 'check' | 'isCondemned' | 'startWatch'>;
   readonly limits: Pick<SendLimits, 'choose' | 'take' | 'recordAnswer'>;
-  readonly availability: Pick<EndpointAvailability, 'recordAnswer'>;
+  readonly availability: Pick<EndpointAvailability, 'recordAnswer' | 'isAvailable'>;
   /** An endpoint started the call, at a time of the monotonic clock; called once for each call. */
   readonly onStarted: (call: RoutedCall, startedMs: number) => void;
   /** Returns a failure if the call must not be sent now. */
@@ -89,11 +89,6 @@
   isStarted: boolean;
 }
 
-/** Whether an endpoint may have run an attempt with this result. */
-function hasPossiblyRun({ kind }: AttemptEnd): boolean {
-  return kind === 'answered' || kind === 'broken';
-}
-
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
   const { connections, protocol, loads, placer, timers, observer } = options;
   const runs = new Set<Run>();
@@ -171,7 +166,7 @@
       onEnded(end) {
         ticket.recordEnd(computeEndpointVerdict(end), getNow());
         observer.onAttemptEnded(record, end, getNow() - startedMs);
-        if (hasPossiblyRun(end)) recordNonStreamStarted(run);
+        if (!isNotRun(end)) recordNonStreamStarted(run);
         run.closeExchange = undefined;
         watch.recordEnd(end);
         advanceRun(run, { kind: 'ended', attempt, end });
@@ -188,6 +183,8 @@
         lastEventId,
       }),
       {
+        isSendAllowed: () => options.availability.isAvailable(endpoint),
+        onWithheld: () => reader.readWithheld(),
         onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
         onData: (bytes) => reader.readData(bytes),
         onEnd: () => reader.readEnd(),
--- a/src/calls/call-state-machine.test.ts
+++ b/src/calls/call-state-machine.test.ts
@@ -183,6 +183,7 @@
   block('for any order of messages', ({ it }) => {
     const ends: AttemptEnd[] = [
       { kind: 'unsent' },
+      { kind: 'withheld' },
       REJECTED,
       BROKEN,
       { kind: 'answered', head: { status: 500, headers: [] }, body: Buffer.alloc(0) },
@@ -213,7 +214,7 @@
               const isOnce = kind === CALL_KIND.NonIdempotent || kind === CALL_KIND.Stream;
               const isSentAgain = sent.some((command) => command.kind === 'attempt');
               const isProof =
-                step.kind === 'ended' && ['unsent', 'rejected'].includes(step.end.kind);
+                step.kind === 'ended' && ['unsent', 'withheld', 'rejected'].includes(step.end.kind);
               // A retry requires proof that the current attempt did not run.
               if (isOnce && isSentAgain && (hasBegun || !isProof)) return false;
               hasBegun = !isSentAgain && (hasBegun || step.kind === 'stream_started');
--- a/src/calls/call-state-machine.ts
+++ b/src/calls/call-state-machine.ts
@@ -8,6 +8,7 @@
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { Failure, RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
+import { isNotRun } from './attempt-policy.js';
 import type {
   ResponseHead,
   AttemptEnd,
@@ -137,14 +138,14 @@
   }
 
   function handleAttemptEnd(reported: AttemptEnd, nowMs: number): void {
-    const isReportedNotRun = reported.kind === 'unsent' || reported.kind === 'rejected';
     const end: AttemptEnd =
-      hasResponseStarted && isReportedNotRun
+      hasResponseStarted && isNotRun(reported)
         ? { kind: 'broken', reason: `${reported.kind} after the response head` }
         : reported;
     isAttemptPending = false;
     switch (end.kind) {
       case 'unsent':
+      case 'withheld':
         handleUnsent(nowMs);
         break;
       case 'rejected':
--- a/src/calls/endpoint-connections.test.ts
+++ b/src/calls/endpoint-connections.test.ts
@@ -12,7 +12,7 @@
 };
 
 interface Outcome {
-  readonly end: 'whole' | 'sent' | 'unsent';
+  readonly end: 'whole' | 'sent' | 'unsent' | 'withheld';
   readonly body: string;
 }
 
@@ -35,10 +35,16 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-function runExchange(connections: EndpointConnections, address: string): Promise<Outcome> {
+function runExchange(
+  connections: EndpointConnections,
+  address: string,
+  isSendAllowed = true,
+): Promise<Outcome> {
   return new Promise((resolve) => {
     let body = '';
     connections.open(address, 8, REQUEST, {
+      isSendAllowed: () => isSendAllowed,
+      onWithheld: () => resolve({ end: 'withheld', body }),
       onHead: () => true,
       onData(bytes) {
         body += bytes.toString();
@@ -69,6 +75,22 @@
     server.close();
   });
 
+  // Guards against a request that is placed before, and written after, the endpoint says it takes no more.
+  it('send nothing that is no longer allowed once the connection is open', async (t) => {
+    let requests = 0;
+    const server = await startEndpoint((socket) => {
+      requests += 1;
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    });
+    const connections = createEndpointConnections();
+    t.is((await runExchange(connections, getAddress(server), false)).end, 'withheld');
+    t.is(requests, 0);
+    t.is((await runExchange(connections, getAddress(server))).end, 'whole');
+    t.is(requests, 1);
+    await connections.close();
+    server.close();
+  });
+
   it('report that nothing was sent if no connection was established', async (t) => {
     const server = await startEndpoint(() => undefined);
     const address = getAddress(server);
--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -24,6 +24,13 @@
 
 /** Receives the response; returning `false` closes the connection and ends the notifications. */
 export interface ExchangeListener {
+  /**
+   * Read right before the request is written. If it is false, nothing is sent and `onWithheld` is
+   * the only notification. Guards against a request that waits for its connection while the endpoint
+   * says that it takes no more.
+   */
+  isSendAllowed(): boolean;
+  onWithheld(): void;
   onHead(status: number, headers: readonly HeaderField[]): boolean;
   onData(bytes: Buffer): boolean;
   onEnd(): void;
@@ -158,6 +165,10 @@
         onRequestStart(controller) {
           requestController = controller;
           if (isFinished) controller.abort(new Error('exchange cancelled'));
+          else if (!listener.isSendAllowed()) {
+            close();
+            queueMicrotask(() => listener.onWithheld());
+          }
         },
         onResponseStart(controller, status) {
           if (isFinished || status <= INFORMATIONAL_STATUS_MAX) return;
--- a/src/cli/router-commands.ts
+++ b/src/cli/router-commands.ts
@@ -5,7 +5,13 @@
 import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
 import type { ExitCode } from './command-line.js';
-import { formatQuarantine, formatDuties, formatLimits, formatNotices, formatStatus } from './format-output.js';
+import {
+  formatQuarantine,
+  formatDuties,
+  formatLimits,
+  formatNotices,
+  formatStatus,
+} from './format-output.js';
 import { queryRouter } from './query-router.js';
 
 /** URL and secret of a router's operator port. */
--- a/src/gateway/gateway-duties.ts
+++ b/src/gateway/gateway-duties.ts
@@ -14,7 +14,12 @@
 import type { FeedReader } from '../knowledge/feed.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import type { TimerService } from '../runtime/timer-service.js';
-import type { ScalingLimits, TrafficConfiguration, TrafficPool } from '../types/traffic.js';
+import type {
+  RegisteredEndpoint,
+  ScalingLimits,
+  TrafficConfiguration,
+  TrafficPool,
+} from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
 import type { PeerExchange } from './peer-exchange.js';
 
@@ -43,6 +48,8 @@
   readonly time: FleetTime;
   readonly loads: EndpointLoads;
   readonly directory: Pick<EndpointDirectory, 'listAll'>;
+  /** Whether an endpoint said that it is leaving, which the registry may not show yet. */
+  readonly isLeavingEndpoint: (startId: string) => boolean;
   /** Whether an endpoint takes only a limited rate of requests. */
   readonly isLimited: (startId: string) => boolean;
   readonly peers: Pick<
@@ -87,26 +94,33 @@
     countInstances: () => peers.countInstances(),
   });
 
+  /** Endpoints of a pool that stay. */
+  function listStaying(pool: string): RegisteredEndpoint[] {
+    return directory
+      .listAll()
+      .filter(
+        (endpoint) =>
+          endpoint.pool === pool &&
+          !endpoint.isLeaving &&
+          !options.isLeavingEndpoint(endpoint.startId),
+      );
+  }
+
   function listRunning(pool: string, scaling: ScalingLimits): RunningCount[] {
     const endpoints = directory.listAll().filter((endpoint) => endpoint.pool === pool);
     const countsByDataCentre = new Map<string, { onDemand: number; spot: number }>();
     const names = [...scaling.dataCentres, ...endpoints.map(({ dataCentre }) => dataCentre)];
     for (const name of names) countsByDataCentre.set(name, { onDemand: 0, spot: 0 });
-    for (const { dataCentre, isLeaving, isSpot } of endpoints) {
+    for (const { dataCentre, isSpot } of listStaying(pool)) {
       const counts = countsByDataCentre.get(dataCentre);
-      if (counts !== undefined && !isLeaving) counts[isSpot ? 'spot' : 'onDemand'] += 1;
+      if (counts !== undefined) counts[isSpot ? 'spot' : 'onDemand'] += 1;
     }
     return [...countsByDataCentre].map(([dataCentre, counts]) => ({ dataCentre, ...counts }));
   }
 
   /** Estimates the queueing time of a prompt, with the unread tokens spread evenly over the engines. */
   function computeBacklogMs(pool: string): number {
-    const openEndpoints = directory
-      .listAll()
-      .filter(
-        ({ pool: name, isLeaving, startId }) =>
-          name === pool && !isLeaving && !options.isLimited(startId),
-      );
+    const openEndpoints = listStaying(pool).filter(({ startId }) => !options.isLimited(startId));
     const msPerToken = loads.getPoolTiming(pool).prefillSpeed?.msPerToken ?? 0;
     const unread = openEndpoints.reduce(
       (sum, { startId }) => sum + loads.get(startId).unreadTokens,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -227,6 +227,7 @@
   });
 
   const availability = createEndpointAvailability({
+    listRegistered: (pool) => knowledge.directory.listOpen(pool),
     getNow,
     observer: options.availabilityObserver,
   });
@@ -238,7 +239,7 @@
     observer: options.limitObserver,
     datagrams: options.datagrams,
     peers,
-    listOpen: (pool) => knowledge.directory.listOpen(pool),
+    listOpen: (pool) => availability.listOpen(pool),
   });
 
   const duties: GatewayDuties | undefined =
@@ -253,6 +254,7 @@
           time,
           loads,
           directory: knowledge.directory,
+          isLeavingEndpoint: (startId) => availability.isLeaving(startId),
           isLimited: (startId) => limits.isLimited(startId),
           peers,
           getConfiguration: () => knowledge.getConfiguration(),
@@ -276,7 +278,7 @@
     retryBounds: options.retryBounds,
     timers,
     observer: options.observer,
-    listOpen: (pool) => knowledge.directory.listOpen(pool),
+    listOpen: (pool) => availability.listOpen(pool),
     findPool: (name) => table?.findPool(name),
     countInstances: () => peers.countInstances(),
     quarantine,
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -3,6 +3,7 @@
  * under any request id. Crashes count against the contents that were running, and instances share
  * this evidence. Does no I/O.
  */
+import { isNotRun } from '../calls/attempt-policy.js';
 import type { AttemptEnd, RoutedCall } from '../calls/call-messages.js';
 import { hashStartId } from '../placement/remote-loads.js';
 import type { EndpointKey } from '../placement/remote-loads.js';
@@ -264,7 +265,7 @@
       },
       recordEnd(end) {
         hasEnded = true;
-        stopTrial(trialCase, end.kind !== 'unsent' && end.kind !== 'rejected');
+        stopTrial(trialCase, !isNotRun(end));
         switch (end.kind) {
           case 'broken':
             recordInterrupted();
--- a/src/test/crashing-engines.ts
+++ b/src/test/crashing-engines.ts
@@ -110,6 +110,7 @@
     engineProcess.listeners.add(listener);
     const isOpen = (): boolean => engineProcess.listeners.has(listener);
     const cancel = engineProcess.engine.start(call, {
+      ...listener,
       onHead: (status, headers) => isOpen() && listener.onHead(status, headers),
       onData(bytes) {
         if (!isOpen()) return false;
@@ -120,7 +121,6 @@
       onEnd() {
         if (engineProcess.listeners.delete(listener)) listener.onEnd();
       },
-      onError: (isSent, reason) => listener.onError(isSent, reason),
     });
     return () => {
       engineProcess.listeners.delete(listener);
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -120,6 +120,7 @@
     isLeaving: () => false,
   });
   const availability = createEndpointAvailability({
+    listRegistered: listOpen,
     getNow: () => timers.clock.monotonicMs(),
     observer: { onChanged: () => undefined, onUnreadable: () => undefined },
   });
@@ -135,7 +136,7 @@
     },
     datagrams: network.createDatagrams(self),
     peers: exchange,
-    listOpen,
+    listOpen: (pool) => availability.listOpen(pool),
   });
   const runner = createCallRunner({
     connections: options.connections,
@@ -156,7 +157,7 @@
       onAttemptEnded: () => undefined,
       onEnded: () => undefined,
     },
-    listOpen,
+    listOpen: (pool) => availability.listOpen(pool),
     findPool: () => undefined,
     countInstances: () => exchange.countInstances(),
     quarantine,
