BUDGET: an endpoint that asks for rest gets no requests in it

An endpoint that turned requests away with 503 and Retry-After got dozens more in that time. Each was a call that another endpoint could have served at once; where both tries went to resting endpoints, the caller got 503 beside four idle ones.

Cause: the rejection was read as full, a failure like any other. One failure is tolerated, a single idle neighbour hides the fault for short rests, and an endpoint that turns everything away looks the least loaded. Ruled out: a door that is kept while others are not, and a rest that is kept and lost: nothing was kept.

EndpointAvailability keeps a rest beside the leaving: to its end on the monotonic clock, the longest of several, of the start that asked. Nothing is sent in it, a trial neither. Others of the pool take the calls while they have room; sums of a pool's room and backlog leave it out. Where the whole pool rests, a call waits if its time allows and it is among those that the endpoints have room for after the rest (most urgent first, organisations in turn); the others are refused at arrival, with a Retry-After of the rest that is left, spread. The rejection counts neither as a failure of the endpoint's health nor of its speed. Instances return spread over a tenth of the rest.

--- a/src/calls/attempt-policy.ts
+++ b/src/calls/attempt-policy.ts
@@ -3,7 +3,9 @@
 import type { EndpointVerdict } from '../placement/endpoint-loads.js';
 import { CALL_KIND } from '../types/traffic.js';
 import type { CallKind } from '../types/traffic.js';
-import type { AttemptEnd, RoutedCall } from './call-messages.js';
+import { assertNever } from '../utils/assert-never.js';
+import { REJECTION } from './call-messages.js';
+import type { AttemptEnd, RejectionReason, RoutedCall } from './call-messages.js';
 
 /** Multiple of the route's latency target after which an attempt without a response counts as stalled. */
 const FIRST_RESPONSE_TARGET_FACTOR = 3;
@@ -36,6 +38,20 @@
   return (route.gapTargetMs ?? route.targetMs) * STREAM_IDLE_GAP_FACTOR;
 }
 
+function computeRejectionVerdict(reason: RejectionReason): EndpointVerdict {
+  switch (reason) {
+    case REJECTION.Full:
+      return ENDPOINT_VERDICT.Errored;
+    case REJECTION.Resting:
+      return ENDPOINT_VERDICT.Resting;
+    case REJECTION.WrongEndpoint:
+      // The endpoint is gone and its registry entry is stale.
+      return ENDPOINT_VERDICT.Unreachable;
+    default:
+      return assertNever(reason);
+  }
+}
+
 /** Judges the endpoint by the result of an attempt. */
 export function computeEndpointVerdict(end: AttemptEnd): EndpointVerdict {
   switch (end.kind) {
@@ -46,8 +62,7 @@
     case 'broken':
       return ENDPOINT_VERDICT.Failed;
     case 'rejected':
-      // If the address belongs to another endpoint, this one is gone and its registry entry is stale.
-      return end.isWrongEndpoint ? ENDPOINT_VERDICT.Unreachable : ENDPOINT_VERDICT.Errored;
+      return computeRejectionVerdict(end.reason);
     case 'answered':
       return end.head.status >= SERVER_ERROR_MIN ? ENDPOINT_VERDICT.Errored : ENDPOINT_VERDICT.Good;
     default:
--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -55,7 +55,23 @@
     const { reader, ends } = createHarness();
     t.true(reader.readHead(503, { ...HEAD, isNotRun: true, isSigned: false }));
     reader.readError(true, 'reset');
-    t.deepEqual(ends, [{ kind: 'rejected', isWrongEndpoint: false }]);
+    t.deepEqual(ends, [{ kind: 'rejected', reason: 'full' }]);
+  });
+
+  it('tells why the endpoint rejected the call', (t) => {
+    const rest = { kind: 'rest', restMs: 3000 } as const;
+    const notice = { ...NO_NOTICE, rest };
+    const heads: readonly [Partial<DecodedHead>, string][] = [
+      [{ isNotRun: true }, 'full'],
+      [{ isNotRun: true, notice }, 'resting'],
+      [{ isWrongEndpoint: true, notice }, 'wrong_endpoint'],
+    ];
+    for (const [head, reason] of heads) {
+      const { reader, ends } = createHarness();
+      reader.readHead(503, { ...HEAD, ...head });
+      reader.readEnd();
+      t.deepEqual(ends as readonly object[], [{ kind: 'rejected', reason }]);
+    }
   });
 
   it('reports a plain response only if it is complete', (t) => {
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -4,7 +4,8 @@
  */
 import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type { RateLimitReading } from '../endpoint-limits/rate-limit.js';
-import type { ResponseHead, AttemptEnd, HeaderField } from './call-messages.js';
+import { REJECTION } from './call-messages.js';
+import type { AttemptEnd, HeaderField, RejectionReason, ResponseHead } from './call-messages.js';
 import { RESPONSE_BYTES_MAX } from './response-limits.js';
 import { createEventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
@@ -52,6 +53,11 @@
 const SUCCESS_STATUS_MIN = 200;
 const SUCCESS_STATUS_MAX = 299;
 
+function computeRejection({ isWrongEndpoint, notice }: DecodedHead): RejectionReason {
+  if (isWrongEndpoint) return REJECTION.WrongEndpoint;
+  return notice.rest.kind === 'rest' ? REJECTION.Resting : REJECTION.Full;
+}
+
 export function createAttemptReader(
   callId: string,
   isStreamExpected: boolean,
@@ -62,7 +68,7 @@
   let bytesRead = 0;
   let head: ResponseHead | undefined;
   let mode: 'none' | 'stream' | 'whole' | 'rejected' | 'ended' = 'none';
-  let isWrongEndpoint = false;
+  let rejection: RejectionReason = REJECTION.Full;
 
   function close(end: AttemptEnd): void {
     mode = 'ended';
@@ -103,7 +109,7 @@
       }
       if (decoded.isNotRun || decoded.isWrongEndpoint) {
         mode = 'rejected';
-        isWrongEndpoint = decoded.isWrongEndpoint;
+        rejection = computeRejection(decoded);
         return true;
       }
       if (!decoded.isSigned) {
@@ -130,7 +136,7 @@
         if (splitter.hasPartialEvent())
           close({ kind: 'broken', reason: 'stream ended within an event' });
         else close({ kind: 'stream_ended' });
-      } else if (mode === 'rejected') close({ kind: 'rejected', isWrongEndpoint });
+      } else if (mode === 'rejected') close({ kind: 'rejected', reason: rejection });
       else if (mode === 'whole' && head !== undefined) {
         close({ kind: 'answered', head, body: Buffer.concat(chunks) });
       }
@@ -138,7 +144,7 @@
     readError(isSent, reason) {
       if (mode === 'ended') return;
       // The head of a rejection proves that the call did not run, even if the body is incomplete.
-      if (mode === 'rejected') close({ kind: 'rejected', isWrongEndpoint });
+      if (mode === 'rejected') close({ kind: 'rejected', reason: rejection });
       else if (!isSent) close({ kind: 'unsent' });
       else close({ kind: 'broken', reason });
     },
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -62,14 +62,24 @@
   readonly headers: readonly HeaderField[];
 }
 
+/** Why an endpoint did not run a call. */
+export const REJECTION = {
+  Full: 'full',
+  /** It takes no requests from this instance for a time. */
+  Resting: 'resting',
+  /** The address now belongs to another endpoint. */
+  WrongEndpoint: 'wrong_endpoint',
+} as const;
+export type RejectionReason = (typeof REJECTION)[keyof typeof REJECTION];
+
 /** Result of one attempt at an endpoint. */
 export type AttemptEnd =
   /** No byte of the request reached the endpoint. */
   | { readonly kind: 'unsent' }
   /** Nothing was sent, since the endpoint had meanwhile said that it takes no requests. */
   | { readonly kind: 'withheld' }
-  /** The endpoint reports that it did not run the call: it is full, or is not the intended endpoint. */
-  | { readonly kind: 'rejected'; readonly isWrongEndpoint: boolean }
+  /** The endpoint reports that it did not run the call. */
+  | { readonly kind: 'rejected'; readonly reason: RejectionReason }
   /** A complete response other than an event stream, with any status. */
   | { readonly kind: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
   /** The event stream completed. */
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -57,7 +57,10 @@
   readonly countInstances: () => number;
   readonly quarantine: Pick<Quarantine, 'check' | 'isCondemned' | 'startWatch'>;
   readonly limits: Pick<SendLimits, 'choose' | 'take' | 'recordAnswer'>;
-  readonly availability: Pick<EndpointAvailability, 'recordAnswer' | 'isAvailable'>;
+  readonly availability: Pick<
+    EndpointAvailability,
+    'recordAnswer' | 'isAvailable' | 'choose' | 'computeReturnMs'
+  >;
   /** An endpoint started the call, at a time of the monotonic clock; called once for each call. */
   readonly onStarted: (call: RoutedCall, startedMs: number) => void;
   /** Returns a failure if the call must not be sent now. */
@@ -99,6 +102,7 @@
   const getNow = (): number => timers.clock.monotonicMs();
   const decider = createSendDecider({
     placer,
+    availability: options.availability,
     limits: options.limits,
     quarantine: options.quarantine,
     checkSendable: options.checkSendable,
@@ -316,6 +320,7 @@
         lastEventId: call.lastEventId,
         firstResponseTimeoutMs: computeFirstResponseTimeoutMs(call),
         streamIdleTimeoutMs: computeStreamIdleTimeoutMs(call),
+        getReturnMs: () => options.availability.computeReturnMs(call.pool),
         takeRetry: () =>
           !options.quarantine.isCondemned(call) && budget.take(options.countInstances(), getNow()),
       });
--- a/src/calls/call-state-machine.test.ts
+++ b/src/calls/call-state-machine.test.ts
@@ -28,6 +28,7 @@
     lastEventId: undefined,
     firstResponseTimeoutMs: FIRST_RESPONSE_TIMEOUT_MS,
     streamIdleTimeoutMs: STREAM_IDLE_TIMEOUT_MS,
+    getReturnMs: () => 0,
     takeRetry() {
       retriesLeft -= 1;
       return retriesLeft >= 0;
@@ -53,7 +54,7 @@
 }
 
 const BROKEN: AttemptEnd = { kind: 'broken', reason: 'reset' };
-const REJECTED: AttemptEnd = { kind: 'rejected', isWrongEndpoint: false };
+const REJECTED: AttemptEnd = { kind: 'rejected', reason: 'full' };
 
 describe('call state machine', ({ describe: block }) => {
   block('non-idempotent calls', ({ it }) => {
--- a/src/calls/call-state-machine.ts
+++ b/src/calls/call-state-machine.ts
@@ -15,6 +15,7 @@
   CallCommand,
   CallMessage,
   CancelReason,
+  RejectionReason,
 } from './call-messages.js';
 
 const OVERLOADED_RETRY_MS = 500;
@@ -22,6 +23,12 @@
 /** Attempts that fail before a byte is sent do not count towards `attemptsMax`, but towards this limit. */
 const UNSENT_ATTEMPTS_MAX = 3;
 
+const MESSAGE_OF_REJECTION: Readonly<Record<RejectionReason, string>> = {
+  full: 'the endpoints are full; come back after the time given',
+  resting: 'the endpoints asked for rest; come back after the time given',
+  wrong_endpoint: 'the endpoint is gone; come back after the time given',
+};
+
 export interface CallStateMachineOptions {
   readonly kind: CallKind;
   readonly attemptsMax: number;
@@ -32,6 +39,8 @@
   readonly firstResponseTimeoutMs: number;
   /** The same for a stream without a new event. */
   readonly streamIdleTimeoutMs: number;
+  /** Time after which an endpoint of the pool takes requests again; 0 if one does. */
+  readonly getReturnMs: () => number;
   /** Takes one retry from the shared budget; false if it is exhausted. */
   readonly takeRetry: () => boolean;
 }
@@ -102,7 +111,10 @@
   /** Ends a call without a response that may not be retried. */
   function closeUnanswered(message: string): void {
     if (mayHaveRun) closeWithFailure(FAILURE.EndpointFailed, message);
-    else closeWithFailure(FAILURE.Overloaded, message, OVERLOADED_RETRY_MS);
+    else {
+      const retryAfterMs = Math.max(OVERLOADED_RETRY_MS, options.getReturnMs());
+      closeWithFailure(FAILURE.Overloaded, message, retryAfterMs);
+    }
   }
 
   /** Retries the call at another endpoint if that is allowed, else ends it. */
@@ -149,13 +161,7 @@
         handleUnsent(nowMs);
         break;
       case 'rejected':
-        handleFailedAttempt(
-          true,
-          end.isWrongEndpoint
-            ? 'the endpoint is gone; come back after the time given'
-            : 'the endpoints are full; come back after the time given',
-          nowMs,
-        );
+        handleFailedAttempt(true, MESSAGE_OF_REJECTION[end.reason], nowMs);
         break;
       case 'broken':
         mayHaveRun = true;
--- a/src/calls/send-decision.test.ts
+++ b/src/calls/send-decision.test.ts
@@ -42,6 +42,7 @@
       chooseAdmission: (_, { endpoint }) =>
         full.includes(endpoint.id) ? ADMISSION.Wait : ADMISSION.Send,
     },
+    availability: { choose: () => ({ kind: 'open' }) },
     limits: { choose: () => choice, take: (_, __, { id }) => !spent.includes(id) },
     quarantine: { check: () => ({ kind: 'send', isAlone: false }) },
     checkSendable: () => undefined,
--- a/src/calls/send-decision.ts
+++ b/src/calls/send-decision.ts
@@ -2,6 +2,7 @@
  * Decides whether a requested attempt is sent now, to which endpoint, waits at this instance or is
  * rejected. Performs no I/O.
  */
+import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
 import type { SendChoice, SendLimits } from '../endpoint-limits/send-limits.js';
 import { ADMISSION } from '../placement/admission-decision.js';
 import type { Admission } from '../placement/admission-decision.js';
@@ -23,6 +24,7 @@
 
 export interface SendDeciderOptions {
   readonly placer: Pick<Placer, 'choose' | 'chooseAdmission'>;
+  readonly availability: Pick<EndpointAvailability, 'choose'>;
   readonly limits: Pick<SendLimits, 'choose' | 'take'>;
   readonly quarantine: Pick<Quarantine, 'check'>;
   /** Returns a failure if the call must not be sent now. */
@@ -98,6 +100,9 @@
       const verdict = options.quarantine.check(call);
       if (verdict.kind === 'wait') return WAIT;
       if (verdict.kind === 'refuse') return { kind: 'reject', failure: verdict.failure };
+      const availability = options.availability.choose(call, tried);
+      if (availability.kind === 'wait') return WAIT;
+      if (availability.kind === 'refuse') return { kind: 'reject', failure: availability.failure };
       const choice = limits.choose(call, command.attempt, tried);
       if (choice.kind === 'wait') return WAIT;
       if (choice.kind === 'refuse') return { kind: 'reject', failure: choice.failure };
--- a/src/endpoint-availability/endpoint-availability.test.ts
+++ b/src/endpoint-availability/endpoint-availability.test.ts
@@ -1,8 +1,11 @@
 import { describe } from '../test/describe.js';
+import { buildCall, buildSimulatedRoute } from '../test/simulated-routes.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
+import { createRandom } from '../utils/random.js';
 import { LEAVING_MEMORY_MS } from './availability-ledger.js';
 import type { NoticeChange } from './availability-ledger.js';
 import { NO_NOTICE } from './availability-notice.js';
+import type { AvailabilityNotice } from './availability-notice.js';
 import { createEndpointAvailability } from './endpoint-availability.js';
 
 const POOL = 'engines';
@@ -25,17 +28,33 @@
   const second = buildEndpoint('second');
   const changes: NoticeChange[] = [];
   const unreadable: string[] = [];
+  const refused: string[] = [];
   const state = { nowMs: 0, registered: [first, second] as readonly RegisteredEndpoint[] };
   const availability = createEndpointAvailability({
     getNow: () => state.nowMs,
     listRegistered: () => state.registered,
+    countInstances: () => 2,
+    random: createRandom(1),
     observer: {
       onChanged: (change) => changes.push(change),
       onUnreadable: (_, text) => unreadable.push(text),
+      onRefused: ({ callId }) => refused.push(callId),
     },
   });
   const listIds = (): string[] => availability.listOpen(POOL).map(({ id }) => id);
-  return { availability, first, second, state, changes, unreadable, listIds };
+  return { availability, first, second, state, changes, unreadable, refused, listIds };
+}
+
+const REST_MS = 3000;
+const RESTING: AvailabilityNotice = { isLeaving: false, rest: { kind: 'rest', restMs: REST_MS } };
+/** End of the rest at an instance that waits longest beyond it. */
+const REST_END_MAX_MS = REST_MS * 1.1;
+
+/** Builds a call that arrives at 0 and may wait for two fifths of its time. */
+function buildWaitingCall(callId: string, timeoutMs: number) {
+  const route = buildSimulatedRoute('call', { timeoutMs });
+  const simulated = { route, sharedTokens: 1, ownTokens: 1, outputTokens: 1, callsPerSecond: 1 };
+  return { ...buildCall(simulated, callId, 0, createRandom(1)), pool: POOL };
 }
 
 const LEAVING = { ...NO_NOTICE, isLeaving: true };
@@ -81,6 +100,64 @@
     });
   });
 
+  block('an endpoint that asked for rest', ({ it }) => {
+    it('takes no requests until its rest is over', (t) => {
+      const { availability, first, state, listIds } = createHarness();
+      availability.recordAnswer(first, RESTING);
+      t.deepEqual(listIds(), ['second']);
+      state.nowMs = REST_MS - 1;
+      t.deepEqual(listIds(), ['second']);
+      state.nowMs = REST_END_MAX_MS;
+      t.deepEqual(listIds(), ['first', 'second']);
+    });
+
+    // Guards against a rest that a shorter one, or a success under way, ends early.
+    it('rests until the end of the longest of several rests', (t) => {
+      const { availability, first, state, listIds } = createHarness();
+      availability.recordAnswer(first, RESTING);
+      state.nowMs = 100;
+      availability.recordAnswer(first, { ...RESTING, rest: { kind: 'rest', restMs: 50 } });
+      availability.recordAnswer(first, NO_NOTICE);
+      state.nowMs = REST_MS - 1;
+      t.deepEqual(listIds(), ['second']);
+    });
+  });
+
+  block('a pool whose every endpoint rests', ({ it }) => {
+    // Guards against a refusal of calls that have time to wait, and a wait of those that have not.
+    it('lets calls wait that have time left and refuses the others', (t) => {
+      const { availability, first, second, refused, state } = createHarness();
+      availability.recordAnswer(first, RESTING);
+      availability.recordAnswer(second, RESTING);
+      t.is(availability.choose(buildWaitingCall('patient', 20_000), []).kind, 'wait');
+      const choice = availability.choose(buildWaitingCall('hurried', 2000), []);
+      t.deepEqual(refused, ['hurried']);
+      t.true(choice.kind === 'refuse' && (choice.failure.retryAfterMs ?? 0) >= REST_MS);
+      state.nowMs = REST_END_MAX_MS;
+      t.is(availability.choose(buildWaitingCall('patient', 20_000), []).kind, 'open');
+    });
+
+    // Guards against more calls at the end of the rest than the endpoints have places.
+    it('lets no more calls wait than its share of the places', (t) => {
+      const { availability, first, second } = createHarness();
+      availability.recordAnswer(first, RESTING);
+      availability.recordAnswer(second, RESTING);
+      const kinds = Array.from(
+        { length: 6 },
+        (_, index) => availability.choose(buildWaitingCall(`c${index}`, 20_000), []).kind,
+      );
+      t.deepEqual(kinds, ['wait', 'wait', 'wait', 'wait', 'refuse', 'refuse']);
+    });
+
+    // Guards against a wait for an endpoint that rests while another takes the call at once.
+    it('is open again as soon as one endpoint takes requests', (t) => {
+      const { availability, first } = createHarness();
+      availability.recordAnswer(first, RESTING);
+      t.is(availability.choose(buildWaitingCall('c', 20_000), []).kind, 'open');
+      t.is(availability.computeReturnMs(POOL), 0);
+    });
+  });
+
   // Guards against placements that each build the list of a large pool.
   test('returns the same list until something changes', (t) => {
     const { availability, first } = createHarness();
--- a/src/gateway/gateway-duties.ts
+++ b/src/gateway/gateway-duties.ts
@@ -50,6 +50,8 @@
   readonly directory: Pick<EndpointDirectory, 'listAll'>;
   /** Whether an endpoint said that it is leaving, which the registry may not show yet. */
   readonly isLeavingEndpoint: (startId: string) => boolean;
+  /** Whether an endpoint takes requests now. */
+  readonly isAvailable: (endpoint: RegisteredEndpoint) => boolean;
   /** Whether an endpoint takes only a limited rate of requests. */
   readonly isLimited: (startId: string) => boolean;
   readonly peers: Pick<
@@ -120,7 +122,12 @@
 
   /** Estimates the queueing time of a prompt, with the unread tokens spread evenly over the engines. */
   function computeBacklogMs(pool: string): number {
-    const openEndpoints = listStaying(pool).filter(({ startId }) => !options.isLimited(startId));
+    const staying = listStaying(pool);
+    const open = staying.filter(
+      (endpoint) => options.isAvailable(endpoint) && !options.isLimited(endpoint.startId),
+    );
+    // Where none takes requests now, the prompts under way still wait at these.
+    const openEndpoints = open.length > 0 ? open : staying;
     const msPerToken = loads.getPoolTiming(pool).prefillSpeed?.msPerToken ?? 0;
     const unread = openEndpoints.reduce(
       (sum, { startId }) => sum + loads.get(startId).unreadTokens,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -228,6 +228,8 @@
 
   const availability = createEndpointAvailability({
     listRegistered: (pool) => knowledge.directory.listOpen(pool),
+    countInstances: () => peers.countInstances(),
+    random,
     getNow,
     observer: options.availabilityObserver,
   });
@@ -254,6 +256,7 @@
           time,
           loads,
           directory: knowledge.directory,
+          isAvailable: (endpoint) => availability.isAvailable(endpoint),
           isLeavingEndpoint: (startId) => availability.isLeaving(startId),
           isLimited: (startId) => limits.isLimited(startId),
           peers,
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -53,6 +53,7 @@
   recordLimitedSend(): void;
   /** Records a call refused because of the rate limits of endpoints. */
   recordLimitRefusal(): void;
+  recordRestRefusal(): void;
   /** What is known of an endpoint that is leaving or wants rest changed. */
   recordNotice(notice: string, change: string): void;
   /** Records a request refused before routing. */
@@ -118,6 +119,11 @@
     labelNames: ['notice', 'change'],
     registers,
   });
+  const restRefusals = new Counter({
+    name: 'hyssoptally_rest_refusals_total',
+    help: 'Calls refused because all endpoints of their pool asked for rest',
+    registers,
+  });
   const unknownValues = new Counter({
     name: 'hyssoptally_unknown_values_total',
     help: 'Words of a newer release that this one does not know, by where they were read',
@@ -227,6 +233,7 @@
     recordQuarantineRefusal: () => quarantineRefusals.inc(),
     recordLimitedSend: () => limitedSends.inc(),
     recordLimitRefusal: () => limitRefusals.inc(),
+    recordRestRefusal: () => restRefusals.inc(),
     recordNotice: (notice, change) => notices.inc({ notice, change }),
     recordRefusal: (failure) => refusals.inc({ failure }),
     recordUnknown: (place) => unknownValues.inc({ place }),
--- a/src/observability/call-observer.ts
+++ b/src/observability/call-observer.ts
@@ -1,5 +1,5 @@
 /** Logs events of calls and records their metrics. */
-import type { AttemptEnd, CallCommand } from '../calls/call-messages.js';
+import type { AttemptEnd, CallCommand, RejectionReason } from '../calls/call-messages.js';
 import type { AttemptRecord, CallEnd, CallObserver } from '../calls/call-records.js';
 import { OUTCOME } from '../types/outcomes.js';
 import { CALL_RESULT } from './call-metrics.js';
@@ -14,6 +14,12 @@
   readonly getKnowledge: () => { readonly configurationVersion: number; readonly ageMs: number };
 }
 
+const DESCRIPTION_OF_REJECTION: Readonly<Record<RejectionReason, string>> = {
+  full: 'full',
+  resting: 'asked for rest',
+  wrong_endpoint: 'another endpoint has the address',
+};
+
 function describeAttemptEnd(end: AttemptEnd): string {
   switch (end.kind) {
     case 'broken':
@@ -21,7 +27,7 @@
     case 'answered':
       return `answered ${end.head.status}`;
     case 'rejected':
-      return end.isWrongEndpoint ? 'rejected: another endpoint has the address' : 'rejected: full';
+      return `rejected: ${DESCRIPTION_OF_REJECTION[end.reason]}`;
     default:
       return end.kind;
   }
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -77,6 +77,17 @@
       readonly ageMs: number;
       readonly endsInMs: number;
     }
+  | {
+      /** A call was refused because the endpoints of its pool asked for rest. */
+      readonly event: 'rest_refused';
+      readonly request: string;
+      readonly pool: string;
+      readonly urgency: number;
+      readonly organisation: string;
+      /** Resting endpoints of the pool with the source and age of the request for rest, and its end. */
+      readonly resting: readonly string[];
+      readonly retryAfterMs: number;
+    }
   | {
       /** A call was refused because of the rate limits of endpoints. */
       readonly event: 'limit_refused';
@@ -236,6 +247,7 @@
     case 'request_refused':
     case 'content_refused':
     case 'limit_refused':
+    case 'rest_refused':
     case 'attempt_failed':
       return LOG_KIND.Failure;
     case 'attempt_started':
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -32,6 +32,8 @@
   Good: 'good',
   /** The call ended for a reason unrelated to the endpoint. */
   None: 'none',
+  /** The endpoint asked for rest, which says nothing of its health. */
+  Resting: 'resting',
   /** The endpoint refused the call or answered with an error, so the connection works. */
   Errored: 'errored',
   /** The answer broke off or never came. */
@@ -169,6 +171,7 @@
   function recordVerdict(state: LoadState, verdict: EndpointVerdict, nowMs: number): void {
     switch (verdict) {
       case ENDPOINT_VERDICT.Good:
+      case ENDPOINT_VERDICT.Resting:
       case ENDPOINT_VERDICT.Errored:
         state.failuresInRow = 0;
         break;
@@ -262,7 +265,7 @@
         state.running -= 1;
         state.urgent -= urgent;
         recordVerdict(state, verdict, nowMs);
-        if (verdict === ENDPOINT_VERDICT.None) return;
+        if (verdict === ENDPOINT_VERDICT.None || verdict === ENDPOINT_VERDICT.Resting) return;
         if (verdict === ENDPOINT_VERDICT.Good) pool.runMs.add(nowMs - startedMs);
         const failures = verdict === ENDPOINT_VERDICT.Good ? 0 : 1;
         state.failures.add({ answers: 1, failures }, nowMs);
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -121,8 +121,14 @@
   });
   const availability = createEndpointAvailability({
     listRegistered: listOpen,
+    countInstances: () => exchange.countInstances(),
+    random,
     getNow: () => timers.clock.monotonicMs(),
-    observer: { onChanged: () => undefined, onUnreadable: () => undefined },
+    observer: {
+      onChanged: () => undefined,
+      onUnreadable: () => undefined,
+      onRefused: () => undefined,
+    },
   });
   const limits = createCallLimits({
     self: self.name,
