Instances tell each other which endpoints are leaving or want rest

The word is said to one instance; the others each lost a call, and a second try from the shared budget, to learn it.

That an endpoint leaves binds whoever hears it. Rest was asked of one instance; to the others it is a hint: such an endpoint is used only if there is no other. Reports go with the loads, four times in a row and then once a second, for endpoints that the registry lists; margins keep two instances from making a notice younger. An instance of an earlier release passes over the message.

--- a/src/directory/endpoint-directory.ts
+++ b/src/directory/endpoint-directory.ts
@@ -3,6 +3,8 @@
  * endpoint that is leaving or was removed gets no new calls. Entries that lapse during a registry
  * outage are kept until the endpoints have had time to renew them.
  */
+import { hashStartId } from '../placement/remote-loads.js';
+import type { EndpointKey } from '../placement/remote-loads.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
 
@@ -35,6 +37,8 @@
   /** Endpoints of a pool that accept new calls. */
   listOpen(pool: string): readonly RegisteredEndpoint[];
   find(id: string): RegisteredEndpoint | undefined;
+  /** Whether a start of an endpoint is registered, by its key. */
+  hasStart(start: EndpointKey): boolean;
   listAll(): readonly RegisteredEndpoint[];
   /**
    * Milliseconds for which lapsed entries may still be renewed; 0 during an outage and after the
@@ -52,6 +56,7 @@
 export function createEndpointDirectory(): EndpointDirectory {
   const entries = new Map<string, Entry>();
   let openByPool = new Map<string, RegisteredEndpoint[]>();
+  let startKeys: ReadonlySet<EndpointKey> = new Set();
   let isSourceLost = false;
   let renewalEndMs = -Infinity;
   let changes: DirectoryChange[] = [];
@@ -144,6 +149,7 @@
 
   function updateOpen(): void {
     openByPool = new Map();
+    startKeys = new Set([...entries.values()].map(({ endpoint }) => hashStartId(endpoint.startId)));
     for (const { endpoint } of entries.values()) {
       if (!endpoint.isLeaving) {
         const open = openByPool.get(endpoint.pool) ?? [];
@@ -161,6 +167,7 @@
       return changes;
     },
     listOpen: (pool) => openByPool.get(pool) ?? [],
+    hasStart: (start) => startKeys.has(start),
     find: (id) => entries.get(id)?.endpoint,
     computeRenewalLeft: (nowMs) => (isSourceLost ? 0 : Math.max(0, renewalEndMs - nowMs)),
     listAll: () => [...entries.values()].map(({ endpoint }) => endpoint),
--- a/src/endpoint-availability/endpoint-availability.test.ts
+++ b/src/endpoint-availability/endpoint-availability.test.ts
@@ -1,4 +1,5 @@
 import { describe } from '../test/describe.js';
+import { hashStartId } from '../placement/remote-loads.js';
 import { buildCall, buildSimulatedRoute } from '../test/simulated-routes.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { createRandom } from '../utils/random.js';
@@ -33,6 +34,7 @@
   const availability = createEndpointAvailability({
     getNow: () => state.nowMs,
     listRegistered: () => state.registered,
+    isRegistered: () => true,
     countInstances: () => 2,
     random: createRandom(1),
     observer: {
@@ -158,6 +160,35 @@
     });
   });
 
+  block('what another instance reports', ({ it }) => {
+    it('is that an endpoint is leaving, or rests and is used only if there is no other', (t) => {
+      const { availability, first, second, listIds, state } = createHarness();
+      const start = hashStartId(first.startId);
+      const other = hashStartId(second.startId);
+      availability.merge([{ endpoint: start, leavingAgoMs: 10, restLeftMs: 0 }], 'peer');
+      availability.merge([{ endpoint: other, leavingAgoMs: undefined, restLeftMs: 900 }], 'peer');
+      t.deepEqual(listIds(), ['second']);
+      t.true(availability.isRestingElsewhere(second));
+      state.nowMs = 900;
+      t.false(availability.isRestingElsewhere(second));
+    });
+
+    // Guards against two instances that keep a notice alive by sending it back and forth.
+    it('does not become younger by coming back', (t) => {
+      const { availability, first, state } = createHarness();
+      availability.recordAnswer(first, { isLeaving: true, rest: RESTING.rest });
+      const ends = availability.list().map(({ untilMs }) => untilMs);
+      for (let round = 0; round < 20; round += 1) {
+        state.nowMs += 100;
+        const reports = availability.takeReports();
+        state.nowMs += 100;
+        availability.merge(reports, 'peer');
+      }
+      const lastMs = Math.max(...availability.list().map(({ untilMs }) => untilMs));
+      t.true(lastMs <= Math.max(...ends) + 500);
+    });
+  });
+
   // Guards against placements that each build the list of a large pool.
   test('returns the same list until something changes', (t) => {
     const { availability, first } = createHarness();
--- a/src/endpoint-availability/endpoint-availability.ts
+++ b/src/endpoint-availability/endpoint-availability.ts
@@ -11,7 +11,7 @@
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
 import { createAvailabilityLedger } from './availability-ledger.js';
-import type { KnownNotice, NoticeChange } from './availability-ledger.js';
+import type { KnownNotice, NoticeChange, NoticeReport } from './availability-ledger.js';
 import type { AvailabilityNotice } from './availability-notice.js';
 import { createRestQueue } from './rest-queue.js';
 
@@ -22,6 +22,10 @@
 const REST_SPREAD = 0.1;
 const REST_SPREAD_MAX_MS = 500;
 const RETRY_AFTER_MIN_MS = 100;
+/** Number of times that a change is reported in a row. */
+const REPORT_COPIES = 4;
+/** Interval between reports without a change. */
+const REPORT_PERIOD_MS = 1000;
 /** Callers return spread over this share of the time given. */
 const RETRY_SPREAD = 0.5;
 
@@ -43,6 +47,8 @@
 export interface EndpointAvailabilityOptions {
   /** Endpoints of a pool that the registry lists as open; the same array until they change. */
   readonly listRegistered: (pool: string) => readonly RegisteredEndpoint[];
+  /** Whether the registry lists a start of an endpoint. */
+  readonly isRegistered: (start: EndpointKey) => boolean;
   /** Number of instances that share the endpoints, including this one. */
   readonly countInstances: () => number;
   readonly random: Random;
@@ -62,6 +68,11 @@
   computeReturnMs(pool: string): number;
   /** Whether the endpoint said that it is leaving. */
   isLeaving(startId: string): boolean;
+  /** Whether the endpoint asked another instance for rest: it is used only if there is no other. */
+  isRestingElsewhere(endpoint: RegisteredEndpoint): boolean;
+  /** Returns what to report to other instances now; changes are repeated, since datagrams are lost. */
+  takeReports(): readonly NoticeReport[];
+  merge(reports: readonly NoticeReport[], source: string): void;
   /** Forgets a start of an endpoint that has ended. */
   remove(startId: string): void;
   /** Ends what is over. */
@@ -165,8 +176,16 @@
     return isWaiting ? { kind: 'wait' } : refuse(call, resting);
   }
 
+  let reportCopiesLeft = 0;
+  let reportedMs = -Infinity;
+
   function recordChanges(changes: readonly (NoticeChange | undefined)[]): void {
-    for (const change of changes) if (change !== undefined) observer.onChanged(change);
+    for (const change of changes) {
+      if (change !== undefined) {
+        if (change.change !== 'ended') reportCopiesLeft = REPORT_COPIES;
+        observer.onChanged(change);
+      }
+    }
   }
 
   function recordRest(endpoint: EndpointKey, restMs: number): void {
@@ -187,6 +206,17 @@
     choose,
     computeReturnMs,
     isLeaving,
+    isRestingElsewhere: ({ startId }) =>
+      ledger.hasAny() && ledger.isRestingElsewhere(hashStartId(startId), getNow()),
+    takeReports() {
+      const nowMs = getNow();
+      const isDue = reportCopiesLeft > 0 || nowMs - reportedMs >= REPORT_PERIOD_MS;
+      if (!ledger.hasAny() || !isDue) return [];
+      reportCopiesLeft = Math.max(0, reportCopiesLeft - 1);
+      reportedMs = nowMs;
+      return ledger.buildReports(options.isRegistered, nowMs);
+    },
+    merge: (reports, source) => recordChanges(ledger.merge(reports, source, getNow())),
     remove(startId) {
       if (ledger.hasAny()) recordChanges(ledger.remove(hashStartId(startId)));
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,7 +14,7 @@
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import type { KnownLimit, LimitReport } from '../endpoint-limits/limit-ledger.js';
 import type { PermitReply, PermitRequest } from '../endpoint-limits/permit-messages.js';
-import type { KnownNotice } from '../endpoint-availability/availability-ledger.js';
+import type { KnownNotice, NoticeReport } from '../endpoint-availability/availability-ledger.js';
 import { createEndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
 import type { AvailabilityObserver } from '../endpoint-availability/endpoint-availability.js';
 import type { SendLimitsObserver } from '../endpoint-limits/send-limits.js';
@@ -140,6 +140,7 @@
   countInstances(): number;
   countCalls(): number;
   handleLimits(from: string, reports: readonly LimitReport[]): void;
+  handleNotices(from: string, reports: readonly NoticeReport[]): void;
   handlePermitRequests(from: string, requests: readonly PermitRequest[]): void;
   handlePermitReplies(replies: readonly PermitReply[]): void;
   /** Rate limits that endpoints name. */
@@ -215,6 +216,7 @@
     loads,
     quarantine,
     limits: { takeReports: () => limits.takeReports() },
+    availability: { takeReports: () => availability.takeReports() },
     knowledge: {
       ...knowledge,
       setRole(role) {
@@ -228,6 +230,7 @@
 
   const availability = createEndpointAvailability({
     listRegistered: (pool) => knowledge.directory.listOpen(pool),
+    isRegistered: (start) => knowledge.directory.hasStart(start),
     countInstances: () => peers.countInstances(),
     random,
     getNow,
@@ -271,7 +274,8 @@
     listOpen: (pool) => limits.listPreferred(pool),
     getRouteRank: (route, pool) => table?.getRouteRank(route, pool) ?? TOP_RANK,
     isDataCentreUnreachable: (dataCentre) => peers.isDataCentreUnreachable(dataCentre),
-    isAvoided: (endpoint) => quarantine.isInTrial(endpoint),
+    isAvoided: (endpoint) =>
+      quarantine.isInTrial(endpoint) || availability.isRestingElsewhere(endpoint),
   });
   const runner: CallRunner = createCallRunner({
     connections: options.connections,
@@ -368,6 +372,7 @@
     countInstances: () => peers.countInstances(),
     countCalls: () => runner.count(),
     handleLimits: (from, reports) => limits.mergeReports(reports, from),
+    handleNotices: (from, reports) => availability.merge(reports, from),
     handlePermitRequests: (from, requests) => limits.handleRequests(requests, from),
     handlePermitReplies: (replies) => limits.handleReplies(replies),
     listLimits: () => limits.list(),
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -52,7 +52,7 @@
 }
 
 export interface KnowledgeStore {
-  readonly directory: Pick<EndpointDirectory, 'listOpen' | 'find' | 'listAll'>;
+  readonly directory: Pick<EndpointDirectory, 'listOpen' | 'find' | 'hasStart' | 'listAll'>;
   getConfiguration(): TrafficConfiguration | undefined;
   /** Returns the time since the current configuration was last confirmed as the newest. */
   computeAge(): number;
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -6,6 +6,7 @@
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import { createWatchRoleSelector, listWatchers } from '../knowledge/watch-role.js';
 import { LOAD_UPDATE_PERIOD_MS, createLoadExchange } from '../load-sharing/load-exchange.js';
+import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
 import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import type { AddressedLoadUpdate } from '../load-sharing/load-update.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
@@ -46,13 +47,14 @@
   readonly links: PeerLinks;
   readonly datagrams: Pick<
     Datagrams,
-    'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage' | 'sendLimits'
+    'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage' | 'sendLimits' | 'sendNotices'
   >;
   readonly time: FleetTime;
   readonly instances: InstanceListClient;
   readonly loads: EndpointLoads;
   readonly quarantine: Pick<Quarantine, 'takeReports' | 'merge'>;
   readonly limits: Pick<SendLimits, 'takeReports'>;
+  readonly availability: Pick<EndpointAvailability, 'takeReports'>;
   readonly knowledge: Pick<
     KnowledgeStore,
     'applyResponse' | 'applySummary' | 'computeAge' | 'getSummary' | 'setRole'
@@ -183,6 +185,8 @@
     if (cases.length > 0) options.datagrams.sendCases(addresses, cases);
     const limits = options.limits.takeReports();
     if (limits.length > 0) options.datagrams.sendLimits(addresses, limits);
+    const notices = options.availability.takeReports();
+    if (notices.length > 0) options.datagrams.sendNotices(addresses, notices);
   }
 
   /** Duty candidates are the instances that watch the source, which duties depend on. */
--- a/src/peers/datagrams.test.ts
+++ b/src/peers/datagrams.test.ts
@@ -46,6 +46,7 @@
         onGossip: () => undefined,
         onCases: () => undefined,
         onLimits: () => undefined,
+        onNotices: () => undefined,
         onPermitRequests: () => undefined,
         onPermitReplies: () => undefined,
         onUsage: () => undefined,
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -11,6 +11,7 @@
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import type { AddressedLoadUpdate } from '../load-sharing/load-update.js';
 import type { CaseReport } from '../quarantine/case-ledger.js';
+import type { NoticeReport } from '../endpoint-availability/availability-ledger.js';
 import type { LimitReport } from '../endpoint-limits/limit-ledger.js';
 import type { PermitReply, PermitRequest } from '../endpoint-limits/permit-messages.js';
 import { decodeCases, encodeCases } from './encode-cases.js';
@@ -23,6 +24,7 @@
   encodePermitRequests,
 } from './encode-limits.js';
 import { decodeLoadUpdate, encodeLoadUpdate } from './encode-load-update.js';
+import { decodeNotices, encodeNotices } from './encode-notices.js';
 import { decodeUsage, encodeUsage } from './encode-usage.js';
 import type { KnowledgeSummary } from './peer-links.js';
 import type { PeerStatus } from './peer-status.js';
@@ -37,6 +39,7 @@
   sendCases(addresses: readonly string[], cases: readonly CaseReport[]): void;
   sendUsage(addresses: readonly string[], update: UsageUpdate): void;
   sendLimits(addresses: readonly string[], reports: readonly LimitReport[]): void;
+  sendNotices(addresses: readonly string[], reports: readonly NoticeReport[]): void;
   sendPermitRequests(address: string, requests: readonly PermitRequest[]): void;
   sendPermitReplies(address: string, replies: readonly PermitReply[]): void;
   close(): void;
@@ -54,6 +57,7 @@
   readonly onCases: (from: string, cases: readonly CaseReport[]) => void;
   readonly onUsage: (update: UsageUpdate) => void;
   readonly onLimits: (from: string, reports: readonly LimitReport[]) => void;
+  readonly onNotices: (from: string, reports: readonly NoticeReport[]) => void;
   readonly onPermitRequests: (from: string, requests: readonly PermitRequest[]) => void;
   readonly onPermitReplies: (replies: readonly PermitReply[]) => void;
   /** Called for a message kind or value of a newer release, which is ignored. */
@@ -96,6 +100,9 @@
       case 'limits':
         options.onLimits(from, decodeLimits(body.value));
         break;
+      case 'notices':
+        options.onNotices(from, decodeNotices(body.value));
+        break;
       case 'permitRequests':
         options.onPermitRequests(from, decodePermitRequests(body.value));
         break;
@@ -146,6 +153,9 @@
     sendLimits(addresses, reports) {
       sendBody(addresses, { case: 'limits', value: encodeLimits(reports) });
     },
+    sendNotices(addresses, reports) {
+      sendBody(addresses, { case: 'notices', value: encodeNotices(reports) });
+    },
     sendPermitRequests(address, requests) {
       sendBody([address], { case: 'permitRequests', value: encodePermitRequests(requests) });
     },
--- a/src/peers/encode-limits.ts
+++ b/src/peers/encode-limits.ts
@@ -10,15 +10,10 @@
 import type { PermitReplies, PermitRequests, TellLimits } from '../gen/peer_pb.js';
 import type { LimitReport } from '../endpoint-limits/limit-ledger.js';
 import type { PermitReply, PermitRequest } from '../endpoint-limits/permit-messages.js';
+import { encodeUint32 } from './encode-uint32.js';
 
-/** Largest value of a `uint32` field. */
-const UINT32_MAX = 2 ** 32 - 1;
 const MILLI = 1000;
 
-function encodeUint32(value: number): number {
-  return Math.min(UINT32_MAX, Math.max(0, Math.round(value)));
-}
-
 /** A limit is at least 1 on the wire, since 0 stands for a lifted one. */
 function encodeRate(perSecond: number | undefined): number {
   return perSecond === undefined ? 0 : Math.max(1, encodeUint32(perSecond * MILLI));
--- a/src/test/configuration-simulation.ts
+++ b/src/test/configuration-simulation.ts
@@ -109,6 +109,7 @@
     loads: createEndpointLoads(),
     quarantine: { takeReports: () => [], merge: () => undefined },
     limits: { takeReports: () => [] },
+    availability: { takeReports: () => [] },
     knowledge: store,
     knowledgeAgeMaxMs: KNOWLEDGE_AGE_MAX_MS,
     isLeaving: () => false,
--- a/src/test/limit-simulation.ts
+++ b/src/test/limit-simulation.ts
@@ -16,6 +16,8 @@
 import { createSimulatedInstance } from './simulated-instance.js';
 import type { SimulatedInstance } from './simulated-instance.js';
 import { createSimulatedNetwork } from './simulated-network.js';
+import { createSimulatedNotices } from './simulated-notices.js';
+import type { SimulatedNotice, SimulatedNotices } from './simulated-notices.js';
 import { POOL, buildCall } from './simulated-routes.js';
 import type { SimulatedRoute } from './simulated-routes.js';
 
@@ -35,6 +37,16 @@
   readonly dataCentres: number;
   readonly endpoints: number;
   readonly limits: readonly NamedLimit[];
+  /**
+   * Endpoints that say that they are leaving or want rest; times are relative to the start of arrivals.
+   * @default none
+   */
+  readonly notices?: readonly SimulatedNotice[];
+  /**
+   * Whether instances tell each other of these.
+   * @default true
+   */
+  readonly areNoticesShared?: boolean;
   readonly routes: readonly SimulatedRoute[];
   /** Duration of arrivals. */
   readonly lengthMs: number;
@@ -68,6 +80,7 @@
   /** Requests by endpoint and second of arrival. */
   countArrivals(endpoint: number, fromMs: number, toMs: number): number;
   readonly datagrams: number;
+  readonly notices: Omit<SimulatedNotices, 'open'>;
 }
 
 interface Arrival {
@@ -97,6 +110,7 @@
   readonly endpoints: readonly RegisteredEndpoint[];
   readonly calls: Map<string, RoutedCall>;
   readonly arrivals: Arrival[];
+  readonly notices: SimulatedNotices;
   /** When each instance was first told of a limit, by endpoint and instance. */
   readonly toldMs: Map<string, number>;
 }
@@ -151,7 +165,9 @@
       const call = simulation.calls.get(target) as RoutedCall;
       const engine = simulation.engines[endpoint] as SimulatedEngine;
       simulation.arrivals.push({ endpoint, instance, atMs: simulation.time.getNow() });
-      return engine.start(call, addLimitHeader(simulation, endpoint, instance, listener));
+      return simulation.notices.open(endpoint, instance, call.callId, listener, (noticed) =>
+        engine.start(call, addLimitHeader(simulation, endpoint, instance, noticed)),
+      );
     },
     closeAll: () => undefined,
     countOpened: () => 0,
@@ -234,6 +250,8 @@
     });
     network.add(self.address, instance.exchange);
     network.addLimits(self.address, instance.limits);
+    if (options.areNoticesShared !== false)
+      network.addAvailability(self.address, instance.availability);
     return instance;
   });
   return { instances, actors, timers, countDatagrams: () => network.countSent() };
@@ -270,6 +288,14 @@
       createSimulatedEngine(time, { slots: SLOTS, queueMax: QUEUE_MAX }),
     ),
     endpoints,
+    notices: createSimulatedNotices(
+      time,
+      (options.notices ?? []).map((notice) => ({
+        ...notice,
+        fromMs: WARM_UP_MS + notice.fromMs,
+        untilMs: WARM_UP_MS + notice.untilMs,
+      })),
+    ),
     calls: new Map(),
     arrivals: [],
     toldMs: new Map(),
@@ -309,5 +335,6 @@
           arrival.atMs < WARM_UP_MS + toMs,
       ).length,
     datagrams: fleet.countDatagrams(),
+    notices: simulation.notices,
   };
 }
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -15,6 +15,7 @@
 import type { PeerExchange } from '../gateway/peer-exchange.js';
 import type { Contact } from '../membership/membership-messages.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
+import { hashStartId } from '../placement/remote-loads.js';
 import { createPlacer } from '../placement/placer.js';
 import type { ConnectionResult } from '../quarantine/crash-detector.js';
 import { createQuarantine } from '../quarantine/quarantine.js';
@@ -109,6 +110,7 @@
     time: createFleetTime(),
     quarantine,
     limits: { takeReports: () => limits.takeReports() },
+    availability: { takeReports: () => availability.takeReports() },
     knowledge: {
       applyResponse: () => undefined,
       applySummary: () => false,
@@ -121,6 +123,7 @@
   });
   const availability = createEndpointAvailability({
     listRegistered: listOpen,
+    isRegistered: (start) => listOpen().some(({ startId }) => hashStartId(startId) === start),
     countInstances: () => exchange.countInstances(),
     random,
     getNow: () => timers.clock.monotonicMs(),
@@ -154,7 +157,8 @@
       listOpen: (pool) => limits.listPreferred(pool),
       getRouteRank: (route, pool) => ranks.get(route, pool),
       isDataCentreUnreachable: (dataCentre) => exchange.isDataCentreUnreachable(dataCentre),
-      isAvoided: (endpoint) => quarantine.isInTrial(endpoint),
+      isAvoided: (endpoint) =>
+        quarantine.isInTrial(endpoint) || availability.isRestingElsewhere(endpoint),
     }),
     retryBounds: { windowMs: 10_000, ratio: 0.2, slack: 50 },
     timers,
--- a/src/test/simulated-network.ts
+++ b/src/test/simulated-network.ts
@@ -1,5 +1,6 @@
 /** Links between simulated instances, with latency and datagram loss. */
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
+import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
 import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { Datagrams } from '../peers/datagrams.js';
@@ -12,6 +13,7 @@
   encodePermitReplies,
   encodePermitRequests,
 } from '../peers/encode-limits.js';
+import { decodeNotices, encodeNotices } from '../peers/encode-notices.js';
 import { decodeLoadUpdate, encodeLoadUpdate } from '../peers/encode-load-update.js';
 import type { KnownRevisions, PeerLinks } from '../peers/peer-links.js';
 import type { VirtualTime } from '../soak/virtual-time.js';
@@ -48,6 +50,8 @@
   add(address: string, exchange: PeerExchange, buildKnowledge?: BuildKnowledge): void;
   /** Adds the receiver of messages about rate limits at an address. */
   addLimits(address: string, limits: SendLimits): void;
+  /** Adds the receiver of messages about endpoints that are leaving or want rest at an address. */
+  addAvailability(address: string, availability: EndpointAvailability): void;
   createLinks(self: Contact): PeerLinks;
   createDatagrams(self: Contact): Omit<Datagrams, 'close'>;
   /** Counts the datagrams sent so far, including lost ones. */
@@ -62,6 +66,7 @@
   const peers = new Map<string, PeerExchange>();
   const knowledgeBuilders = new Map<string, BuildKnowledge>();
   const limitsByAddress = new Map<string, SendLimits>();
+  const availabilityByAddress = new Map<string, EndpointAvailability>();
   let sent = 0;
 
   function send(address: string, deliver: (peer: PeerExchange) => void): void {
@@ -119,6 +124,9 @@
     addLimits(address, limits) {
       limitsByAddress.set(address, limits);
     },
+    addAvailability(address, availability) {
+      availabilityByAddress.set(address, availability);
+    },
     createDatagrams: ({ name, dataCentre }) => ({
       sendLoads(loads, knowledge, sentTime) {
         for (const datagram of encodeLoadUpdate(loads, dataCentre, knowledge, sentTime)) {
@@ -141,6 +149,11 @@
         for (const address of addresses)
           sendToLimits(address, (limits) => limits.mergeReports(decodedReports, name));
       },
+      sendNotices(addresses, reports) {
+        const decoded = decodeNotices(encodeNotices(reports));
+        for (const address of addresses)
+          sendDatagram(address, () => availabilityByAddress.get(address)?.merge(decoded, name));
+      },
       sendPermitRequests(address, requests) {
         const decoded = decodePermitRequests(encodePermitRequests(requests));
         sendToLimits(address, (limits) => limits.handleRequests(decoded, name));
