An answer of a service that says it is leaving is delivered, not run again elsewhere

At the product's own door a leaving endpoint was expected to say so only where it turns a request away: any response with the header counted as proof that nothing ran. Now that endpoints say it in all their answers, the answer of a call that had run was thrown away and the call sent to another endpoint, one that must not be repeated as well. Found by reading; the new test failed before (the result was 'leaving'). Only status 503 with the header is the promise.

--- a/src/node/endpoint-client.test.ts
+++ b/src/node/endpoint-client.test.ts
@@ -3,11 +3,16 @@
 import type { ExecutionContext } from 'ava';
 import { describe } from '../test/describe.js';
 import { createEndpointClient } from './endpoint-client.js';
+import type { ServiceResult } from './endpoint-client.js';
 
 const TIMEOUT_MS = 500;
 const ORDER = { fence: 4, models: ['small'] };
 
-async function startEndpoint(t: ExecutionContext) {
+async function startEndpoint(
+  t: ExecutionContext,
+  status = 200,
+  headers: Record<string, string> = {},
+) {
   const bodies: string[] = [];
   const server = createServer((request, response) => {
     let text = '';
@@ -17,6 +22,7 @@
     });
     request.on('end', () => {
       bodies.push(text);
+      response.writeHead(status, headers);
       response.end('{"models":["small"]}');
     });
   });
@@ -59,3 +65,24 @@
     t.deepEqual(bodies, []);
   });
 });
+
+describe('calls to services', ({ it }) => {
+  const attempt = { attemptId: 'a', method: 'POST', path: '/', headers: {}, body: undefined };
+
+  // Guards against throwing away the answer of a service that ran the call, and running it elsewhere.
+  it('return the whole answer of one that says in it that it is leaving', async (t) => {
+    const { endpoint, client } = await startEndpoint(t, 200, { 'x-endpoint-leaving': 'true' });
+    const result = await new Promise<ServiceResult>((resolve) => {
+      client.startService(endpoint, attempt, resolve);
+    });
+    t.is(result.kind, 'answered');
+  });
+
+  it('are known not to have run if one that is leaving turns them away', async (t) => {
+    const { endpoint, client } = await startEndpoint(t, 503, { 'x-endpoint-leaving': 'true' });
+    const result = await new Promise<ServiceResult>((resolve) => {
+      client.startService(endpoint, attempt, resolve);
+    });
+    t.deepEqual(result, { kind: 'ended', ending: 'leaving' });
+  });
+});
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -17,6 +17,7 @@
 /** Errors raised before any byte was sent, after which a retry is safe. */
 const UNSENT_CODES = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'];
 const LEAVING_HEADER = 'x-endpoint-leaving';
+const STATUS_UNAVAILABLE = 503;
 const DONE_EVENT_DATA = '[DONE]';
 
 export interface AttemptListener {
@@ -126,8 +127,16 @@
   return code !== undefined && UNSENT_CODES.includes(code) ? 'unsent' : 'broken';
 }
 
+/**
+ * Whether an endpoint that is leaving turned the request away. It says that it is leaving in all
+ * responses, but only with this status is it a promise that it ran nothing.
+ */
+function isTurnedAway({ statusCode, headers }: Dispatcher.ResponseData): boolean {
+  return statusCode === STATUS_UNAVAILABLE && headers[LEAVING_HEADER] === 'true';
+}
+
 function computeStatusEnding(response: Dispatcher.ResponseData): AttemptEnding {
-  if (response.headers[LEAVING_HEADER] === 'true') return 'leaving';
+  if (isTurnedAway(response)) return 'leaving';
   const isClientError = response.statusCode >= 400 && response.statusCode < 500;
   return isClientError && response.statusCode !== 429 ? 'rejected' : 'error';
 }
@@ -235,7 +244,7 @@
     });
     const body = await response.body.text();
     if (body.length > SERVICE_BODY_MAX_CHARACTERS) return { kind: 'ended', ending: 'error' };
-    if (response.headers[LEAVING_HEADER] === 'true') return { kind: 'ended', ending: 'leaving' };
+    if (isTurnedAway(response)) return { kind: 'ended', ending: 'leaving' };
     if (response.statusCode >= 500) return { kind: 'ended', ending: 'error' };
     const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
     return { kind: 'answered', answer: { status: response.statusCode, contentType, body } };
