--- a/src/admission/shard-owner.test.ts
+++ b/src/admission/shard-owner.test.ts
@@ -84,6 +84,7 @@
       ending = SlotEnding.COMPLETED,
       tokens = 10,
       stepMs = 0,
+      restMs = 0,
     ) {
       const endpoint = held.get(ticketId) ?? '';
       held.delete(ticketId);
@@ -101,6 +102,7 @@
               stepMs,
               firstTokenMs: 0,
               ending,
+              restMs,
             },
           },
           nowMs,
@@ -239,6 +241,32 @@
       t.deepEqual([...shard.held.values()], ['engine-1']);
     });
 
+    // Guards against a slot at an endpoint that asked any instance for rest.
+    itInner('that asked for rest receive no grants until it is over', (t) => {
+      const shard = createOwner(2, 1);
+      shard.post('a', 'counter', 0);
+      const resting = shard.held.get('a') ?? '';
+      shard.release('a', 10, SlotEnding.UNUSED, 0, 0, 1000);
+      shard.post('b', 'counter', 20);
+      shard.post('c', 'counter', 30);
+      t.false([...shard.held.values()].includes(resting));
+      t.deepEqual(listGranted(shard.tick(900)), []);
+      t.deepEqual(listGranted(shard.tick(1010)), ['c']);
+    });
+
+    // Guards against a wait that ends at the deadline, where a refusal could have come at once.
+    itInner('that all rest beyond a deadline make the owner refuse at arrival', (t) => {
+      const shard = createOwner(1, 1);
+      shard.post('a', 'counter', 0);
+      shard.release('a', 10, SlotEnding.UNUSED, 0, 0, 600_000);
+      const refusal = shard
+        .post('b', 'counter', 20)
+        .map(({ body }) => (body.case === 'refuseTicket' ? body.value : undefined))
+        .find((value) => value !== undefined);
+      t.is(refusal?.ticketId, 'b');
+      t.true((refusal?.retryAfterMs ?? 0) >= 599_000);
+    });
+
     itInner('that are much slower than the others are marked as stragglers', (t) => {
       // Guards against a slow endpoint that receives as many requests as the others.
       const shard = createOwner(4, 4);
--- a/src/admission/shard-owner.ts
+++ b/src/admission/shard-owner.ts
@@ -107,7 +107,8 @@
     const retryAfterMs =
       classState === undefined
         ? RETRY_AFTER_MIN_MS
-        : computeRetryAfter(classState, table.countSlots(), random, nowMs);
+        : computeRetryAfter(classState, table.countSlots(), random, nowMs) +
+          Math.round(table.computeRestLeft(nowMs));
     shardState.removeTicket(ticket.ticketId);
     totals.shed += 1;
     checkShedOrder(ticket.tier, reason, nowMs);
@@ -129,6 +130,8 @@
   function isDeadlineUnreachable(ticket: Ticket, classState: ClassState, nowMs: number): boolean {
     const slotsWanted = shardState.countWaitingAtOrAbove(ticket.tier) + 1;
     if (countPreemptibleBelow(ticket.tier) >= slotsWanted) return false;
+    const restLeftMs = table.computeRestLeft(nowMs);
+    if (restLeftMs > 0 && isLikelyLate(ticket, classState, nowMs + restLeftMs)) return true;
     const ticketsAhead = countAhead(ticket, classState);
     // Without a ticket ahead it is queued regardless, so that new samples correct the estimate.
     if (ticketsAhead === 0) return false;
@@ -315,6 +318,7 @@
     if (ENDPOINT_FAILURE_ENDINGS.includes(release.ending))
       table.recordFailure(grant.endpoint, nowMs);
     if (release.ending === SlotEnding.LEAVING) table.setLeaving(grant.endpoint, true);
+    if (release.restMs > 0) table.recordRest(grant.endpoint, release.restMs, nowMs);
   }
 
   function releaseUnused(grant: Grant, nowMs: number): void {
@@ -328,6 +332,7 @@
         stepMs: 0,
         firstTokenMs: 0,
         ending: SlotEnding.UNUSED,
+        restMs: 0,
       },
       nowMs,
     );
@@ -455,7 +460,7 @@
     },
     getView: () => ({
       shard,
-      endpoints: table.list(),
+      endpoints: table.list(creditsAdvancedMs ?? 0),
       waiting: Object.fromEntries(
         [...classes].map(([name, classState]) => [name, classState.queue.count()] as const),
       ),
--- a/src/admission/ticket-client-messages.ts
+++ b/src/admission/ticket-client-messages.ts
@@ -39,6 +39,8 @@
   readonly stepMs: number;
   readonly firstTokenMs: number;
   readonly ending: SlotEnding;
+  /** Rest that the endpoint still wants from this instance; 0 if none. */
+  readonly restMs: number;
 }
 
 /** Input of the ticket client. */
--- a/src/admission/ticket-client.ts
+++ b/src/admission/ticket-client.ts
@@ -190,6 +190,7 @@
           stepMs: 0,
           firstTokenMs: 0,
           ending: SlotEnding.UNUSED,
+          restMs: 0,
         });
       }
       return;
--- a/src/node/control-runner.ts
+++ b/src/node/control-runner.ts
@@ -41,7 +41,8 @@
   readonly logger: Logger;
   readonly listOwnedShards: () => readonly Shard[];
   readonly getDeclarations: () => Declarations | undefined;
-  readonly onEndpointState: (endpoint: string, isLeaving: boolean) => void;
+  /** `sentMs`: when the health check was sent. */
+  readonly onEndpointState: (endpoint: string, isLeaving: boolean, sentMs: number) => void;
   readonly onReachability: (endpoint: string, isReachable: boolean) => void;
 }
 
@@ -140,11 +141,12 @@
   }
 
   async function fetchReport(endpoint: EndpointDeclaration): Promise<EngineReport | undefined> {
+    const sentMs = timers.clock.monotonicMs();
     const answer = await endpoints.fetchJson(endpoint, '/load', undefined, HEALTH_CHECK_TIMEOUT_MS);
     const parsed = reportSchema.safeParse(answer);
     // The leaving state must be set first: an endpoint that becomes reachable gets work at once, even
     // if it started to leave while it was unreachable.
-    if (parsed.success) options.onEndpointState(endpoint.name, parsed.data.isLeaving);
+    if (parsed.success) options.onEndpointState(endpoint.name, parsed.data.isLeaving, sentMs);
     options.onReachability(endpoint.name, answer !== undefined);
     if (!parsed.success) return undefined;
     return { endpoint: endpoint.name, models: parsed.data.models };
--- a/src/node/endpoint-client.test.ts
+++ b/src/node/endpoint-client.test.ts
@@ -1,6 +1,8 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { ExecutionContext } from 'ava';
+import { NO_NOTICE } from '../endpoint-availability/availability-notice.js';
+import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import { describe } from '../test/describe.js';
 import { createEndpointClient } from './endpoint-client.js';
 import type { ServiceResult } from './endpoint-client.js';
@@ -73,7 +75,7 @@
   it('return the whole answer of one that says in it that it is leaving', async (t) => {
     const { endpoint, client } = await startEndpoint(t, 200, { 'x-endpoint-leaving': 'true' });
     const result = await new Promise<ServiceResult>((resolve) => {
-      client.startService(endpoint, attempt, resolve);
+      client.startService(endpoint, attempt, { onNotice: () => undefined, onEnded: resolve });
     });
     t.is(result.kind, 'answered');
   });
@@ -81,8 +83,28 @@
   it('are known not to have run if one that is leaving turns them away', async (t) => {
     const { endpoint, client } = await startEndpoint(t, 503, { 'x-endpoint-leaving': 'true' });
     const result = await new Promise<ServiceResult>((resolve) => {
-      client.startService(endpoint, attempt, resolve);
+      client.startService(endpoint, attempt, { onNotice: () => undefined, onEnded: resolve });
     });
     t.deepEqual(result, { kind: 'ended', ending: 'leaving' });
   });
+
+  // Guards against a notice that only a rejection, or only an answer, is read for.
+  it('report the notice of each response', async (t) => {
+    const heads: readonly [number, Record<string, string>, AvailabilityNotice][] = [
+      [200, { 'x-endpoint-leaving': 'true' }, { ...NO_NOTICE, isLeaving: true }],
+      [500, { 'x-endpoint-leaving': 'true' }, { ...NO_NOTICE, isLeaving: true }],
+      [503, { 'retry-after': '2.5' }, { ...NO_NOTICE, rest: { kind: 'rest', restMs: 2500 } }],
+      [429, { 'retry-after': '2.5' }, NO_NOTICE],
+    ];
+    for (const [status, headers, expected] of heads) {
+      // One endpoint after the other.
+      // eslint-disable-next-line no-await-in-loop
+      const { endpoint, client } = await startEndpoint(t, status, headers);
+      // eslint-disable-next-line no-await-in-loop
+      const notice = await new Promise<AvailabilityNotice>((resolve) => {
+        client.startService(endpoint, attempt, { onNotice: resolve, onEnded: () => undefined });
+      });
+      t.deepEqual(notice, expected, `status ${status}`);
+    }
+  });
 });
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -7,6 +7,8 @@
 import { createParser } from 'eventsource-parser';
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
+import { parseRetryAfter } from '../endpoint-availability/availability-notice.js';
+import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type { EndpointDeclaration } from '../types/declarations.js';
 import type { AttemptEnding } from '../requests/request-messages.js';
 
@@ -16,11 +18,15 @@
 const SERVICE_BODY_MAX_CHARACTERS = 16 * 1024 * 1024;
 /** Errors raised before any byte was sent, after which a retry is safe. */
 const UNSENT_CODES = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'];
+/** In any response: `true` if the endpoint is leaving. */
 const LEAVING_HEADER = 'x-endpoint-leaving';
+const RETRY_AFTER_HEADER = 'retry-after';
 const STATUS_UNAVAILABLE = 503;
 const DONE_EVENT_DATA = '[DONE]';
 
 export interface AttemptListener {
+  /** Called for the head of each response, before anything else. */
+  onNotice(notice: AvailabilityNotice): void;
   /** `id` is the attempt id in the frame; `index` is its position in the whole answer. */
   onFrame(id: string, index: number, text: string): void;
   onFinished(id: string, index: number, finishReason: string): void;
@@ -52,6 +58,12 @@
   | { readonly kind: 'answered'; readonly answer: ServiceAnswer }
   | { readonly kind: 'ended'; readonly ending: AttemptEnding };
 
+export interface ServiceListener {
+  /** Called for the head of each response, before anything else. */
+  onNotice(notice: AvailabilityNotice): void;
+  onEnded(result: ServiceResult): void;
+}
+
 export interface EndpointClient {
   /** Starts a completion and returns a function that cancels it. */
   startCompletion(
@@ -62,7 +74,7 @@
   startService(
     endpoint: EndpointDeclaration,
     attempt: ServiceAttempt,
-    onEnded: (ending: ServiceResult) => void,
+    listener: ServiceListener,
   ): () => void;
   /**
    * Sends a control request; undefined on an error, a timeout or a status other than 200. If `isAllowed`
@@ -127,16 +139,36 @@
   return code !== undefined && UNSENT_CODES.includes(code) ? 'unsent' : 'broken';
 }
 
+function listHeader({ headers }: Dispatcher.ResponseData, name: string): string[] {
+  const value = headers[name];
+  if (value === undefined) return [];
+  return typeof value === 'string' ? [value] : value;
+}
+
+function decodeNotice(response: Dispatcher.ResponseData): AvailabilityNotice {
+  return {
+    isLeaving: listHeader(response, LEAVING_HEADER).includes('true'),
+    rest:
+      response.statusCode === STATUS_UNAVAILABLE
+        ? parseRetryAfter(listHeader(response, RETRY_AFTER_HEADER))
+        : { kind: 'none' },
+  };
+}
+
 /**
- * Whether an endpoint that is leaving turned the request away. It says that it is leaving in all
- * responses, but only with this status is it a promise that it ran nothing.
+ * Returns how an attempt ended that the endpoint turned away; undefined if it did not. One that is
+ * leaving says so in all responses, but only with this status is it a promise that it ran nothing.
  */
-function isTurnedAway({ statusCode, headers }: Dispatcher.ResponseData): boolean {
-  return statusCode === STATUS_UNAVAILABLE && headers[LEAVING_HEADER] === 'true';
+function computeTurnedAway(response: Dispatcher.ResponseData): AttemptEnding | undefined {
+  if (response.statusCode !== STATUS_UNAVAILABLE) return undefined;
+  const { isLeaving, rest } = decodeNotice(response);
+  if (isLeaving) return 'leaving';
+  return rest.kind === 'rest' ? 'resting' : undefined;
 }
 
 function computeStatusEnding(response: Dispatcher.ResponseData): AttemptEnding {
-  if (isTurnedAway(response)) return 'leaving';
+  const turnedAway = computeTurnedAway(response);
+  if (turnedAway !== undefined) return turnedAway;
   const isClientError = response.statusCode >= 400 && response.statusCode < 500;
   return isClientError && response.statusCode !== 429 ? 'rejected' : 'error';
 }
@@ -208,6 +240,7 @@
       body: attempt.body,
       signal,
     });
+    listener.onNotice(decodeNotice(response));
     const isSameAttempt = response.headers['x-request-id'] === attempt.attemptId;
     if (response.statusCode !== 200 || !isSameAttempt) {
       await response.body.dump();
@@ -233,6 +266,7 @@
   async function runService(
     endpoint: EndpointDeclaration,
     attempt: ServiceAttempt,
+    listener: ServiceListener,
     signal: AbortSignal,
   ): Promise<ServiceResult> {
     const response = await getPool(endpoint.url).request({
@@ -242,9 +276,11 @@
       body: attempt.body ?? null,
       signal,
     });
+    listener.onNotice(decodeNotice(response));
     const body = await response.body.text();
     if (body.length > SERVICE_BODY_MAX_CHARACTERS) return { kind: 'ended', ending: 'error' };
-    if (isTurnedAway(response)) return { kind: 'ended', ending: 'leaving' };
+    const turnedAway = computeTurnedAway(response);
+    if (turnedAway !== undefined) return { kind: 'ended', ending: turnedAway };
     if (response.statusCode >= 500) return { kind: 'ended', ending: 'error' };
     const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
     return { kind: 'answered', answer: { status: response.statusCode, contentType, body } };
@@ -258,13 +294,13 @@
       });
       return () => controller.abort();
     },
-    startService(endpoint, attempt, onEnded) {
+    startService(endpoint, attempt, listener) {
       const controller = new AbortController();
-      runService(endpoint, attempt, controller.signal)
-        .then(onEnded)
+      runService(endpoint, attempt, listener, controller.signal)
+        .then((result) => listener.onEnded(result))
         .catch((error: unknown) => {
           if (!controller.signal.aborted) {
-            onEnded({ kind: 'ended', ending: computeEnding(error) });
+            listener.onEnded({ kind: 'ended', ending: computeEnding(error) });
           }
         });
       return () => controller.abort();
--- a/src/node/independent-broker.ts
+++ b/src/node/independent-broker.ts
@@ -12,6 +12,7 @@
 export function createIndependentBroker(choice: 'round_robin' | 'least_in_flight'): SlotBroker {
   const held = new Map<string, HeldSlot>();
   const leavingEndpoints = new Set<string>();
+  const restUntilMs = new Map<string, number>();
   let declarations: Declarations | undefined;
   let rotation = 0;
 
@@ -23,7 +24,12 @@
 
   function chooseEndpoint(pool: string, excluded: readonly string[]): string | undefined {
     const all = declarations?.pools.get(pool)?.endpoints.map(({ name }) => name) ?? [];
-    const available = all.filter((name) => !leavingEndpoints.has(name) && !excluded.includes(name));
+    const available = all.filter(
+      (name) =>
+        !leavingEndpoints.has(name) &&
+        !excluded.includes(name) &&
+        performance.now() >= (restUntilMs.get(name) ?? 0),
+    );
     const candidates = available.length > 0 ? available : all;
     rotation += 1;
     const rotated = candidates.map(
@@ -53,7 +59,10 @@
       grantSlot(request.ticketId, request.pool, request.excludedEndpoints, listener);
     },
     cancel: () => undefined,
-    release(ticketId) {
+    release(ticketId, { restMs }) {
+      const endpoint = held.get(ticketId)?.endpoint;
+      if (endpoint !== undefined && restMs > 0)
+        restUntilMs.set(endpoint, performance.now() + restMs);
       held.delete(ticketId);
     },
     updateProgress: () => undefined,
--- a/src/node/request-runner.ts
+++ b/src/node/request-runner.ts
@@ -10,7 +10,11 @@
 import { createRequestStateMachine } from '../requests/request-state-machine.js';
 import { REPEATABILITY } from '../requests/request-messages.js';
 import type { RequestStateMachine } from '../requests/request-state-machine.js';
-import type { RequestCommand, RequestMessage } from '../requests/request-messages.js';
+import type {
+  AttemptEnding,
+  RequestCommand,
+  RequestMessage,
+} from '../requests/request-messages.js';
 import type { AnswerEnd, AnswerSink, RoutedRequest } from '../requests/routed-request.js';
 import { createLengthEstimator } from '../routing/length-estimator.js';
 import type { Invariants } from '../runtime/invariants.js';
@@ -24,6 +28,7 @@
 import { assertNever } from '../utils/assert-never.js';
 import { buildCompletionBody } from './build-completion.js';
 import type { ClaimRunner, HeldClaim } from './claim-runner.js';
+import type { EndpointNotices } from './endpoint-notices.js';
 import type { AttemptListener, EndpointClient, ServiceResult } from './endpoint-client.js';
 import { FAILURE_OF_REFUSAL, MESSAGE_OF_REFUSAL } from './refusal-failures.js';
 import type { SlotBroker } from './slot-broker-types.js';
@@ -45,8 +50,7 @@
   readonly hasStallDetection: boolean;
   /** Whether the request's tier is sent to endpoints as its priority. */
   readonly hasPriority: boolean;
-  /** Called when an endpoint response says that the endpoint is leaving. */
-  readonly onLeaving: (endpoint: string) => void;
+  readonly notices: Pick<EndpointNotices, 'recordAnswer' | 'isLeaving' | 'computeRestLeft'>;
 }
 
 export interface RunningRequest {
@@ -84,7 +88,7 @@
 };
 
 export function createRequestRunner(options: RequestRunnerOptions): RequestRunner {
-  const { broker, endpoints, claims, timers, invariants, metrics, events } = options;
+  const { broker, endpoints, claims, notices, timers, invariants, metrics, events } = options;
   const runs = new Map<string, Run>();
   const lengthEstimator = createLengthEstimator();
   const latencyEstimators = new Map<string, LatencyEstimator>();
@@ -227,14 +231,8 @@
     );
   }
 
-  function handleServiceResult(
-    run: Run,
-    attemptId: string,
-    result: ServiceResult,
-    endpoint: string,
-  ): void {
+  function handleServiceResult(run: Run, attemptId: string, result: ServiceResult): void {
     if (result.kind === 'ended') {
-      if (result.ending === 'leaving') options.onLeaving(endpoint);
       handleMessage(run, { kind: 'attempt_ended', attemptId, ending: result.ending });
       return;
     }
@@ -245,6 +243,7 @@
 
   function createListener(run: Run, attemptId: string, endpoint: string): AttemptListener {
     return {
+      onNotice: (notice) => notices.recordAnswer(endpoint, notice),
       onFrame(id, index, text) {
         handleMessage(run, { kind: 'frame', attemptId: id, index, text });
       },
@@ -253,12 +252,19 @@
         handleMessage(run, { kind: 'finished', attemptId: id, index });
       },
       onEnded(ending) {
-        if (ending === 'leaving') options.onLeaving(endpoint);
         handleMessage(run, { kind: 'attempt_ended', attemptId, ending });
       },
     };
   }
 
+  /**
+   * Guards against a slot that was granted before its owner knew what the endpoint told this instance.
+   */
+  function findReasonToWithhold(endpoint: string): AttemptEnding | undefined {
+    if (notices.isLeaving(endpoint)) return 'leaving';
+    return notices.computeRestLeft(endpoint) > 0 ? 'withheld' : undefined;
+  }
+
   function runDispatch(run: Run, command: Extract<RequestCommand, { kind: 'dispatch' }>): void {
     const { request } = run;
     const { attemptId, offset, delivered } = command;
@@ -267,10 +273,11 @@
     if (offset > 0) metrics.count(METRIC.AttemptsResumed);
     recordDecision(run, offset > 0 ? 'resumed' : 'granted', { endpoint: command.endpoint });
     run.lastFrameMs = undefined;
-    if (endpoint === undefined) {
-      // The shard owner uses a newer configuration than the one this request was routed with.
+    // The shard owner may use a newer configuration than the one this request was routed with.
+    const withheld = endpoint === undefined ? 'unsent' : findReasonToWithhold(endpoint.name);
+    if (endpoint === undefined || withheld !== undefined) {
       timers.subscribeOnce(0, () => {
-        handleMessage(run, { kind: 'attempt_ended', attemptId, ending: 'unsent' });
+        handleMessage(run, { kind: 'attempt_ended', attemptId, ending: withheld ?? 'unsent' });
       });
       return;
     }
@@ -279,7 +286,10 @@
       run.cancelAttempt = endpoints.startService(
         endpoint,
         { attemptId, method, path, headers, body },
-        (result) => handleServiceResult(run, attemptId, result, endpoint.name),
+        {
+          onNotice: (notice) => notices.recordAnswer(endpoint.name, notice),
+          onEnded: (result) => handleServiceResult(run, attemptId, result),
+        },
       );
       return;
     }
@@ -303,7 +313,8 @@
     const { kind, ticketId, endpoint, firstFrameMs, ...usage } = command;
     if (firstFrameMs > 0) getLatencyEstimator(run.request.pool.name).recordFirstFrame(firstFrameMs);
     if (usage.ending === SlotEnding.STALLED) recordDecision(run, 'stalled', { endpoint });
-    broker.release(ticketId, { ...usage, firstTokenMs: firstFrameMs });
+    const restMs = notices.computeRestLeft(endpoint);
+    broker.release(ticketId, { ...usage, firstTokenMs: firstFrameMs, restMs });
   }
 
   function runComplete(run: Run, frames: number): void {
--- a/src/node/router-core.ts
+++ b/src/node/router-core.ts
@@ -33,6 +33,7 @@
 import { createClaimRunner } from './claim-runner.js';
 import { createConfigurationRunner } from './configuration-runner.js';
 import { createControlRunner } from './control-runner.js';
+import { createEndpointNotices } from './endpoint-notices.js';
 import type { EndpointClient } from './endpoint-client.js';
 import { createFleetView } from './fleet-view.js';
 import { createIndependentBroker } from './independent-broker.js';
@@ -132,6 +133,14 @@
     writesPerSecond: options.claimWritesPerSecond,
     queryAttempt,
   });
+  const notices = createEndpointNotices({
+    getNow: timers.clock.monotonicMs,
+    onLeaving: (endpoint) => fleet.recordEndpointState(endpoint, true),
+    onResting(endpoint, restMs) {
+      metrics.count(METRIC.RestsAsked, 1, { endpoint });
+      logger.info('an endpoint asked for rest', { endpoint, restMs });
+    },
+  });
   const runner = createRequestRunner({
     broker,
     endpoints,
@@ -142,7 +151,7 @@
     events,
     hasStallDetection: policy.kind !== 'independent',
     hasPriority: policy.kind !== 'independent' || policy.hasPriority,
-    onLeaving: (endpoint) => fleet.recordEndpointState(endpoint, true),
+    notices,
   });
   const configuration = createConfigurationRunner({
     store: options.store,
@@ -166,7 +175,10 @@
     logger,
     listOwnedShards: () => broker.listOwnedShards(),
     getDeclarations: () => declarations,
-    onEndpointState: (endpoint, isLeaving) => fleet.recordEndpointState(endpoint, isLeaving),
+    onEndpointState(endpoint, isLeaving, sentMs) {
+      if (isLeaving || notices.isDenialCurrent(endpoint, sentMs))
+        fleet.recordEndpointState(endpoint, isLeaving);
+    },
     onReachability: (endpoint, isReachable) => broker.recordReachability(endpoint, isReachable),
   });
 
@@ -207,9 +219,14 @@
     }
   }
 
+  function applyEndpointState(endpoint: string, isLeaving: boolean): void {
+    notices.setLeaving(endpoint, isLeaving);
+    broker.setEndpointLeaving(endpoint, isLeaving);
+  }
+
   function handleFactChanged(fact: Fact, before: Fact | undefined): void {
     if (fact.kind === FactKind.MEMBER) handleMemberChanged(fact, before);
-    else broker.setEndpointLeaving(fact.subject, fact.state === FactState.LEAVING);
+    else applyEndpointState(fact.subject, fact.state === FactState.LEAVING);
     if (before?.state === fact.state) return;
     const state = FactState[fact.state];
     logger.info('member changed', { subject: fact.subject, state });
--- a/src/requests/request-messages.ts
+++ b/src/requests/request-messages.ts
@@ -19,6 +19,10 @@
   | 'unsent'
   /** The endpoint is leaving and confirmed that it ran nothing. */
   | 'leaving'
+  /** The endpoint turned the request away and asked for rest; it may have run part of it. */
+  | 'resting'
+  /** Nothing was sent, since the endpoint had meanwhile asked for rest. */
+  | 'withheld'
   /** The endpoint returned an error and may have run the request. */
   | 'error'
   /** The endpoint rejected the request as invalid. */
--- a/src/requests/request-state-machine.test.ts
+++ b/src/requests/request-state-machine.test.ts
@@ -4,7 +4,12 @@
 import { OUTCOME } from '../types/outcomes.js';
 import { createRequestStateMachine } from './request-state-machine.js';
 import { REPEATABILITY } from './request-messages.js';
-import type { RequestCommand, RequestMessage, Repeatability } from './request-messages.js';
+import type {
+  AttemptEnding,
+  RequestCommand,
+  RequestMessage,
+  Repeatability,
+} from './request-messages.js';
 
 const FRAMES = 6;
 const DEADLINE_MS = 10_000;
@@ -48,6 +53,12 @@
   return lifecycle;
 }
 
+/** Ends the first attempt of a request; returns what follows. */
+function closeFirstAttempt(repeatability: Repeatability, ending: AttemptEnding) {
+  const lifecycle = startLifecycle({ repeatability });
+  return lifecycle.handle({ kind: 'attempt_ended', attemptId: 'r-1', ending }, 2);
+}
+
 /** Any message, valid in the current state or not. */
 const messageArbitrary: fc.Arbitrary<RequestMessage> = fc.oneof(
   fc.record({
@@ -67,6 +78,8 @@
     ending: fc.constantFrom(
       'unsent' as const,
       'leaving' as const,
+      'resting' as const,
+      'withheld' as const,
       'error' as const,
       'broken' as const,
       'rejected' as const,
@@ -88,6 +101,15 @@
 );
 
 describe('request lifecycle', ({ describe: describeInner, it }) => {
+  // Guards against a rejection that asks for rest, which proves nothing, as a proof that nothing ran.
+  it('repeats a request that may run once only if nothing was sent', (t) => {
+    const { SingleAttempt, Repeatable } = REPEATABILITY;
+    t.truthy(findCommand(closeFirstAttempt(SingleAttempt, 'withheld'), 'acquire'));
+    t.truthy(findCommand(closeFirstAttempt(Repeatable, 'resting'), 'acquire'));
+    const failed = findCommand(closeFirstAttempt(SingleAttempt, 'resting'), 'fail');
+    t.is(failed?.failure.outcome, OUTCOME.MayHaveRun);
+  });
+
   it('upholds its invariants for any sequence of messages', (t) => {
     const property = fc.property(
       fc.constantFrom(...Object.values(REPEATABILITY)),
--- a/src/requests/request-state-machine.ts
+++ b/src/requests/request-state-machine.ts
@@ -62,6 +62,8 @@
   getProgress(): { ticketId: string; tokens: number; stepMs: number } | undefined;
 }
 
+const RESTING_MESSAGE = 'the endpoint asked for rest; try again later';
+
 export function createRequestStateMachine(
   options: RequestStateMachineOptions,
 ): RequestStateMachine {
@@ -214,6 +216,14 @@
         releaseAttempt(SlotEnding.LEAVING, false);
         handleFailedAttempt(endpoint, true, 'the endpoint is leaving; try again');
         break;
+      case 'resting':
+        releaseAttempt(SlotEnding.UNUSED, false);
+        handleFailedAttempt(endpoint, false, RESTING_MESSAGE);
+        break;
+      case 'withheld':
+        releaseAttempt(SlotEnding.UNUSED, false);
+        handleFailedAttempt(endpoint, true, RESTING_MESSAGE);
+        break;
       case 'error':
       case 'broken':
         releaseAttempt(SlotEnding.FAILED, false);
--- a/src/routing/endpoint-table.ts
+++ b/src/routing/endpoint-table.ts
@@ -3,6 +3,7 @@
  * them. Selects endpoints for tickets. Load reports are not used for selection, since they lag behind
  * grants.
  */
+import { REST_MAX_MS } from '../endpoint-availability/availability-notice.js';
 import type { EndpointDeclaration } from '../types/declarations.js';
 import { createMovingAverage } from '../utils/moving-average.js';
 import type { MovingAverage } from '../utils/moving-average.js';
@@ -30,6 +31,8 @@
   Ready: 'ready',
   Straggler: 'straggler',
   Failing: 'failing',
+  /** It asked for rest and gets no requests until that is over. */
+  Resting: 'resting',
   Leaving: 'leaving',
   Unreachable: 'unreachable',
 } as const;
@@ -62,6 +65,8 @@
   failures: number;
   ejections: number;
   ejectedUntilMs: number;
+  /** End of the rest that it asked for; -Infinity if none. */
+  restUntilMs: number;
   /** Start of slow start; -Infinity for endpoints of the initial configuration. */
   slowStartedMs: number;
 }
@@ -78,13 +83,17 @@
   recordSuccess(endpoint: string): void;
   recordFailure(endpoint: string, nowMs: number): void;
   setLeaving(endpoint: string, isLeaving: boolean): void;
+  /** Records that the endpoint wants no requests for this time. */
+  recordRest(endpoint: string, restMs: number, nowMs: number): void;
+  /** Time until the first endpoint ends its rest; 0 if one takes requests, or none rests. */
+  computeRestLeft(nowMs: number): number;
   /** Records the result of a health probe. */
   recordProbe(endpoint: string, isReachable: boolean): void;
   /** Endpoints in these data centres count as unreachable until a probe succeeds. */
   setPartitioned(dataCentres: ReadonlySet<string>): void;
   countFreeSlots(nowMs: number): number;
   countSlots(): number;
-  list(): EndpointView[];
+  list(nowMs: number): EndpointView[];
 }
 
 export function createEndpointTable(random: Random): EndpointTable {
@@ -120,16 +129,17 @@
   }
 
   function computeSlotLimit(state: EndpointState, nowMs: number): number {
-    if (state.isLeaving || isUnreachable(state)) return 0;
+    if (state.isLeaving || isUnreachable(state) || nowMs < state.restUntilMs) return 0;
     if (state.status === ENDPOINT_STATUS.Straggler) return 1;
     if (state.status === ENDPOINT_STATUS.Failing) return nowMs >= state.ejectedUntilMs ? 1 : 0;
     const ramp = Math.min(1, (nowMs - state.slowStartedMs) / SLOW_START_MS);
     return Math.max(1, Math.ceil(state.declaration.slots * ramp));
   }
 
-  function getStatus(state: EndpointState): EndpointStatus {
+  function getStatus(state: EndpointState, nowMs: number): EndpointStatus {
     if (state.isLeaving) return ENDPOINT_STATUS.Leaving;
-    return isUnreachable(state) ? ENDPOINT_STATUS.Unreachable : state.status;
+    if (isUnreachable(state)) return ENDPOINT_STATUS.Unreachable;
+    return nowMs < state.restUntilMs ? ENDPOINT_STATUS.Resting : state.status;
   }
 
   function computeScore(state: EndpointState, medianStep: number): number {
@@ -185,6 +195,7 @@
             failures: 0,
             ejections: 0,
             ejectedUntilMs: 0,
+            restUntilMs: -Infinity,
             slowStartedMs: isInitial ? -Infinity : nowMs,
           });
         }
@@ -243,6 +254,21 @@
       const state = states.get(endpoint);
       if (state !== undefined) state.isLeaving = isLeaving;
     },
+    recordRest(endpoint, restMs, nowMs) {
+      const state = states.get(endpoint);
+      const untilMs = nowMs + Math.min(REST_MAX_MS, restMs);
+      if (state === undefined || untilMs <= state.restUntilMs) return;
+      state.restUntilMs = untilMs;
+      // Guards against all waiting requests at once at the end of the rest.
+      state.slowStartedMs = untilMs;
+    },
+    computeRestLeft(nowMs) {
+      const present = [...states.values()].filter(
+        (state) => !state.isLeaving && !isUnreachable(state),
+      );
+      if (present.length === 0) return 0;
+      return Math.max(0, Math.min(...present.map(({ restUntilMs }) => restUntilMs - nowMs)));
+    },
     recordProbe(endpoint, isReachable) {
       const state = states.get(endpoint);
       if (state !== undefined) state.failedProbes = isReachable ? 0 : state.failedProbes + 1;
@@ -269,10 +295,10 @@
       }
       return slots;
     },
-    list: () =>
+    list: (nowMs) =>
       [...states.values()].map((state) => ({
         name: state.declaration.name,
-        status: getStatus(state),
+        status: getStatus(state, nowMs),
         held: state.held,
         slots: state.declaration.slots,
         stepMs: state.step.get(0),
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -23,6 +23,7 @@
   PeerMessagesSent: 'peers.messages_sent',
   PeerMessagesDropped: 'peers.messages_dropped',
   OrdersSent: 'orders.sent',
+  RestsAsked: 'endpoints.rests_asked',
   InvariantBreaches: 'invariants.breaches',
 } as const;
 export type Metric = (typeof METRIC)[keyof typeof METRIC];
--- a/src/slopes/admission-slopes.ts
+++ b/src/slopes/admission-slopes.ts
@@ -98,6 +98,7 @@
           stepMs: 30,
           firstTokenMs: 30,
           ending: SlotEnding.COMPLETED,
+          restMs: 0,
         },
       },
       nowMs,
@@ -162,7 +163,7 @@
       {
         kind: 'release',
         ticketId,
-        use: { tokens: 1, stepMs: 1, firstTokenMs: 1, ending: SlotEnding.COMPLETED },
+        use: { tokens: 1, stepMs: 1, firstTokenMs: 1, ending: SlotEnding.COMPLETED, restMs: 0 },
       },
       0,
     );
--- a/src/soak/fake-endpoints.ts
+++ b/src/soak/fake-endpoints.ts
@@ -1,4 +1,5 @@
 /** Endpoints for randomised runs: what they were told to run, frame by frame, with their faults. */
+import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type {
   AttemptListener,
   CompletionAttempt,
@@ -6,18 +7,25 @@
   ServiceResult,
 } from '../node/endpoint-client.js';
 import type { EndpointDeclaration } from '../types/declarations.js';
+import { hashName } from '../utils/hash.js';
 import type { Random } from '../utils/random.js';
+import { buildNotice, createNoticeWatch } from './fake-notices.js';
+import type { FakeNotice } from './fake-notices.js';
 import type { FakeNetwork } from './fake-network.js';
 import type { Actor, VirtualTime } from './virtual-time.js';
 
 /** One endpoint and its faults. */
-export interface FakeEndpoint {
+export interface FakeEndpoint extends FakeNotice {
   readonly name: string;
   readonly dataCentre: string;
   isCrashed: boolean;
   /** Connections stay open and carry nothing. */
   isFrozen: boolean;
   isLeaving: boolean;
+  saysLeaving: boolean;
+  restMs: number;
+  /** Share of requests that crash it; a request that is sent again crashes the next endpoint, too. */
+  crashShare: number;
   slowdown: number;
   /** Share of frames that are repeated, crossed or left out. */
   badFrames: number;
@@ -27,6 +35,8 @@
   fence: number;
   /** When it began to leave; undefined while it stays. */
   leavingSinceMs: number | undefined;
+  /** When it began to say so in its responses. */
+  saysLeavingSinceMs: number | undefined;
 }
 
 /** What endpoints saw, for checks. */
@@ -50,6 +60,11 @@
 const CONNECT_MS = 1;
 const CONNECT_TIMEOUT_MS = 800;
 const SERVICE_MS = 15;
+/** Time by which load reports lag behind responses. */
+const REPORT_LAG_MS = 4000;
+/** Time after a crash at which an endpoint is back. */
+const RESTART_MS = 1500;
+const CRASH_HASH_STEPS = 1000;
 /** An endpoint that is leaving may still get work for this long. */
 const LEAVING_GRACE_MS = 3000;
 
@@ -89,12 +104,16 @@
       isCrashed: false,
       isFrozen: false,
       isLeaving: false,
+      saysLeaving: false,
+      restMs: 0,
+      crashShare: 0,
       slowdown: 1,
       badFrames: 0,
       lostAnswers: 0,
       models: ['assistant'],
       fence: 0,
       leavingSinceMs: undefined,
+      saysLeavingSinceMs: undefined,
     });
   }
 
@@ -106,10 +125,33 @@
       log.breaches.push(`${endpoint.name} got ${attemptId} long after it began to leave`);
   }
 
+  /** Load reports lag behind responses. */
+  function isReportedLeaving({ isLeaving, saysLeavingSinceMs }: FakeEndpoint): boolean {
+    const isReported =
+      saysLeavingSinceMs !== undefined && time.getNow() - saysLeavingSinceMs > REPORT_LAG_MS;
+    return isLeaving || isReported;
+  }
+
+  /** Whether the request, under whatever attempt, is one that crashes endpoints. */
+  function isCrashing({ crashShare }: FakeEndpoint, attemptId: string): boolean {
+    const requestId = attemptId.slice(0, attemptId.lastIndexOf('-'));
+    return crashShare > 0 && hashName(requestId) % CRASH_HASH_STEPS < crashShare * CRASH_HASH_STEPS;
+  }
+
+  function stopEndpoint(crashing: FakeEndpoint): void {
+    const endpoint = crashing;
+    endpoint.isCrashed = true;
+    time.add(undefined, RESTART_MS, () => {
+      endpoint.isCrashed = false;
+    });
+  }
+
   return {
     log,
     list: [...byName.values()],
     createClient(actor, dataCentre) {
+      const watch = createNoticeWatch(time, log.breaches);
+
       /** Runs `run` at the endpoint once connected; reports what connecting came to. */
       function openConnection(
         declaration: EndpointDeclaration,
@@ -133,6 +175,29 @@
         return network.isOpen(endpoint.dataCentre, dataCentre) && !actor.isDead;
       }
 
+      function recordArrival(endpoint: FakeEndpoint, attemptId: string): void {
+        if (!endpoint.saysLeaving) watch.forget(endpoint.name);
+        watch.recordArrival(endpoint.name, attemptId);
+      }
+
+      /** Sends the head of a response, which says what the endpoint says of itself now. */
+      function sendHead(
+        endpoint: FakeEndpoint,
+        listener: { onNotice(notice: AvailabilityNotice): void },
+        isCancelled: () => boolean,
+        onRead: () => void,
+      ): void {
+        const { saysLeaving, restMs } = endpoint;
+        const told = { saysLeaving, restMs };
+        if (!isConnected(endpoint)) return;
+        time.add(actor, CONNECT_MS, () => {
+          if (isCancelled()) return;
+          watch.recordTold(endpoint.name, told);
+          listener.onNotice(buildNotice(told));
+          onRead();
+        });
+      }
+
       function sendFrame(
         attempt: CompletionAttempt,
         listener: AttemptListener,
@@ -192,12 +257,19 @@
           openConnection(
             declaration,
             (endpoint) => {
+              recordArrival(endpoint, attempt.attemptId);
+              if (endpoint.restMs > 0) {
+                sendHead(endpoint, listener, isCancelled, () => listener.onEnded('resting'));
+                return;
+              }
               if (endpoint.isLeaving) {
                 time.add(actor, CONNECT_MS, () => listener.onEnded('leaving'));
                 checkLeaving(endpoint, attempt.attemptId);
                 return;
               }
               log.ran.add(attempt.attemptId);
+              if (isCrashing(endpoint, attempt.attemptId)) stopEndpoint(endpoint);
+              else sendHead(endpoint, listener, isCancelled, () => undefined);
               runStream(endpoint, attempt, listener, isCancelled);
             },
             () => {
@@ -208,16 +280,24 @@
             isStopped = true;
           };
         },
-        startService(declaration, attempt, onEnded) {
+        startService(declaration, attempt, listener) {
           let isStopped = false;
           const end = (ending: ServiceResult): void => {
             time.add(actor, CONNECT_MS, () => {
-              if (!isStopped) onEnded(ending);
+              if (!isStopped) listener.onEnded(ending);
             });
           };
+          const isCancelled = (): boolean => isStopped;
           openConnection(
             declaration,
             (endpoint) => {
+              recordArrival(endpoint, attempt.attemptId);
+              if (endpoint.restMs > 0) {
+                sendHead(endpoint, listener, isCancelled, () =>
+                  listener.onEnded({ kind: 'ended', ending: 'resting' }),
+                );
+                return;
+              }
               if (endpoint.isLeaving) {
                 end({ kind: 'ended', ending: 'leaving' });
                 checkLeaving(endpoint, attempt.attemptId);
@@ -233,12 +313,13 @@
                 else {
                   const body = `ran ${key}`;
                   const answer = { status: 200, contentType: 'text/plain', body };
+                  sendHead(endpoint, listener, isCancelled, () => undefined);
                   end({ kind: 'answered', answer });
                 }
               });
             },
             () => {
-              if (!isStopped) onEnded({ kind: 'ended', ending: 'unsent' });
+              if (!isStopped) listener.onEnded({ kind: 'ended', ending: 'unsent' });
             },
           );
           return () => {
@@ -266,7 +347,8 @@
                   endpoint.fence = Math.max(endpoint.fence, order.fence);
                   endpoint.models = order.models;
                 }
-                const { isLeaving, models } = endpoint;
+                const { models } = endpoint;
+                const isLeaving = isReportedLeaving(endpoint);
                 time.add(actor, CONNECT_MS, () => resolve({ isLeaving, models }));
               },
               () => resolve(undefined),
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -13,6 +13,10 @@
   EngineSilent: 'engine_silent',
   Straggler: 'straggler',
   EndpointLeaving: 'endpoint_leaving',
+  EndpointSaysLeaving: 'endpoint_says_leaving',
+  EndpointRests: 'endpoint_rests',
+  PoolRests: 'pool_rests',
+  CrashingRequests: 'crashing_requests',
   BadFrames: 'bad_frames',
   ServiceLosesAnswers: 'service_loses_answers',
   EntryCrash: 'entry_crash',
@@ -37,6 +41,8 @@
 const BAD_FRAMES_SHARE = 0.1;
 const LOSS_SHARE = 0.2;
 const BURST_FACTOR = 6;
+const REST_MS = 4000;
+const CRASH_SHARE = 0.02;
 
 function chooseEndpoint(world: SoakWorld, random: Random): FakeEndpoint {
   const { list } = world.endpoints;
@@ -71,6 +77,18 @@
   };
 }
 
+/** Starts a fault of all endpoints. */
+function startFleetFault({ endpoints }: SoakWorld, troubles: Partial<FakeEndpoint>): StopFault {
+  const before = endpoints.list.map((endpoint) => ({ ...endpoint }));
+  for (const endpoint of endpoints.list) Object.assign(endpoint, troubles);
+  return () => {
+    endpoints.list.forEach((endpoint, index) => {
+      for (const key of Object.keys(troubles))
+        Object.assign(endpoint, { [key]: before[index]?.[key as keyof FakeEndpoint] });
+    });
+  };
+}
+
 function startCut(world: SoakWorld, random: Random, isOneWay: boolean): StopFault {
   const { dataCentres } = world;
   const from = dataCentres[random.nextIndex(dataCentres.length)] ?? '';
@@ -109,6 +127,17 @@
         isLeaving: true,
         leavingSinceMs: world.time.getNow(),
       });
+    case FAULT.EndpointSaysLeaving:
+      return startEndpointFault(world, random, {
+        saysLeaving: true,
+        saysLeavingSinceMs: world.time.getNow(),
+      });
+    case FAULT.EndpointRests:
+      return startEndpointFault(world, random, { restMs: REST_MS });
+    case FAULT.PoolRests:
+      return startFleetFault(world, { restMs: REST_MS });
+    case FAULT.CrashingRequests:
+      return startFleetFault(world, { crashShare: CRASH_SHARE });
     case FAULT.BadFrames:
       return startEndpointFault(world, random, { badFrames: BAD_FRAMES_SHARE });
     case FAULT.ServiceLosesAnswers:
--- a/src/soak/soak.test.ts
+++ b/src/soak/soak.test.ts
@@ -13,6 +13,11 @@
   ['entry_drains', 'engine_silent'],
   ['operators_race', 'cut_one_way'],
   ['burst', 'bad_frames'],
+  ['endpoint_says_leaving', 'platform_down'],
+  ['endpoint_says_leaving', 'entry_crash'],
+  ['endpoint_rests', 'engine_crash'],
+  ['pool_rests', 'burst'],
+  ['crashing_requests', 'endpoint_rests'],
 ];
 
 /** Seeds whose long runs broke a promise once, each with its story. */
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -20,6 +20,10 @@
   isFrozen: boolean;
   /** Drains: rejects new requests and finishes running ones. */
   isLeaving: boolean;
+  /** Serves, and says in every response that it is leaving; load reports do not say so. */
+  isSayingLeaving: boolean;
+  /** Turns requests away with status 503 and asks for this rest in seconds; 0: serves. */
+  restSeconds: number;
   /** Answers every request with status 500 without running it. */
   isFailing: boolean;
   /** Number of upcoming frames to send twice. */
@@ -40,7 +44,9 @@
   /** Number of accepted requests by request id. */
   readonly started: Map<string, number>;
   cancelled: number;
-  /** Requests rejected while draining. */
+  /** Completion requests that reached it. */
+  received: number;
+  /** Requests rejected while draining or resting. */
   turnedAway: number;
   completed: number;
   ordersApplied: number;
@@ -110,6 +116,8 @@
     slowdown: 1,
     isFrozen: false,
     isLeaving: false,
+    isSayingLeaving: false,
+    restSeconds: 0,
     isFailing: false,
     duplicateFrames: 0,
     crossedFrames: 0,
@@ -126,6 +134,7 @@
     tokens: 0,
     started: new Map(),
     cancelled: 0,
+    received: 0,
     turnedAway: 0,
     completed: 0,
     ordersApplied: 0,
@@ -210,6 +219,16 @@
   }
 
   function handleCompletion(request: Request, response: Response): void {
+    counts.received += 1;
+    if (faults.isSayingLeaving) response.set('x-endpoint-leaving', 'true');
+    if (faults.restSeconds > 0) {
+      counts.turnedAway += 1;
+      response
+        .status(503)
+        .set('retry-after', String(faults.restSeconds))
+        .json({ error: 'resting' });
+      return;
+    }
     if (faults.isLeaving) {
       counts.turnedAway += 1;
       response.status(503).set('x-endpoint-leaving', 'true').json({ error: 'leaving' });
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -12,6 +12,10 @@
   lostAnswers: number;
   /** Answers requests with status 503 without running them. */
   isRefusing: boolean;
+  /** Serves, and says in every response that it is leaving; load reports do not say so. */
+  isSayingLeaving: boolean;
+  /** Turns requests away with status 503 and asks for this rest in seconds; 0: serves. */
+  restSeconds: number;
   /** Drains: rejects requests without running them. */
   isLeaving: boolean;
 }
@@ -28,6 +32,8 @@
     lostAnswers: 0,
     isRefusing: false,
     isLeaving: false,
+    isSayingLeaving: false,
+    restSeconds: 0,
   };
   const runs = new Map<string, number>();
 
@@ -52,6 +58,11 @@
   });
   app.use(express.text({ type: () => true, limit: '1mb' }));
   app.use((request, response) => {
+    if (faults.isSayingLeaving) response.set('x-endpoint-leaving', 'true');
+    if (faults.restSeconds > 0) {
+      response.status(503).set('retry-after', String(faults.restSeconds)).end();
+      return;
+    }
     if (faults.isLeaving) {
       response.status(503).set('x-endpoint-leaving', 'true').end();
       return;
--- a/src/test/failures.test.ts
+++ b/src/test/failures.test.ts
@@ -381,6 +381,38 @@
     t.is((await running).text, buildCompletion(prompt, RESPONSE_TOKENS_MAX));
   });
 
+  it('an engine that says in its answers that it leaves, and one that asks for rest', async (t) => {
+    // Guards against trusting load reports alone, and against an answer that is lost or run twice.
+    const fleet = await startFleet({ stepMs: 5 });
+    const urls = fleet.engines.map((engine) => engine.addresses.url ?? '');
+    const countReceived = async (url: string) =>
+      ((await sendRequest(`${url}/counts`)).json as { received: number }).received;
+    const sendSome = (count: number) =>
+      Promise.all(
+        Array.from({ length: count }, (_, index) =>
+          sendCompletion(fleet, index % 2, `note ${index} [length:3]`),
+        ),
+      );
+    await setFaults(urls[0] ?? '', { isSayingLeaving: true });
+    t.true((await sendSome(12)).every((result) => result.isWhole));
+    const leavingBefore = await countReceived(urls[0] ?? '');
+    t.true((await sendSome(12)).every((result) => result.isWhole));
+    t.is(await countReceived(urls[0] ?? ''), leavingBefore);
+    await setFaults(urls[0] ?? '', { isSayingLeaving: false, restSeconds: 30 });
+    await setFaults(urls[1] ?? '', { restSeconds: 2 });
+    const before = await countReceived(urls[1] ?? '');
+    const startedMs = performance.now();
+    const waiting = sendCompletion(fleet, 0, 'note [length:3]');
+    await waitFor(
+      'the second engine has turned the request away',
+      async () => (await countReceived(urls[1] ?? '')) > before,
+    );
+    await setFaults(urls[1] ?? '', { restSeconds: 0 });
+    t.true((await waiting).isWhole, 'the request waits for the end of the rest');
+    t.true(performance.now() - startedMs >= 2000);
+    t.is(await countReceived(urls[1] ?? ''), before + 2);
+  });
+
   it('an instance that starts during a platform outage after a configuration change', async (t) => {
     // Guards against starting with no configuration or an outdated one: the instance must take the
     // latest version from its peers.
