The soak's endpoints limit their rate and crash under marked requests

endpoint_limited turns away what comes beyond 0.8 requests a second from all routers, with the rest until it takes the next one; crashing_requests ends every endpoint that a marked request reaches. The state of one fake endpoint is a module of its own. A rate for the whole fleet has no word at this door: open.

--- a/src/soak/fake-endpoints.ts
+++ b/src/soak/fake-endpoints.ts
@@ -7,38 +7,20 @@
   ServiceResult,
 } from '../node/endpoint-client.js';
 import type { EndpointDeclaration } from '../types/declarations.js';
-import { hashName } from '../utils/hash.js';
 import type { Random } from '../utils/random.js';
+import {
+  createFakeEndpoint,
+  isCrashing,
+  isReportedLeaving,
+  stopEndpoint,
+  takeRequest,
+} from './fake-endpoint.js';
+import type { FakeEndpoint } from './fake-endpoint.js';
 import { buildNotice, createNoticeWatch } from './fake-notices.js';
 import type { FakeNotice } from './fake-notices.js';
 import type { FakeNetwork } from './fake-network.js';
 import type { Actor, VirtualTime } from './virtual-time.js';
 
-/** One endpoint and its faults. */
-export interface FakeEndpoint extends FakeNotice {
-  readonly name: string;
-  readonly dataCentre: string;
-  isCrashed: boolean;
-  /** Connections stay open and carry nothing. */
-  isFrozen: boolean;
-  isLeaving: boolean;
-  saysLeaving: boolean;
-  restMs: number;
-  /** Share of requests that crash it; a request that is sent again crashes the next endpoint, too. */
-  crashShare: number;
-  slowdown: number;
-  /** Share of frames that are repeated, crossed or left out. */
-  badFrames: number;
-  /** Share of service calls whose answer is lost after they ran. */
-  lostAnswers: number;
-  models: readonly string[];
-  fence: number;
-  /** When it began to leave; undefined while it stays. */
-  leavingSinceMs: number | undefined;
-  /** When it began to say so in its responses. */
-  saysLeavingSinceMs: number | undefined;
-}
-
 /** What endpoints saw, for checks. */
 export interface EndpointLog {
   /** Attempts that reached an endpoint, by attempt id. */
@@ -60,11 +42,6 @@
 const CONNECT_MS = 1;
 const CONNECT_TIMEOUT_MS = 800;
 const SERVICE_MS = 15;
-/** Time by which load reports lag behind responses. */
-const REPORT_LAG_MS = 4000;
-/** Time after a crash at which an endpoint is back. */
-const RESTART_MS = 1500;
-const CRASH_HASH_STEPS = 1000;
 /** An endpoint that is leaving may still get work for this long. */
 const LEAVING_GRACE_MS = 3000;
 
@@ -98,23 +75,7 @@
   const log: EndpointLog = { ran: new Set(), runsByKey: new Map(), breaches: [] };
   const byName = new Map<string, FakeEndpoint>();
   for (const { name, dataCentre } of declared) {
-    byName.set(name, {
-      name,
-      dataCentre,
-      isCrashed: false,
-      isFrozen: false,
-      isLeaving: false,
-      saysLeaving: false,
-      restMs: 0,
-      crashShare: 0,
-      slowdown: 1,
-      badFrames: 0,
-      lostAnswers: 0,
-      models: ['assistant'],
-      fence: 0,
-      leavingSinceMs: undefined,
-      saysLeavingSinceMs: undefined,
-    });
+    byName.set(name, createFakeEndpoint(name, dataCentre));
   }
 
   function checkLeaving(endpoint: FakeEndpoint, attemptId: string): void {
@@ -125,27 +86,6 @@
       log.breaches.push(`${endpoint.name} got ${attemptId} long after it began to leave`);
   }
 
-  /** Load reports lag behind responses. */
-  function isReportedLeaving({ isLeaving, saysLeavingSinceMs }: FakeEndpoint): boolean {
-    const isReported =
-      saysLeavingSinceMs !== undefined && time.getNow() - saysLeavingSinceMs > REPORT_LAG_MS;
-    return isLeaving || isReported;
-  }
-
-  /** Whether the request, under whatever attempt, is one that crashes endpoints. */
-  function isCrashing({ crashShare }: FakeEndpoint, attemptId: string): boolean {
-    const requestId = attemptId.slice(0, attemptId.lastIndexOf('-'));
-    return crashShare > 0 && hashName(requestId) % CRASH_HASH_STEPS < crashShare * CRASH_HASH_STEPS;
-  }
-
-  function stopEndpoint(crashing: FakeEndpoint): void {
-    const endpoint = crashing;
-    endpoint.isCrashed = true;
-    time.add(undefined, RESTART_MS, () => {
-      endpoint.isCrashed = false;
-    });
-  }
-
   return {
     log,
     list: [...byName.values()],
@@ -180,15 +120,14 @@
         watch.recordArrival(endpoint.name, attemptId);
       }
 
-      /** Sends the head of a response, which says what the endpoint says of itself now. */
-      function sendHead(
+      /** Sends what an endpoint says of itself in the head of a response. */
+      function sendNotice(
         endpoint: FakeEndpoint,
         listener: { onNotice(notice: AvailabilityNotice): void },
+        told: FakeNotice,
         isCancelled: () => boolean,
         onRead: () => void,
       ): void {
-        const { saysLeaving, restMs } = endpoint;
-        const told = { saysLeaving, restMs };
         if (!isConnected(endpoint)) return;
         time.add(actor, CONNECT_MS, () => {
           if (isCancelled()) return;
@@ -198,6 +137,26 @@
         });
       }
 
+      function sendHead(
+        endpoint: FakeEndpoint,
+        listener: { onNotice(notice: AvailabilityNotice): void },
+        isCancelled: () => boolean,
+      ): void {
+        const told = { saysLeaving: endpoint.saysLeaving, restMs: 0 };
+        sendNotice(endpoint, listener, told, isCancelled, () => undefined);
+      }
+
+      function sendRejection(
+        endpoint: FakeEndpoint,
+        listener: { onNotice(notice: AvailabilityNotice): void },
+        isCancelled: () => boolean,
+        onRead: () => void,
+      ): void {
+        const { saysLeaving, restMs, nextTakenMs } = endpoint;
+        const leftMs = restMs > 0 ? restMs : Math.max(1, nextTakenMs - time.getNow());
+        sendNotice(endpoint, listener, { saysLeaving, restMs: leftMs }, isCancelled, onRead);
+      }
+
       function sendFrame(
         attempt: CompletionAttempt,
         listener: AttemptListener,
@@ -258,8 +217,8 @@
             declaration,
             (endpoint) => {
               recordArrival(endpoint, attempt.attemptId);
-              if (endpoint.restMs > 0) {
-                sendHead(endpoint, listener, isCancelled, () => listener.onEnded('resting'));
+              if (!takeRequest(endpoint, time.getNow())) {
+                sendRejection(endpoint, listener, isCancelled, () => listener.onEnded('resting'));
                 return;
               }
               if (endpoint.isLeaving) {
@@ -268,8 +227,8 @@
                 return;
               }
               log.ran.add(attempt.attemptId);
-              if (isCrashing(endpoint, attempt.attemptId)) stopEndpoint(endpoint);
-              else sendHead(endpoint, listener, isCancelled, () => undefined);
+              if (isCrashing(endpoint, attempt.attemptId)) stopEndpoint(endpoint, time);
+              else sendHead(endpoint, listener, isCancelled);
               runStream(endpoint, attempt, listener, isCancelled);
             },
             () => {
@@ -292,8 +251,8 @@
             declaration,
             (endpoint) => {
               recordArrival(endpoint, attempt.attemptId);
-              if (endpoint.restMs > 0) {
-                sendHead(endpoint, listener, isCancelled, () =>
+              if (!takeRequest(endpoint, time.getNow())) {
+                sendRejection(endpoint, listener, isCancelled, () =>
                   listener.onEnded({ kind: 'ended', ending: 'resting' }),
                 );
                 return;
@@ -313,7 +272,7 @@
                 else {
                   const body = `ran ${key}`;
                   const answer = { status: 200, contentType: 'text/plain', body };
-                  sendHead(endpoint, listener, isCancelled, () => undefined);
+                  sendHead(endpoint, listener, isCancelled);
                   end({ kind: 'answered', answer });
                 }
               });
@@ -348,7 +307,7 @@
                   endpoint.models = order.models;
                 }
                 const { models } = endpoint;
-                const isLeaving = isReportedLeaving(endpoint);
+                const isLeaving = isReportedLeaving(endpoint, time.getNow());
                 time.add(actor, CONNECT_MS, () => resolve({ isLeaving, models }));
               },
               () => resolve(undefined),
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -1,6 +1,6 @@
 /** Faults of randomised runs; each starts at a random time and ends again. */
 import type { Random } from '../utils/random.js';
-import type { FakeEndpoint } from './fake-endpoints.js';
+import type { FakeEndpoint } from './fake-endpoint.js';
 import type { SoakWorld } from './soak-world.js';
 
 export const FAULT = {
@@ -16,6 +16,7 @@
   EndpointSaysLeaving: 'endpoint_says_leaving',
   EndpointRests: 'endpoint_rests',
   PoolRests: 'pool_rests',
+  EndpointLimited: 'endpoint_limited',
   CrashingRequests: 'crashing_requests',
   BadFrames: 'bad_frames',
   ServiceLosesAnswers: 'service_loses_answers',
@@ -42,6 +43,8 @@
 const LOSS_SHARE = 0.2;
 const BURST_FACTOR = 6;
 const REST_MS = 4000;
+/** Requests a second; the rest between two is long enough to be checked. */
+const RATE_LIMIT = 0.8;
 const CRASH_SHARE = 0.02;
 
 function chooseEndpoint(world: SoakWorld, random: Random): FakeEndpoint {
@@ -136,6 +139,8 @@
       return startEndpointFault(world, random, { restMs: REST_MS });
     case FAULT.PoolRests:
       return startFleetFault(world, { restMs: REST_MS });
+    case FAULT.EndpointLimited:
+      return startEndpointFault(world, random, { rateLimit: RATE_LIMIT });
     case FAULT.CrashingRequests:
       return startFleetFault(world, { crashShare: CRASH_SHARE });
     case FAULT.BadFrames:
--- a/src/soak/soak.test.ts
+++ b/src/soak/soak.test.ts
@@ -17,6 +17,7 @@
   ['endpoint_says_leaving', 'entry_crash'],
   ['endpoint_rests', 'engine_crash'],
   ['pool_rests', 'burst'],
+  ['endpoint_limited', 'entry_crash'],
   ['crashing_requests', 'endpoint_rests'],
 ];
 
