--- a/src/attempts/shared-retry-budget.ts
+++ b/src/attempts/shared-retry-budget.ts
@@ -13,7 +13,7 @@
   readonly slack: number;
 }
 
-/** Leaves a margin for bunched arrivals and instances that join. */
+/** Leaves a margin for arrivals that bunch up on their way and instances that join. */
 const USABLE_SHARE = 0.8;
 
 /** Retry budget of one pool at one instance. */
--- a/src/calls/attempt-policy.ts
+++ b/src/calls/attempt-policy.ts
@@ -11,7 +11,10 @@
 const FIRST_RESPONSE_TARGET_FACTOR = 3;
 /** Lower bound of the same timeout for streams, as a multiple of the gap target: the prompt may be queued behind others. */
 const FIRST_RESPONSE_GAP_FACTOR = 6;
-/** Multiple of the gap target after which a stream without a new event counts as stalled. */
+/**
+ * Multiple of the gap target after which a stream without a new event counts as stalled: an engine that
+ * has become three times slower still serves.
+ */
 const STREAM_IDLE_GAP_FACTOR = 3;
 const SERVER_ERROR_MIN = 500;
 
--- a/src/calls/call-refusals.ts
+++ b/src/calls/call-refusals.ts
@@ -4,6 +4,7 @@
 
 /** Registry changes reach the instance within this time. */
 const NO_ENDPOINT_RETRY_MS = 1000;
+/** Running responses take one to a few seconds to free capacity. */
 const NO_CAPACITY_RETRY_MS = 1000;
 
 /** The pool has no usable endpoint. */
--- a/src/calls/connection-limit.ts
+++ b/src/calls/connection-limit.ts
@@ -3,7 +3,7 @@
 
 /** Limit if the pool is unknown. */
 const DEFAULT_CONNECTIONS_MAX = 64;
-/** Fraction of an endpoint's connections that is divided among the instances; the rest is a reserve. */
+/** Fraction of an endpoint's connections that is divided among the instances; the rest is a reserve, since some instances get more than their share of calls. */
 const FLEET_CONNECTIONS_FRACTION = 0.8;
 
 /** Returns the largest number of connections to one endpoint of a pool. */
--- a/src/duties/fleet-time.ts
+++ b/src/duties/fleet-time.ts
@@ -7,7 +7,7 @@
  * in which two instances adopt each other's time and drift with the faster clock.
  */
 
-/** A clock offset is valid for one to two of these spans, which bounds the effect of drift. */
+/** A clock offset is valid for one to two of these spans, which bounds the effect of drift to less than a millisecond. */
 const SPAN_MS = 30_000;
 
 /** Fleet time as sent between peers. */
--- a/src/duties/pool-scaler.ts
+++ b/src/duties/pool-scaler.ts
@@ -17,7 +17,7 @@
  * discovers endpoints one by one.
  */
 const COUNT_STABLE_MS = 900;
-/** Time for which a higher required count is kept after load drops. */
+/** Time for which a higher required count is kept after load drops, since load peaks recur. */
 const SCALE_DOWN_DELAY_MS = 60_000;
 /** Retry delays after an unavailable or rejected request. */
 const UNAVAILABLE_RETRY_MS = 3000;
--- a/src/gateway/knowledge-fetcher.ts
+++ b/src/gateway/knowledge-fetcher.ts
@@ -4,7 +4,7 @@
 import type { KnownRevisions, PeerLinks } from '../peers/peer-links.js';
 import type { TimerService } from '../runtime/timer-service.js';
 
-/** Minimum interval between fetches on updates, so that endpoints which register one by one cause few fetches. */
+/** Minimum interval between fetches on updates, so that endpoints which register one by one, as at the start of a fleet, cause few fetches. */
 const UPDATE_FETCH_INTERVAL_MS = 200;
 
 export interface KnowledgePeer {
--- a/src/gateway/resolve-call.ts
+++ b/src/gateway/resolve-call.ts
@@ -8,6 +8,7 @@
 import { Err, Ok } from '../utils/result.js';
 import type { Result } from '../utils/result.js';
 
+/** A reconnection to the source takes less. */
 const NOT_READY_RETRY_MS = 500;
 /** Short, since a new connection leads to another instance. */
 const LEAVING_RETRY_MS = 50;
--- a/src/knowledge/watch-role.ts
+++ b/src/knowledge/watch-role.ts
@@ -14,11 +14,17 @@
 export const LEADING_WATCHERS = 2;
 /** A leading watcher's interval of 1.5 s, plus propagation and a slow call to the source. */
 const STALE_AFTER_MS = 2400;
-/** Time in which the number of watchers doubles while the data is stale. */
+/**
+ * Time in which the number of watchers doubles while the data is stale: if the first to join succeed,
+ * all instances know before the next ones join.
+ */
 const ESCALATION_PERIOD_MS = 400;
 /** The same before the first data: longer, since a whole fleet may be starting. */
 const INITIAL_ESCALATION_PERIOD_MS = 1000;
-/** Time for which a starting instance asks its peers before it calls the source. */
+/**
+ * Time for which a starting instance asks its peers before it calls the source. Running peers answer
+ * within a tenth of it; those that start at the same moment need about a second.
+ */
 const STARTUP_GRACE_MS = 1500;
 /**
  * Time for which an instance keeps watching after it was last needed, so that a recovering source
--- a/src/load-sharing/choose-aggregators.ts
+++ b/src/load-sharing/choose-aggregators.ts
@@ -9,7 +9,7 @@
 
 /** Largest fleet in which every instance is an aggregator. */
 export const FULL_MESH_MAX = 12;
-/** Instances per aggregator. */
+/** Instances per aggregator; in a fleet of 195, one sends to 16 reporters and 14 other aggregators. */
 const GROUP_MAX = 16;
 /**
  * Minimum number of aggregators per data centre: the failure of a single one would look like that
--- a/src/load-sharing/load-exchange.ts
+++ b/src/load-sharing/load-exchange.ts
@@ -16,7 +16,7 @@
 import type { AddressedLoadUpdate, ReceivedLoadUpdate } from './load-update.js';
 
 export const LOAD_UPDATE_PERIOD_MS = 100;
-/** Periods after which an unchanged update is repeated, as a heartbeat. */
+/** Periods after which an unchanged update is repeated, as a heartbeat that shows reachability. */
 const HEARTBEAT_PERIODS = 3;
 /** Age at which reported loads are removed: three lost heartbeats. */
 const REMOTE_LOAD_AGE_MAX_MS = 1000;
@@ -24,7 +24,7 @@
 const AGGREGATOR_TIMEOUT_MS = 500;
 /** Time for which it is skipped; membership detects a failure within this time. */
 const AGGREGATOR_BACKOFF_MS = 3000;
-/** Time for which a data centre counts as heard after its last update. */
+/** Time for which a data centre counts as heard after its last update: a heartbeat and one lost datagram. */
 const DATA_CENTRE_TIMEOUT_MS = 400;
 /** Periods between refreshes of the list of instances. */
 const FLEET_REFRESH_PERIODS = 5;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -37,7 +37,7 @@
 const SYNC_PERIOD_MS = 2000;
 /** Members notified directly when this member leaves. */
 const LEAVE_FANOUT = 12;
-/** Interval of rounds while no other member is known. */
+/** Interval of rounds while no other member is known: seeds that start at the same time may be late. */
 const BOOTSTRAP_PERIOD_MS = 300;
 const DEAD_PROBE_INTERVAL_ROUNDS = 5;
 
--- a/src/peers/peer-outbox.ts
+++ b/src/peers/peer-outbox.ts
@@ -18,6 +18,7 @@
 const CALL_TIMEOUT_MS = 1000;
 /** Longer than other calls, since configurations may be large. */
 const FETCH_CONFIGURATION_TIMEOUT_MS = 3000;
+/** Other peers are asked after it; instances that start on small machines take several hundred. */
 const FETCH_KNOWLEDGE_TIMEOUT_MS = 1000;
 /**
  * Disables the HTTP/2 pings of the library, whose timeout is an uncaught error if the connection has
--- a/src/placement/admission-decision.ts
+++ b/src/placement/admission-decision.ts
@@ -9,10 +9,14 @@
 /** Multiple of the slots of an engine up to which the most urgent calls are sent. */
 const URGENT_QUEUE_FACTOR = 2;
 /**
- * Share of the pause declared by more urgent routes up to which calls of the lowest rank are sent.
+ * Share of the pause declared by more urgent routes up to which calls of the lowest rank are sent: at
+ * this mean pause, a stream of three times the usual length still ends before its caller leaves.
  */
 const PAUSE_SHARE_LOWEST_RANK = 0.3;
-/** The same at engines that the most urgent streams do not use. */
+/**
+ * The same at engines that the most urgent streams do not use, as a share of the pause that the next
+ * rank declares: pauses harm that rank less than slots taken by long prompts do.
+ */
 const PAUSE_SHARE_ISOLATED = 0.22;
 /** Factor on these shares for the rank next to the most urgent. */
 const PAUSE_FACTOR_SECOND_RANK = 2;
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -19,7 +19,10 @@
  * evicts other cached prefixes.
  */
 const PREFIX_MISS_WEIGHT = 20;
-/** Share of the target assumed for reading the whole prompt while the prefill speed is unknown. */
+/**
+ * Share of the target assumed for reading the whole prompt while the prefill speed is unknown:
+ * targets are declared for engines that can meet them.
+ */
 const ASSUMED_READ_SHARE = 0.2;
 /**
  * Cost of an engine with all slots taken, as a share of the call's target: running calls slow down
@@ -29,7 +32,7 @@
 /**
  * Weight of a millisecond by which running calls delay the rest of an answer, relative to one
  * before its start. Guards against urgent calls piling up on the engine with the fewest unread
- * tokens, where their streams would be slow.
+ * tokens, where their streams would be slow. The whole delay would drive calls from their homes.
  */
 const STREAM_DELAY_WEIGHT = 0.25;
 /**
@@ -43,9 +46,15 @@
  * stream, as a share of its target.
  */
 const INTERFERENCE_COST_SHARE = 0.5;
-/** Cost of a certain failure for a call with a prompt, in multiples of its target. */
+/**
+ * Cost of a certain failure for a call with a prompt, in multiples of its target: a call that may be
+ * sent only once is lost with it.
+ */
 const FAILURE_COST_TARGETS = 8;
-/** Cost of a certain failure for a call without a prompt, in units of slot utilization. */
+/**
+ * Cost of a certain failure for a call without a prompt, in units of slot utilization: the next
+ * attempt takes another place in a queue and a retry from the budget.
+ */
 const FAILURE_COST_UTILIZATION = 2;
 
 export interface ChoiceInput {
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -21,9 +21,12 @@
 import type { EndpointKey, EndpointLoadShare, FleetLoad, RemoteLoads } from './remote-loads.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 
-/** Consecutive failures after which an endpoint is suspect. */
+/** Consecutive failures after which an endpoint is suspect; one may be the call's own. */
 const SUSPECT_AFTER_FAILURES = 3;
-/** Time after its last failure at which a suspect endpoint gets a probe call. */
+/**
+ * Time after its last failure at which a suspect endpoint gets a probe call; a crashed one takes two
+ * seconds or more to return.
+ */
 const PROBE_AFTER_MS = 1000;
 
 /** How an endpoint handled a call that has ended. */
@@ -38,7 +41,7 @@
   Errored: 'errored',
   /** The answer broke off or never came. */
   Failed: 'failed',
-  /** No connection could be made. */
+  /** No connection could be made, so further calls would fail as well. */
   Unreachable: 'unreachable',
 } as const;
 export type EndpointVerdict = (typeof ENDPOINT_VERDICT)[keyof typeof ENDPOINT_VERDICT];
--- a/src/placement/engine-reserve.ts
+++ b/src/placement/engine-reserve.ts
@@ -17,12 +17,19 @@
 const STREAM_SAMPLES_MIN = 20;
 /** Minimum share of these streams with a pause longer than the most urgent routes declare. */
 const LATE_SHARE_MIN = 0.1;
-/** Pool size from which engines are reserved before enough streams have ended. */
+/**
+ * Pool size from which engines are reserved before enough streams have ended, since one instance of
+ * hundreds sees few of them. In a smaller pool, one engine more or less is felt.
+ */
 const DEFAULT_RESERVE_POOL_MIN = 24;
-/** Minimum ratio of the mean size of less urgent prompts to that of urgent ones. */
+/**
+ * Minimum ratio of the mean size of less urgent prompts to that of urgent ones; below it, urgent calls
+ * disturb each other as much.
+ */
 const PROMPT_SIZE_RATIO_MIN = 2;
 /**
- * Share of the reserved slots that urgent calls take at their peak, leaving headroom for bursts.
+ * Share of the reserved slots that urgent calls take at their peak, leaving headroom for bursts,
+ * which come faster than the reserve changes.
  */
 const TARGET_UTILIZATION = 0.5;
 /** Share of their declared pause that the urgent calls of one engine may add to their pauses. */
--- a/src/placement/failure-rate.ts
+++ b/src/placement/failure-rate.ts
@@ -13,7 +13,7 @@
   readonly failures: number;
 }
 
-/** Half-life of a recorded call. */
+/** Half-life of a recorded call; an endpoint that recovered is trusted again after a few of these. */
 const HALF_LIFE_MS = 3000;
 /**
  * A single failure may be caused by the call itself, so some failures are not counted and some
--- a/src/placement/pause-model.ts
+++ b/src/placement/pause-model.ts
@@ -7,9 +7,9 @@
 import { createDecayingSums } from '../utils/decaying-sums.js';
 import { createLinearFit } from '../utils/linear-fit.js';
 
-/** Half-life of a recorded pause. */
+/** Half-life of a recorded pause: about ten events of a stream at the usual pace. */
 const HALF_LIFE_MS = 500;
-/** Recent pauses required for a prediction, after decay. */
+/** Recent pauses required for a prediction, after decay, so that one slow link does not decide. */
 const RECENT_PAUSES_MIN = 5;
 /** Factor by which each new pause reduces the weight of earlier ones. */
 const SAMPLE_DECAY = 0.9995;
--- a/src/placement/prefill-slowdown.ts
+++ b/src/placement/prefill-slowdown.ts
@@ -15,9 +15,12 @@
   readonly readMs: number;
 }
 
-/** Half-life of a sample. */
+/** Half-life of a sample; bursts and slow periods last seconds. */
 const HALF_LIFE_MS = 2000;
-/** Weight of the pool's speed in the estimate, in prompts of mean size. */
+/**
+ * Weight of the pool's speed in the estimate, in prompts of mean size, so that no single response
+ * decides.
+ */
 const PRIOR_PROMPTS = 4;
 /** Bounds that limit the effect of outliers. */
 const SLOWDOWN_MIN = 0.7;
--- a/src/quarantine/case-outbox.ts
+++ b/src/quarantine/case-outbox.ts
@@ -9,9 +9,9 @@
 
 /** Interval between repeats of a changed case. */
 const UPDATE_PERIOD_MS = 200;
-/** Number of times a changed case is sent. */
+/** Number of times a changed case is sent: at a loss of 1%, one in 10^8 misses all copies. */
 const UPDATE_COPIES = 4;
-/** Interval between batches of unchanged cases. */
+/** Interval between batches of unchanged cases, from which a starting instance learns them. */
 const ROTATION_PERIOD_MS = 1000;
 /** Cases per datagram, so that it fits an Ethernet frame. */
 const DATAGRAM_CASES_MAX = 14;
