Report a notice once, however many answers in flight repeat it

Each answer of a leaving endpoint moved the notice's end by milliseconds, and each was a line and four reports to peers. An extension below a second is kept and not reported, and what comes back from peers of a rest of one's own is no rest elsewhere. A property test over 200 random orders of answers, reports and time shows when an endpoint is open.

--- a/src/endpoint-availability/availability-ledger.ts
+++ b/src/endpoint-availability/availability-ledger.ts
@@ -13,6 +13,11 @@
 export const LEAVING_MEMORY_MS = 600_000;
 /** Transit time of a report, by which what it says may be older than it appears. */
 const TRANSIT_MAX_MS = 500;
+/**
+ * Smallest extension that is reported, since calls in flight end with the same notice one after the
+ * other.
+ */
+const EXTENSION_MIN_MS = 1000;
 /** Endpoints in one report; the others follow in turn. */
 const REPORT_ENDPOINTS_MAX = 12;
 /** Limit of the endpoints with a notice; the oldest give way. */
@@ -82,20 +87,25 @@
   let version = 0;
   let reportIndex = 0;
 
-  /** Sets a notice that ends more than `marginMs` later than a known one. */
+  /**
+   * Sets a notice that ends later than a known one. Changes nothing if it does so by `marginMs` at
+   * most, and reports no extension below `EXTENSION_MIN_MS`.
+   */
   function setNotice(
     notices: Notices,
     notice: KnownNotice,
     marginMs = 0,
   ): NoticeChange | undefined {
     const known = notices.get(notice.endpoint);
-    if (known !== undefined && known.untilMs + marginMs >= notice.untilMs) return undefined;
+    const extensionMs = notice.untilMs - (known?.untilMs ?? -Infinity);
+    if (extensionMs <= marginMs) return undefined;
     notices.delete(notice.endpoint);
     notices.set(notice.endpoint, notice);
     const [oldest] = notices.keys();
     if (notices.size > ENDPOINTS_MAX) notices.delete(oldest as EndpointKey);
     version += 1;
-    return { change: known === undefined ? 'learned' : 'extended', notice };
+    if (known === undefined) return { change: 'learned', notice };
+    return extensionMs < EXTENSION_MIN_MS ? undefined : { change: 'extended', notice };
   }
 
   function listEnded(isEnded: (notice: KnownNotice) => boolean): NoticeChange[] {
@@ -132,7 +142,10 @@
       const untilMs = nowMs + Math.min(REST_MAX_MS, restLeftMs);
       const kind = NOTICE.RestingElsewhere;
       const notice = { kind, endpoint, heardMs: nowMs, untilMs, source };
-      changes.push(setNotice(restingElsewhere, notice, TRANSIT_MAX_MS));
+      const ownUntilMs = resting.get(endpoint)?.untilMs ?? -Infinity;
+      // Otherwise it may be what this instance reported.
+      if (untilMs > ownUntilMs + TRANSIT_MAX_MS)
+        changes.push(setNotice(restingElsewhere, notice, TRANSIT_MAX_MS));
     }
     return changes.filter((change) => change !== undefined);
   }
--- a/src/endpoint-availability/endpoint-availability.test.ts
+++ b/src/endpoint-availability/endpoint-availability.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import { describe } from '../test/describe.js';
 import { hashStartId } from '../placement/remote-loads.js';
 import { buildCall, buildSimulatedRoute } from '../test/simulated-routes.js';
@@ -80,6 +81,19 @@
       t.deepEqual(listIds(), ['second']);
     });
 
+    // Guards against a line and four reports for each call in flight at a leaving endpoint.
+    it('is reported once however many answers say so', (t) => {
+      const { availability, first, state, changes } = createHarness();
+      for (let answer = 0; answer < 20; answer += 1) {
+        state.nowMs += 20;
+        availability.recordAnswer(first, { isLeaving: true, rest: RESTING.rest });
+      }
+      t.deepEqual(
+        changes.map(({ change, notice }) => `${notice.kind} ${change}`),
+        ['leaving learned', 'resting learned'],
+      );
+    });
+
     // Guards against an endpoint that stays after all and would idle for ever.
     it('is used again after a long time in which nobody heard it say so', (t) => {
       const { availability, first, state, listIds, changes } = createHarness();
@@ -189,6 +203,43 @@
     });
   });
 
+  // Guards against any order of answers, reports and time that opens an endpoint too early, or never.
+  test('opens an endpoint exactly when nothing that it said is in force', (t) => {
+    const step = fc.record({
+      waitMs: fc.integer({ min: 0, max: 2000 }),
+      act: fc.constantFrom('leaving', 'rest', 'none', 'told leaving', 'told rest', 'advance'),
+      restMs: fc.integer({ min: 1, max: 5000 }),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+        const { availability, first, state } = createHarness();
+        const start = hashStartId(first.startId);
+        let isLeaving = false;
+        let restEndMs = 0;
+        for (const { waitMs, act, restMs } of steps) {
+          state.nowMs += waitMs;
+          const rest = { kind: 'rest', restMs } as const;
+          if (act === 'leaving') availability.recordAnswer(first, LEAVING);
+          if (act === 'rest') availability.recordAnswer(first, { ...NO_NOTICE, rest });
+          if (act === 'none') availability.recordAnswer(first, NO_NOTICE);
+          if (act === 'advance') availability.advance();
+          const leavingAgoMs = act === 'told leaving' ? restMs : undefined;
+          const restLeftMs = act === 'told rest' ? restMs : 0;
+          if (act.startsWith('told'))
+            availability.merge([{ endpoint: start, leavingAgoMs, restLeftMs }], 'peer');
+          isLeaving ||= act === 'leaving' || act === 'told leaving';
+          if (act === 'rest') restEndMs = Math.max(restEndMs, state.nowMs + restMs);
+          const isOpen = availability.listOpen(POOL).includes(first);
+          t.is(isOpen, availability.isAvailable(first));
+          if (isLeaving || state.nowMs < restEndMs) t.false(isOpen);
+          // Instances return spread over a tenth of the rest.
+          if (!isLeaving && state.nowMs >= restEndMs + 500) t.true(isOpen);
+        }
+      }),
+      { numRuns: 200, seed: 1 },
+    );
+  });
+
   // Guards against placements that each build the list of a large pool.
   test('returns the same list until something changes', (t) => {
     const { availability, first } = createHarness();
