--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -21,7 +21,7 @@
   /** Drains: rejects new requests and finishes running ones. */
   isLeaving: boolean;
   /** Serves, and says in every response that it is leaving; load reports do not say so. */
-  isSayingLeaving: boolean;
+  saysLeaving: boolean;
   /** Turns requests away with status 503 and asks for this rest in seconds; 0: serves. */
   restSeconds: number;
   /** Answers every request with status 500 without running it. */
@@ -116,7 +116,7 @@
     slowdown: 1,
     isFrozen: false,
     isLeaving: false,
-    isSayingLeaving: false,
+    saysLeaving: false,
     restSeconds: 0,
     isFailing: false,
     duplicateFrames: 0,
@@ -220,7 +220,7 @@
 
   function handleCompletion(request: Request, response: Response): void {
     counts.received += 1;
-    if (faults.isSayingLeaving) response.set('x-endpoint-leaving', 'true');
+    if (faults.saysLeaving) response.set('x-endpoint-leaving', 'true');
     if (faults.restSeconds > 0) {
       counts.turnedAway += 1;
       response
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -13,7 +13,7 @@
   /** Answers requests with status 503 without running them. */
   isRefusing: boolean;
   /** Serves, and says in every response that it is leaving; load reports do not say so. */
-  isSayingLeaving: boolean;
+  saysLeaving: boolean;
   /** Turns requests away with status 503 and asks for this rest in seconds; 0: serves. */
   restSeconds: number;
   /** Drains: rejects requests without running them. */
@@ -32,7 +32,7 @@
     lostAnswers: 0,
     isRefusing: false,
     isLeaving: false,
-    isSayingLeaving: false,
+    saysLeaving: false,
     restSeconds: 0,
   };
   const runs = new Map<string, number>();
@@ -58,7 +58,7 @@
   });
   app.use(express.text({ type: () => true, limit: '1mb' }));
   app.use((request, response) => {
-    if (faults.isSayingLeaving) response.set('x-endpoint-leaving', 'true');
+    if (faults.saysLeaving) response.set('x-endpoint-leaving', 'true');
     if (faults.restSeconds > 0) {
       response.status(503).set('retry-after', String(faults.restSeconds)).end();
       return;
--- a/src/test/failures.test.ts
+++ b/src/test/failures.test.ts
@@ -393,12 +393,12 @@
           sendCompletion(fleet, index % 2, `note ${index} [length:3]`),
         ),
       );
-    await setFaults(urls[0] ?? '', { isSayingLeaving: true });
+    await setFaults(urls[0] ?? '', { saysLeaving: true });
     t.true((await sendSome(12)).every((result) => result.isWhole));
     const leavingBefore = await countReceived(urls[0] ?? '');
     t.true((await sendSome(12)).every((result) => result.isWhole));
     t.is(await countReceived(urls[0] ?? ''), leavingBefore);
-    await setFaults(urls[0] ?? '', { isSayingLeaving: false, restSeconds: 30 });
+    await setFaults(urls[0] ?? '', { saysLeaving: false, restSeconds: 30 });
     await setFaults(urls[1] ?? '', { restSeconds: 2 });
     const before = await countReceived(urls[1] ?? '');
     const startedMs = performance.now();
