--- a/src/endpoint-availability/endpoint-availability.ts
+++ b/src/endpoint-availability/endpoint-availability.ts
@@ -3,6 +3,7 @@
  * registry, which may be out of reach, lists the others. Performs no I/O.
  */
 import type { RoutedCall } from '../calls/call-messages.js';
+import { createReportSchedule } from '../load-sharing/report-schedule.js';
 import { computeWaitLeftMs } from '../placement/admission-decision.js';
 import { hashStartId } from '../placement/remote-loads.js';
 import type { EndpointKey } from '../placement/remote-loads.js';
@@ -22,10 +23,6 @@
 const REST_SPREAD = 0.1;
 const REST_SPREAD_MAX_MS = 500;
 const RETRY_AFTER_MIN_MS = 100;
-/** Number of times that a change is reported in a row. */
-const REPORT_COPIES = 4;
-/** Interval between reports without a change. */
-const REPORT_PERIOD_MS = 1000;
 /** Callers return spread over this share of the time given. */
 const RETRY_SPREAD = 0.5;
 
@@ -96,6 +93,7 @@
   /** Cached by pool, since every placement reads them. */
   const openByPool = new Map<string, OpenEndpoints>();
   const queue = createRestQueue();
+  const reportSchedule = createReportSchedule();
 
   function isLeaving(startId: string): boolean {
     return ledger.hasAny() && ledger.isLeaving(hashStartId(startId));
@@ -176,13 +174,10 @@
     return isWaiting ? { kind: 'wait' } : refuse(call, resting);
   }
 
-  let reportCopiesLeft = 0;
-  let reportedMs = -Infinity;
-
   function recordChanges(changes: readonly (NoticeChange | undefined)[]): void {
     for (const change of changes) {
       if (change !== undefined) {
-        if (change.change !== 'ended') reportCopiesLeft = REPORT_COPIES;
+        if (change.change !== 'ended') reportSchedule.recordChange();
         observer.onChanged(change);
       }
     }
@@ -210,10 +205,7 @@
       ledger.hasAny() && ledger.isRestingElsewhere(hashStartId(startId), getNow()),
     takeReports() {
       const nowMs = getNow();
-      const isDue = reportCopiesLeft > 0 || nowMs - reportedMs >= REPORT_PERIOD_MS;
-      if (!ledger.hasAny() || !isDue) return [];
-      reportCopiesLeft = Math.max(0, reportCopiesLeft - 1);
-      reportedMs = nowMs;
+      if (!ledger.hasAny() || !reportSchedule.takeDue(nowMs)) return [];
       return ledger.buildReports(options.isRegistered, nowMs);
     },
     merge: (reports, source) => recordChanges(ledger.merge(reports, source, getNow())),
--- a/src/endpoint-limits/send-limits.ts
+++ b/src/endpoint-limits/send-limits.ts
@@ -6,6 +6,7 @@
  * there. Calls that have nowhere else to go ask a holder for a send.
  */
 import type { RoutedCall } from '../calls/call-messages.js';
+import { createReportSchedule } from '../load-sharing/report-schedule.js';
 import { computeWaitLeftMs } from '../placement/admission-decision.js';
 import { hashStartId } from '../placement/remote-loads.js';
 import type { EndpointKey } from '../placement/remote-loads.js';
@@ -32,10 +33,6 @@
 const RETRY_SPREAD = 0.5;
 /** Endpoints named in one request for a send. */
 const REQUEST_ENDPOINTS_MAX = 16;
-/** Number of times that a change is reported in a row. */
-const REPORT_COPIES = 4;
-/** Interval between reports without a change. */
-const REPORT_PERIOD_MS = 1000;
 
 /** Where a call may be sent now. */
 export type SendChoice =
@@ -120,13 +117,12 @@
   /** Cached by pool, since every placement reads them. */
   const preferredByPool = new Map<string, PreferredEndpoints>();
   let changes = 0;
-  let reportCopiesLeft = 0;
-  let reportedMs = -Infinity;
+  const reportSchedule = createReportSchedule();
 
   function recordChange(change: LimitChange | undefined): void {
     if (change === undefined) return;
     changes += 1;
-    reportCopiesLeft = REPORT_COPIES;
+    reportSchedule.recordChange();
     observer.onChanged(change);
   }
 
@@ -302,10 +298,7 @@
     },
     takeReports() {
       const nowMs = getNow();
-      const isDue = reportCopiesLeft > 0 || nowMs - reportedMs >= REPORT_PERIOD_MS;
-      if (!ledger.hasAny() || !isDue) return [];
-      reportCopiesLeft = Math.max(0, reportCopiesLeft - 1);
-      reportedMs = nowMs;
+      if (!ledger.hasAny() || !reportSchedule.takeDue(nowMs)) return [];
       return ledger.buildReports(nowMs);
     },
     mergeReports(reports, source) {
