--- a/src/peers/encode-notices.test.ts
+++ b/src/peers/encode-notices.test.ts
@@ -23,7 +23,7 @@
     );
   });
 
-  it('take 11 bytes for an endpoint that is leaving', (t) => {
+  it('take 13 bytes for an endpoint that is leaving', (t) => {
     const reports = [{ endpoint: 2 ** 31, leavingAgoMs: 400, restLeftMs: 0 }];
     t.is(toBinary(TellNoticesSchema, encodeNotices(reports)).length, 13);
   });
