--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -73,8 +73,15 @@
   return fields;
 }
 
+export interface EndpointConnectionsOptions {
+  /** Address that connections are made from; chosen by the system by default. */
+  readonly sourceHost?: string | undefined;
+}
+
 /** Creates a pool that opens connections on demand. */
-export function createEndpointConnections(): EndpointConnections {
+export function createEndpointConnections({
+  sourceHost,
+}: EndpointConnectionsOptions = {}): EndpointConnections {
   const connectionsByAddress = new Map<string, Set<Connection>>();
   const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   let openedCount = 0;
@@ -90,6 +97,7 @@
     const connection: Connection = {
       client: new Client(`http://${address}`, {
         pipelining: 1,
+        ...(sourceHost === undefined ? {} : { localAddress: sourceHost }),
         // The call state machine detects stalled responses.
         headersTimeout: 0,
         bodyTimeout: 0,
