An instance that loses an endpoint sends its calls through another that reaches it

Cause: an instance used only what it reaches with its own hands; no attempt of a cut one could have succeeded. Class: knowledge and reach of the fleet that one instance does not use.

The call's life stays where the caller is, so retry budget, attempts, loads, rate limits, quarantine and deadline are counted as before and once. An offer comes before the request, so that all that a peer refuses, does not know or does not answer is provably not run.

A way that was tried and dropped in this commit: all calls to a doubted endpoint through peers. Nine fleets in one saturated process doubted each other and doubled the work; now one call each half second tests a doubt.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -33,7 +33,7 @@
   RoutedCall,
 } from './call-messages.js';
 import type { AttemptRecord, CallObserver } from './call-records.js';
-import type { EndpointConnections } from './endpoint-connections.js';
+import type { EndpointExchanges } from './endpoint-exchanges.js';
 import type { EndpointProtocol } from './endpoint-protocol.js';
 import { createSendDecider } from './send-decision.js';
 import type { AttemptCommand } from './send-decision.js';
@@ -44,7 +44,7 @@
 const PLACEMENT_INTERVAL_MS = 25;
 
 export interface CallRunnerOptions {
-  readonly connections: EndpointConnections;
+  readonly exchanges: EndpointExchanges;
   readonly protocol: EndpointProtocol;
   readonly loads: EndpointLoads;
   readonly placer: Placer;
@@ -93,7 +93,7 @@
 }
 
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
-  const { connections, protocol, loads, placer, timers, observer } = options;
+  const { exchanges, protocol, loads, placer, timers, observer } = options;
   const runs = new Set<Run>();
   /** Attempts queued at this instance until an endpoint has capacity. */
   const waitingAttempts = new Map<Run, AttemptCommand>();
@@ -178,16 +178,21 @@
     });
     observer.onAttempt(record);
     advanceRun(run, { kind: 'dispatched', attempt });
-    run.closeExchange = connections.open(
-      endpoint.address,
-      computeConnectionsMax(options.findPool(call.pool), options.countInstances()),
-      protocol.encode(call, {
-        endpointId: endpoint.id,
-        remainingMs: record.remainingMs,
-        lastEventId,
-      }),
+    run.closeExchange = exchanges.open(
       {
-        isSendAllowed: () => options.availability.isAvailable(endpoint),
+        call,
+        endpoint,
+        connectionsMax: computeConnectionsMax(
+          options.findPool(call.pool),
+          options.countInstances(),
+        ),
+        buildRequest: (remainingMs) =>
+          protocol.encode(call, { endpointId: endpoint.id, remainingMs, lastEventId }),
+      },
+      {
+        // Looked at again, since the exchange may have waited for a connection or a peer.
+        isSendAllowed: () =>
+          options.availability.isAvailable(endpoint) && options.checkSendable(call) === undefined,
         onWithheld: () => reader.readWithheld(),
         onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
         onData: (bytes) => reader.readData(bytes),
--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -2,12 +2,15 @@
  * HTTP connections to endpoints. Each connection has its own undici client, so that the state of the
  * connection that carries an exchange is known: whether it was established, and whether it was reset.
  */
+import { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { HeaderField } from './call-messages.js';
 
 /** Shorter than the retransmission timeout of a lost SYN: another endpoint is tried instead. */
 const CONNECT_TIMEOUT_MS = 300;
+/** Never reached: the timer of this module ends earlier. */
+const CONNECTOR_TIMEOUT_MS = 10 * CONNECT_TIMEOUT_MS;
 /** Idle timeout if the endpoint sends no `Keep-Alive` timeout. */
 const DEFAULT_KEEP_ALIVE_MS = 1500;
 /** Idle connections are closed this much before the endpoint would, to avoid sending into a closing connection. */
@@ -34,8 +37,17 @@
   onHead(status: number, headers: readonly HeaderField[]): boolean;
   onData(bytes: Buffer): boolean;
   onEnd(): void;
-  /** `isSent`: bytes of the request may have reached the endpoint. */
-  onError(isSent: boolean, reason: string): void;
+  /**
+   * `isSent`: bytes of the request may have reached the endpoint. `isUnreachable`: no connection
+   * could be made.
+   */
+  onError(isSent: boolean, reason: string, isUnreachable?: boolean): void;
+}
+
+/** Lets the receiver of a response hold it back; the functions have no effect outside of one. */
+export interface ExchangeFlow {
+  pause: () => void;
+  resume: () => void;
 }
 
 /** Connections of this instance to all endpoints. */
@@ -46,9 +58,12 @@
     connectionsMax: number,
     request: EndpointRequest,
     listener: ExchangeListener,
+    flow?: ExchangeFlow,
   ): () => void;
   /** Closes every connection to an address and aborts its exchanges. */
   closeAll(address: string): void;
+  /** Closes the connections to an address that carry no exchange. */
+  closeIdle(address: string): void;
   /** Number of connections opened since the start. */
   countOpened(): number;
   close(): Promise<void>;
@@ -78,12 +93,28 @@
   readonly sourceHost?: string | undefined;
 }
 
+/**
+ * Destroys a socket that is not connected in time. The second look after the event loop has polled
+ * again guards against taking a pause of this process for a slow endpoint. The timeout of undici's
+ * connector is read from a coarse clock, up to three times as late.
+ */
+function startConnectTimer(socket: Socket): void {
+  const closeUnconnected = (): void => {
+    if (socket.connecting)
+      socket.destroy(new Error(`not connected within ${CONNECT_TIMEOUT_MS} ms`));
+  };
+  const timer = setTimeout(() => setImmediate(closeUnconnected), CONNECT_TIMEOUT_MS);
+  const stopTimer = (): void => clearTimeout(timer);
+  socket.once('connect', stopTimer);
+  socket.once('close', stopTimer);
+}
+
 /** Creates a pool that opens connections on demand. */
 export function createEndpointConnections({
   sourceHost,
 }: EndpointConnectionsOptions = {}): EndpointConnections {
   const connectionsByAddress = new Map<string, Set<Connection>>();
-  const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const connector = buildConnector({ timeout: CONNECTOR_TIMEOUT_MS });
   let openedCount = 0;
 
   function removeConnection(connection: Connection): void {
@@ -104,7 +135,7 @@
         keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
         connect: (options, callback) => {
-          connector(options, (error, socket) => {
+          const connecting: unknown = connector(options, (error, socket) => {
             // Guards against a truncated response without a length that looks complete: libuv reports a
             // reset that arrives with the last bytes as `end`. After a reset the socket has no remote
             // address. This listener is added first, so it runs before undici handles the end.
@@ -117,6 +148,7 @@
             if (error !== null) callback(error, null);
             else callback(null, socket);
           });
+          if (connecting instanceof Socket) startConnectTimer(connecting);
         },
       }),
       address,
@@ -151,6 +183,7 @@
     connection: Connection,
     request: EndpointRequest,
     listener: ExchangeListener,
+    flow: ExchangeFlow | undefined,
   ): () => void {
     let requestController: Dispatcher.DispatchController | undefined;
     let isFinished = false;
@@ -172,6 +205,12 @@
       {
         onRequestStart(controller) {
           requestController = controller;
+          if (flow !== undefined) {
+            Object.assign(flow, {
+              pause: () => controller.pause(),
+              resume: () => controller.resume(),
+            });
+          }
           if (isFinished) controller.abort(new Error('exchange cancelled'));
           else if (!listener.isSendAllowed()) {
             close();
@@ -198,7 +237,7 @@
           isFinished = true;
           const { wasConnected } = connection;
           removeConnection(connection);
-          listener.onError(wasConnected, error.message);
+          listener.onError(wasConnected, error.message, !wasConnected);
         },
       },
     );
@@ -208,9 +247,9 @@
   }
 
   return {
-    open(address, connectionsMax, request, listener) {
+    open(address, connectionsMax, request, listener, flow) {
       const connection = takeConnection(address, connectionsMax);
-      if (connection !== undefined) return runExchange(connection, request, listener);
+      if (connection !== undefined) return runExchange(connection, request, listener, flow);
       queueMicrotask(() => listener.onError(false, `all ${connectionsMax} connections are in use`));
       return () => undefined;
     },
@@ -219,6 +258,11 @@
         removeConnection(connection);
       }
     },
+    closeIdle(address) {
+      for (const connection of [...(connectionsByAddress.get(address) ?? [])]) {
+        if (!connection.isBusy) removeConnection(connection);
+      }
+    },
     countOpened: () => openedCount,
     async close() {
       const all = [...connectionsByAddress.values()].flatMap((connections) => [...connections]);
--- a/src/calls/endpoint-protocol.ts
+++ b/src/calls/endpoint-protocol.ts
@@ -6,6 +6,8 @@
 /** Encodes requests to endpoints and decodes the heads of their responses. */
 export interface EndpointProtocol {
   encode(call: RoutedCall, attempt: EncodedAttempt): EndpointRequest;
+  /** Returns a request that states another time left. */
+  updateRemaining(request: EndpointRequest, remainingMs: number): EndpointRequest;
   decode(status: number, headers: readonly HeaderField[]): DecodedHead;
 }
 
--- /dev/null
+++ b/src/forwarding/forwarded-exchanges.ts
@@ -0,0 +1,274 @@
+/**
+ * Exchanges with endpoints over this instance's own connections or through peers, as the state of the
+ * path to the endpoint says.
+ */
+import { isStream } from '../calls/attempt-policy.js';
+import type { RoutedCall } from '../calls/call-messages.js';
+import type {
+  EndpointConnections,
+  EndpointRequest,
+  ExchangeFlow,
+  ExchangeListener,
+} from '../calls/endpoint-connections.js';
+import type { EndpointExchanges, OutgoingExchange } from '../calls/endpoint-exchanges.js';
+import { CONNECTION_RESULT } from '../quarantine/crash-detector.js';
+import type { ConnectionResult } from '../quarantine/crash-detector.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import { CALL_KIND } from '../types/traffic.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import { assertNever } from '../utils/assert-never.js';
+import type { Forwarder } from './forwarder.js';
+import { PATH_STATE } from './path-ledger.js';
+import type { PathChange, PathLedger, PathTicket } from './path-ledger.js';
+
+const TICK_MS = 100;
+/** Silence after which an exchange ends once the loss of its path is confirmed. */
+const LOST_SILENCE_MS = 1000;
+/** Silence that is usual for an exchange of a peer, whose route is not known here. */
+const CARRIED_PATIENCE_MS = 2000;
+
+export interface ForwardedExchangesOptions {
+  readonly connections: Pick<EndpointConnections, 'open' | 'closeIdle'>;
+  readonly ledger: PathLedger;
+  readonly forwarder: Forwarder;
+  readonly checkConnection: (address: string) => Promise<ConnectionResult>;
+  readonly timers: TimerService;
+}
+
+export interface ForwardedExchanges extends EndpointExchanges {
+  /** Handles a change of a path; must be called for each. */
+  handlePathChange(change: PathChange): void;
+  /** Starts an exchange over this instance's own connections alone. */
+  openCarried(options: CarriedOptions, listener: ExchangeListener, flow: ExchangeFlow): () => void;
+}
+
+interface DirectOptions {
+  readonly endpoint: RegisteredEndpoint;
+  readonly connectionsMax: number;
+  readonly request: EndpointRequest;
+  /** Silence that is usual for the exchange. */
+  readonly patienceMs: number;
+  /** Whether it tries a path that returns. */
+  readonly isTrial: boolean;
+}
+
+/** An exchange that is carried for a peer. */
+export type CarriedOptions = Pick<DirectOptions, 'endpoint' | 'connectionsMax' | 'request'>;
+
+/** A direct exchange that has not ended. */
+interface DirectExchange {
+  readonly start: string;
+  readonly address: string;
+  readonly ticket: PathTicket;
+  /** Ends it as if its connection had broken. */
+  breakOff(reason: string): void;
+}
+
+function isRepeatable({ route: { kind } }: RoutedCall): boolean {
+  return kind === CALL_KIND.Idempotent || kind === CALL_KIND.ResumableStream;
+}
+
+/** Silence that is usual for a call: until its first response, or between two events. */
+function computePatienceMs({ route }: RoutedCall): number {
+  return Math.max(route.targetMs, isStream(route.kind) ? (route.gapTargetMs ?? 0) : 0);
+}
+
+export function createForwardedExchanges(options: ForwardedExchangesOptions): ForwardedExchanges {
+  const { connections, ledger, forwarder, timers } = options;
+  const getNow = (): number => timers.clock.monotonicMs();
+  const directExchanges = new Set<DirectExchange>();
+
+  function startCheck({ startId, address }: OutgoingExchange['endpoint']): void {
+    options.checkConnection(address).then(
+      (result) => ledger.recordChecked(startId, result === CONNECTION_RESULT.Accepted),
+      () => ledger.recordChecked(startId, false),
+    );
+  }
+
+  function openDirect(
+    { endpoint, connectionsMax, request, patienceMs, isTrial }: DirectOptions,
+    listener: ExchangeListener,
+    flow?: ExchangeFlow,
+  ): () => void {
+    const ticket = ledger.start(endpoint.startId, patienceMs, isTrial);
+    let isOver = false;
+
+    function recordOver(): void {
+      isOver = true;
+      directExchanges.delete(exchange);
+      ticket.recordEnd();
+    }
+
+    function close(): void {
+      recordOver();
+      closeConnection();
+    }
+
+    const exchange: DirectExchange = {
+      start: endpoint.startId,
+      address: endpoint.address,
+      ticket,
+      breakOff(reason) {
+        close();
+        listener.onError(true, reason);
+      },
+    };
+    directExchanges.add(exchange);
+    const closeConnection = connections.open(
+      endpoint.address,
+      connectionsMax,
+      request,
+      {
+        isSendAllowed: () => listener.isSendAllowed(),
+        onWithheld() {
+          recordOver();
+          listener.onWithheld();
+        },
+        onHead(status, headers) {
+          ticket.recordHeard();
+          const isWanted = listener.onHead(status, headers);
+          if (!isWanted) recordOver();
+          return isWanted;
+        },
+        onData(bytes) {
+          ticket.recordHeard();
+          const isWanted = listener.onData(bytes);
+          if (!isWanted) recordOver();
+          return isWanted;
+        },
+        onEnd() {
+          recordOver();
+          listener.onEnd();
+        },
+        onError(isSent, reason, isUnreachable = false) {
+          if (isUnreachable) ticket.recordUnreachable();
+          recordOver();
+          listener.onError(isSent, reason, isUnreachable);
+        },
+      },
+      flow,
+    );
+    return () => {
+      if (!isOver) close();
+    };
+  }
+
+  /** `onUnavailable` is called if no peer carries it. */
+  function openForwarded(
+    exchange: OutgoingExchange,
+    listener: ExchangeListener,
+    onUnavailable: () => void,
+  ): () => void {
+    const { startId } = exchange.endpoint;
+    return forwarder.open(exchange, {
+      ...listener,
+      onAnswering: (sentMs) => ledger.recordPeerAnswered(startId, sentMs),
+      onUnavailable(isEndpointDown) {
+        if (isEndpointDown) ledger.recordPeersFailed(startId);
+        onUnavailable();
+      },
+    });
+  }
+
+  /** Runs an exchange that may change its way before anything is sent. */
+  function runExchange(exchange: OutgoingExchange, listener: ExchangeListener): () => void {
+    const { call, endpoint } = exchange;
+    const { startId } = endpoint;
+    let ways = 0;
+    let closeCurrent: () => void = () => undefined;
+
+    /** Starts a way; it may fail and be followed by another before it returns. */
+    function setCurrent(startWay: () => () => void): void {
+      ways += 1;
+      const way = ways;
+      const close = startWay();
+      if (ways === way) closeCurrent = close;
+    }
+
+    /** Later, since the caller does not expect an end before the exchange has been opened. */
+    function closeUnsent(reason: string): void {
+      const way = ways;
+      queueMicrotask(() => {
+        if (ways === way) listener.onError(false, reason, true);
+      });
+    }
+
+    function runForwarded(onUnavailable: () => void): void {
+      setCurrent(() => openForwarded(exchange, listener, onUnavailable));
+    }
+
+    function handleUnreachable(reason: string, isForwardable: boolean): void {
+      const isLost = ledger.choose(startId, isRepeatable(call)).kind === 'peer';
+      if (isForwardable && isLost) runForwarded(() => closeUnsent(reason));
+      else closeUnsent(reason);
+    }
+
+    function runDirect(isTrial: boolean, isForwardable: boolean): void {
+      const request = exchange.buildRequest(call.deadlineMs - getNow());
+      const patienceMs = computePatienceMs(call);
+      const { connectionsMax } = exchange;
+      setCurrent(() =>
+        openDirect(
+          { endpoint, connectionsMax, request, patienceMs, isTrial },
+          {
+            ...listener,
+            onError(isSent, reason, isUnreachable = false) {
+              if (isUnreachable) handleUnreachable(reason, isForwardable);
+              else listener.onError(isSent, reason);
+            },
+          },
+        ),
+      );
+    }
+
+    const choice = ledger.choose(startId, isRepeatable(call));
+    switch (choice.kind) {
+      case 'direct':
+        runDirect(false, true);
+        break;
+      case 'trial':
+        runDirect(true, true);
+        break;
+      case 'peer_first':
+        runForwarded(() => runDirect(false, false));
+        break;
+      case 'peer':
+        if (choice.isCheckDue) startCheck(endpoint);
+        runForwarded(() =>
+          closeUnsent('the endpoint is reached neither directly nor through a peer'),
+        );
+        break;
+      default:
+        assertNever(choice);
+    }
+    return () => {
+      ways += 1;
+      closeCurrent();
+    };
+  }
+
+  /** Guards against calls that hold their places until their deadline on connections that hang. */
+  function closeLostExchanges(): void {
+    for (const { start, ticket, breakOff } of [...directExchanges]) {
+      const isLost = ledger.isLossConfirmed(start) && ticket.computeSilence() >= LOST_SILENCE_MS;
+      if (isLost) breakOff('the path to the endpoint was lost');
+    }
+  }
+
+  timers.subscribe(TICK_MS, () => {
+    ledger.advance();
+    closeLostExchanges();
+  });
+
+  return {
+    open: runExchange,
+    openCarried: (carried, listener, flow) =>
+      openDirect({ ...carried, patienceMs: CARRIED_PATIENCE_MS, isTrial: false }, listener, flow),
+    handlePathChange({ start, state }) {
+      if (state !== PATH_STATE.Lost) return;
+      for (const exchange of directExchanges) {
+        if (exchange.start === start) connections.closeIdle(exchange.address);
+      }
+    },
+  };
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,8 @@
 import type { AvailabilityObserver } from '../endpoint-availability/endpoint-availability.js';
 import type { SendLimitsObserver } from '../endpoint-limits/send-limits.js';
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
+import type { ForwardLinks } from '../forwarding/forward-messages.js';
+import type { KnownPath } from '../forwarding/path-ledger.js';
 import type { FeedReader } from '../knowledge/feed.js';
 import { createDrain, STAGE } from '../lifecycle/drain.js';
 import type { DrainCommand } from '../lifecycle/drain.js';
@@ -50,6 +52,8 @@
 import type { Result } from '../utils/result.js';
 import { createLeavingFailure, createNotReadyFailure, resolveCall } from './resolve-call.js';
 import type { CallerRequest } from './resolve-call.js';
+import { createCallForwarding } from './call-forwarding.js';
+import type { CallForwarding, ForwardingObserver } from './call-forwarding.js';
 import { createCallLimits } from './call-limits.js';
 import { createCallQuarantine } from './call-quarantine.js';
 import { createGatewayDuties, createTimedFeed } from './gateway-duties.js';
@@ -85,6 +89,7 @@
   readonly endpointFeed: FeedReader;
   readonly decoder: RowDecoder;
   readonly connections: EndpointConnections;
+  readonly forwardLinks: ForwardLinks;
   /** Checks whether connections to an endpoint's address are accepted. */
   readonly checkConnection: (address: string) => Promise<ConnectionResult>;
   readonly protocol: EndpointProtocol;
@@ -92,6 +97,7 @@
   readonly quarantineObserver: QuarantineObserver;
   readonly limitObserver: SendLimitsObserver;
   readonly availabilityObserver: AvailabilityObserver;
+  readonly forwardingObserver: ForwardingObserver;
   /** Persistent store of condemned contents. */
   readonly caseStore: CaseStore;
   readonly retryBounds: RetryBounds;
@@ -147,6 +153,12 @@
   listLimits(): readonly KnownLimit[];
   /** Endpoints that said that they are leaving or want rest. */
   listNotices(): readonly KnownNotice[];
+  /** Carries an exchange with an endpoint that a peer does not reach. */
+  runCarried: CallForwarding['runCarried'];
+  /** Calls of peers that are carried now. */
+  countCarried(): number;
+  /** Paths to endpoints that are not open. */
+  listPaths(): readonly KnownPath[];
   stop(): void;
 }
 
@@ -175,6 +187,7 @@
       loads.remove(endpoint.startId);
       limits.remove(endpoint.startId);
       availability.remove(endpoint.startId);
+      forwarding.remove(endpoint.startId);
       quarantine.recordEnded(endpoint);
       if (isRestarted) closeConnectionsTo(endpoint);
     },
@@ -268,6 +281,25 @@
           isLeaving,
         });
 
+  const forwarding = createCallForwarding({
+    self: options.self,
+    timers,
+    random,
+    connections: options.connections,
+    links: options.forwardLinks,
+    protocol: options.protocol,
+    checkConnection: options.checkConnection,
+    observer: options.forwardingObserver,
+    listPeers: () => peers.listPeers(),
+    countInstances: () => peers.countInstances(),
+    isLeaving,
+    getTable: () => table,
+    findStart: (start) => knowledge.directory.listAll().find(({ startId }) => startId === start),
+    isAvailable: (endpoint) => availability.isAvailable(endpoint),
+    getKeyConfirmedAt: () => knowledge.getSummary().confirmedAtMs,
+    isKeyTimeValid: (confirmedAtMs) => isKeyAgeValid(knowledge.computeAgeOf(confirmedAtMs)),
+  });
+
   const placer = createPlacer({
     loads,
     random,
@@ -278,7 +310,7 @@
       quarantine.isInTrial(endpoint) || availability.isRestingElsewhere(endpoint),
   });
   const runner: CallRunner = createCallRunner({
-    connections: options.connections,
+    exchanges: forwarding.exchanges,
     protocol: options.protocol,
     loads,
     placer,
@@ -299,8 +331,12 @@
     },
   });
 
+  function isKeyAgeValid(ageMs: number): boolean {
+    return ageMs <= options.keyAgeMaxMs - KEY_AGE_MARGIN_MS;
+  }
+
   function areKeysValid(): boolean {
-    return knowledge.computeAge() <= options.keyAgeMaxMs - KEY_AGE_MARGIN_MS;
+    return isKeyAgeValid(knowledge.computeAge());
   }
 
   function runDrainCommand(command: DrainCommand): void {
@@ -331,7 +367,7 @@
   timers.subscribe(TICK_MS, () => {
     quarantine.advance();
     availability.advance();
-    runDrain({ kind: 'tick', inFlight: runner.count() });
+    runDrain({ kind: 'tick', inFlight: runner.count() + forwarding.countCarried() });
   });
 
   return {
@@ -343,7 +379,7 @@
       return resolveCall(request, {
         table,
         isRecent: ageMs <= RECENT_KNOWLEDGE_MAX_MS,
-        areKeysValid: ageMs <= options.keyAgeMaxMs - KEY_AGE_MARGIN_MS,
+        areKeysValid: isKeyAgeValid(ageMs),
       });
     },
     run: (call, sink) => runner.run(call, sink),
@@ -377,6 +413,9 @@
     handlePermitReplies: (replies) => limits.handleReplies(replies),
     listLimits: () => limits.list(),
     listNotices: () => availability.list(),
+    runCarried: (requests, signal) => forwarding.runCarried(requests, signal),
+    countCarried: () => forwarding.countCarried(),
+    listPaths: () => forwarding.listPaths(),
     stop: () => knowledge.stop(),
   };
 }
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -57,6 +57,8 @@
   /** Returns the time since the current configuration was last confirmed as the newest. */
   computeAge(): number;
   getSummary(): KnowledgeSummary;
+  /** Upper bound of the time since a time of the source's clock; infinite if unknown. */
+  computeAgeOf(sourceMs: number): number;
   /** Applies a peer's summary; returns whether this instance should fetch knowledge from it. */
   applySummary(summary: KnowledgeSummary): boolean;
   buildResponse(request: FetchKnowledgeRequest): FetchKnowledgeResponse;
@@ -104,6 +106,11 @@
     return sourceClock.computeAge(knowledge.getKnownAt(), getNow());
   }
 
+  function computeAgeOf(sourceMs: number): number {
+    checkSuspension();
+    return sourceClock.computeAge(sourceMs, getNow());
+  }
+
   function handleSourceLost(feed: string, reason: string): void {
     if (isSourceLost) return;
     isSourceLost = true;
@@ -279,6 +286,7 @@
     directory,
     getConfiguration: () => knowledge.get(),
     computeAge,
+    computeAgeOf,
     getSummary() {
       const knownAtMs = knowledge.getKnownAt();
       return {
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -80,6 +80,8 @@
   sendUsage(usage: UsageUpdate): void;
   /** Number of instances that share the endpoints, including this one. */
   countInstances(): number;
+  /** Live instances other than this one. */
+  listPeers(): readonly Contact[];
   /** Names of the live instances, including this one. */
   listAliveNames(): readonly string[];
   findAddress(name: string): string | undefined;
@@ -266,6 +268,7 @@
       if (addresses.length > 0) options.datagrams.sendUsage(addresses, usage);
     },
     countInstances: () => fleet.listAlive().length,
+    listPeers: () => listAlive().filter(({ name }) => name !== self.name),
     listAliveNames: () => fleet.listAlive().map(({ subject }) => subject),
     findAddress: (name) => fleet.findAddress(name),
     leave: () => fleet.leave(),
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -28,6 +28,9 @@
   /** Endpoints that name a rate limit. */
   readonly countLimitedEndpoints: () => number;
   readonly countNotices: () => number;
+  /** Paths to endpoints that are not open. */
+  readonly countLostPaths: () => number;
+  readonly countCarriedCalls: () => number;
 }
 
 export interface CallMetrics {
@@ -56,6 +59,10 @@
   recordRestRefusal(): void;
   /** What is known of an endpoint that is leaving or wants rest changed. */
   recordNotice(notice: string, change: string): void;
+  /** Records what became of an own call at a peer. */
+  recordForward(result: string): void;
+  /** Records what became of a call of a peer here. */
+  recordCarried(result: string): void;
   /** Records a request refused before routing. */
   recordRefusal(failure: string): void;
   /** Records a value of a newer release. */
@@ -124,6 +131,18 @@
     help: 'Calls refused because all endpoints of their pool asked for rest',
     registers,
   });
+  const forwards = new Counter({
+    name: 'hyssoptally_forwarded_calls_total',
+    help: 'Offers of own calls to peers, by what became of them',
+    labelNames: ['result'],
+    registers,
+  });
+  const carriedCalls = new Counter({
+    name: 'hyssoptally_carried_calls_total',
+    help: 'Calls of peers, by what became of them here',
+    labelNames: ['result'],
+    registers,
+  });
   const unknownValues = new Counter({
     name: 'hyssoptally_unknown_values_total',
     help: 'Words of a newer release that this one does not know, by where they were read',
@@ -217,6 +236,16 @@
     'Notices in force of endpoints that are leaving or want rest',
     sources.countNotices,
   );
+  addGauge(
+    'hyssoptally_paths_not_open',
+    'Endpoints that this instance does not reach or doubts to reach',
+    sources.countLostPaths,
+  );
+  addGauge(
+    'hyssoptally_carried_calls_in_flight',
+    'Calls of peers that this instance carries now',
+    sources.countCarriedCalls,
+  );
 
   return {
     recordCall({ route: { kind }, urgency }, result, firstMs, tookMs) {
@@ -235,6 +264,8 @@
     recordLimitRefusal: () => limitRefusals.inc(),
     recordRestRefusal: () => restRefusals.inc(),
     recordNotice: (notice, change) => notices.inc({ notice, change }),
+    recordForward: (result) => forwards.inc({ result }),
+    recordCarried: (result) => carriedCalls.inc({ result }),
     recordRefusal: (failure) => refusals.inc({ failure }),
     recordUnknown: (place) => unknownValues.inc({ place }),
     recordDuty: (duty, outcome) => dutyCalls.inc({ duty, outcome }),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -88,6 +88,38 @@
       readonly resting: readonly string[];
       readonly retryAfterMs: number;
     }
+  | {
+      /** The path from this instance to an endpoint changed its state. */
+      readonly event: 'path_changed';
+      readonly endpoint: string;
+      readonly state: string;
+      readonly previous: string;
+      readonly evidence: string;
+      /** Time that the previous state lasted. */
+      readonly lastedMs: number;
+    }
+  | {
+      /** A call was offered to a peer, or handed over to it. */
+      readonly event: 'call_forwarded';
+      readonly request: string;
+      readonly endpoint: string;
+      readonly peer: string;
+      readonly result: string;
+      readonly detail: string;
+      /** Time since the offer. */
+      readonly tookMs: number;
+    }
+  | {
+      /** A call of a peer was taken, refused or ended here. */
+      readonly event: 'call_carried';
+      readonly request: string;
+      readonly endpoint: string;
+      readonly peer: string;
+      readonly result: string;
+      readonly detail: string;
+      /** Time since the offer. */
+      readonly tookMs: number;
+    }
   | {
       /** A call was refused because of the rate limits of endpoints. */
       readonly event: 'limit_refused';
@@ -249,6 +281,8 @@
     case 'limit_refused':
     case 'rest_refused':
     case 'attempt_failed':
+    case 'call_forwarded':
+    case 'call_carried':
       return LOG_KIND.Failure;
     case 'attempt_started':
       return event.attempt > 1 ? LOG_KIND.Failure : LOG_KIND.Served;
--- a/src/peers/peer-outbox.ts
+++ b/src/peers/peer-outbox.ts
@@ -24,7 +24,7 @@
  * Disables the HTTP/2 pings of the library, whose timeout is an uncaught error if the connection has
  * been closed meanwhile. A batch or knowledge query that fails closes the connection instead.
  */
-const PING_INTERVAL_MS = 2 ** 31 - 1;
+export const PING_INTERVAL_MS = 2 ** 31 - 1;
 const IDLE_TIMEOUT_MS = 60_000;
 
 /** Holds the peer secret as a bearer token. */
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -11,9 +11,12 @@
   FetchConfigurationResponse,
   FetchKnowledgeRequest,
   FetchKnowledgeResponse,
+  ForwardRequest as EncodedRequest,
   PeerMessage,
 } from '../gen/peer_pb.js';
 import { hashText, isSameDigest } from '../utils/hash.js';
+import type { ForwardRequest, ForwardResponse } from '../forwarding/forward-messages.js';
+import { decodeForwardRequest, encodeForwardResponse } from './encode-forwarding.js';
 import { encodeVerdict } from './attempt-verdict.js';
 import { PEER_SECRET_HEADER } from './peer-outbox.js';
 
@@ -24,6 +27,20 @@
   onFetchConfiguration(hashes: readonly string[]): FetchConfigurationResponse;
   onQueryAttempt(attemptId: string): AttemptVerdict;
   onFetchKnowledge(request: FetchKnowledgeRequest): FetchKnowledgeResponse;
+  /** Carries an exchange with an endpoint for a peer; undefined if this router carries none. */
+  readonly onForward?: (
+    requests: AsyncIterable<ForwardRequest>,
+    signal: AbortSignal,
+  ) => AsyncIterable<ForwardResponse>;
+}
+
+async function* listRequests(
+  encoded: AsyncIterable<EncodedRequest>,
+): AsyncGenerator<ForwardRequest> {
+  for await (const message of encoded) {
+    const request = decodeForwardRequest(message);
+    if (request !== undefined) yield request;
+  }
 }
 
 export interface PeerServer {
@@ -62,6 +79,13 @@
         },
         fetchConfiguration: (request) => handlers.onFetchConfiguration(request.hashes),
         fetchKnowledge: (request) => handlers.onFetchKnowledge(request),
+        async *forward(requests, { signal }) {
+          if (handlers.onForward === undefined) {
+            throw new ConnectError('this router carries no calls of peers', Code.Unimplemented);
+          }
+          for await (const response of handlers.onForward(listRequests(requests), signal))
+            yield encodeForwardResponse(response);
+        },
         queryAttempt: (request) => ({
           verdict: encodeVerdict(handlers.onQueryAttempt(request.attemptId)),
         }),
--- a/src/quarantine/case-propagation.test.ts
+++ b/src/quarantine/case-propagation.test.ts
@@ -38,6 +38,7 @@
         connections: {
           open: () => () => undefined,
           closeAll: () => undefined,
+          closeIdle: () => undefined,
           countOpened: () => 0,
           close: () => Promise.resolve(),
         },
--- a/src/quarantine/check-connection.ts
+++ b/src/quarantine/check-connection.ts
@@ -7,14 +7,18 @@
 const CONNECT_TIMEOUT_MS = 300;
 const REFUSED_CODE = 'ECONNREFUSED';
 
-/** `address` has the form `HOST:PORT`. */
-export function checkConnection(address: string): Promise<ConnectionResult> {
+/**
+ * `address` has the form `HOST:PORT`. `sourceHost`: address that the connection is made from; chosen
+ * by the system by default.
+ */
+export function checkConnection(address: string, sourceHost?: string): Promise<ConnectionResult> {
   const separator = address.lastIndexOf(':');
   return new Promise((resolve) => {
     const socket = connect({
       host: address.slice(0, separator),
       port: Number(address.slice(separator + 1)),
       timeout: CONNECT_TIMEOUT_MS,
+      ...(sourceHost === undefined ? {} : { localAddress: sourceHost }),
     });
     const close = (result: ConnectionResult): void => {
       socket.destroy();
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -18,6 +18,8 @@
   /** The route with the longest matching path prefix. */
   findRoute(host: string, path: string): Route | undefined;
   findOrganisation(key: string): CallingOrganisation | undefined;
+  /** Whether an organisation of that name is declared. */
+  hasOrganisation(name: string): boolean;
   findPool(name: string): TrafficPool | undefined;
   getRouteRank(route: Route, pool: string): RouteRank;
   /** From 0, the most urgent, to 9. */
@@ -38,6 +40,7 @@
   for (const organisation of configuration.organisations) {
     for (const key of organisation.keys) organisationOfKey.set(key, organisation);
   }
+  const organisationNames = new Set(configuration.organisations.map(({ name }) => name));
   const urgency = createUrgencyRanks(configuration);
   const pools = new Map(configuration.pools.map((pool) => [pool.name, pool]));
   const ranks = createRouteRanks(configuration.routes);
@@ -47,6 +50,7 @@
     findRoute: (host, path) =>
       routesOfHost.get(host)?.find((route) => path.startsWith(route.pathPrefix)),
     findOrganisation: (key) => organisationOfKey.get(key),
+    hasOrganisation: (name) => organisationNames.has(name),
     findPool: (name) => pools.get(name),
     getRouteRank: (route, pool) => ranks.get(route, pool),
     computeUrgency: (route, organisation) => urgency.compute(route, organisation),
--- a/src/test/crashing-engines.ts
+++ b/src/test/crashing-engines.ts
@@ -134,6 +134,7 @@
     connections: {
       open: (address, _connectionsMax, { target }, listener) => open(address, target, listener),
       closeAll: () => undefined,
+      closeIdle: () => undefined,
       countOpened: () => 0,
       close: () => Promise.resolve(),
     },
--- a/src/test/fleet-simulation.ts
+++ b/src/test/fleet-simulation.ts
@@ -134,6 +134,7 @@
       return (engines.get(address) as SimulatedEngine).start(call, listener);
     },
     closeAll: () => undefined,
+    closeIdle: () => undefined,
     countOpened: () => 0,
     close: () => Promise.resolve(),
   };
--- a/src/test/limit-simulation.ts
+++ b/src/test/limit-simulation.ts
@@ -170,6 +170,7 @@
       );
     },
     closeAll: () => undefined,
+    closeIdle: () => undefined,
     countOpened: () => 0,
     close: () => Promise.resolve(),
   };
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -2,6 +2,7 @@
 import { createCallRunner } from '../calls/call-runner.js';
 import type { CallRunner } from '../calls/call-runner.js';
 import type { AttemptRecord } from '../calls/call-records.js';
+import { createDirectExchanges } from '../calls/endpoint-exchanges.js';
 import type { EndpointConnections } from '../calls/endpoint-connections.js';
 import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
 import { createFleetTime } from '../duties/fleet-time.js';
@@ -62,6 +63,7 @@
 /** Simulated engines return the call ID, and perhaps their rate limit, in response headers. */
 const PROTOCOL: EndpointProtocol = {
   encode: ({ callId }) => ({ method: 'POST', target: callId, headers: [], body: Buffer.alloc(0) }),
+  updateRemaining: (request) => request,
   decode: (status, headers) => ({
     callId: headers.find(({ name }) => name === 'call')?.value,
     isNotRun: status === QUEUE_FULL_STATUS,
@@ -148,7 +150,7 @@
     listOpen: (pool) => availability.listOpen(pool),
   });
   const runner = createCallRunner({
-    connections: options.connections,
+    exchanges: createDirectExchanges(options.connections, () => timers.clock.monotonicMs()),
     protocol: PROTOCOL,
     loads,
     placer: createPlacer({
