Calls at brittle endpoints stay within shares of their slots, which add up to one bound for the fleet

Cause: calls without a prompt are sent whatever the load, and loads of others are 0.1 s old, so that each instance sends until an endpoint rejects.

While an endpoint says so, its slots are divided among the live instances by rendezvous hashing: no agreement, no message for each call, and never more under way than there are slots. Where there are fewer slots than instances, those without ask an owner to carry the call under its share (the second hop). What is learned travels beside the loads. Calls wait in the order of the rest queue as far as those before them leave them a slot in time, else are refused at arrival. After a rejection an instance pauses for that endpoint. A crash of a brittle endpoint that rejected calls says nothing against the contents that ran there.

Ways weighed: a permit's owner as for rate limits bounds a rate, not what is under way; keeping under what was last taken needs rejections to learn from, and none may be allowed.

--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -1,4 +1,5 @@
 import { describe } from '../test/describe.js';
+import { NOT_BRITTLE } from '../slot-shares/brittle-reading.js';
 import { NO_NOTICE } from '../endpoint-availability/availability-notice.js';
 import { createAttemptReader } from './attempt-reader.js';
 import type { DecodedHead } from './attempt-reader.js';
@@ -12,6 +13,7 @@
   isEventStream: false,
   rateLimit: { kind: 'none' },
   notice: NO_NOTICE,
+  brittle: NOT_BRITTLE,
   headers: [],
 };
 
@@ -22,6 +24,7 @@
     onRateLimit: ({ kind }) => {
       if (kind !== 'none') events.push(kind);
     },
+    onBrittle: () => undefined,
     onNotice({ isLeaving }) {
       if (isLeaving) events.push('leaving');
     },
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -4,6 +4,7 @@
  */
 import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type { RateLimitReading } from '../endpoint-limits/rate-limit.js';
+import type { BrittleReading } from '../slot-shares/brittle-reading.js';
 import { REJECTION } from './call-messages.js';
 import type { AttemptEnd, HeaderField, RejectionReason, ResponseHead } from './call-messages.js';
 import { RESPONSE_BYTES_MAX } from './response-limits.js';
@@ -24,12 +25,16 @@
   /** What the response says about the endpoint's rate limit. */
   readonly rateLimit: RateLimitReading;
   readonly notice: AvailabilityNotice;
+  /** What the response says about the rejections that the endpoint bears. */
+  readonly brittle: BrittleReading;
   readonly headers: readonly HeaderField[];
 }
 
 export interface AttemptListener {
   /** Called for each response of the endpoint, whether it ran the call or not. */
   onRateLimit(reading: RateLimitReading): void;
+  /** Called for each response of the endpoint, before `onNotice`. */
+  onBrittle(reading: BrittleReading): void;
   /** Called for each response of the endpoint with what it says of its availability. */
   onNotice(notice: AvailabilityNotice): void;
   onStreamStarted(head: ResponseHead): void;
@@ -105,6 +110,7 @@
       // What another endpoint at this address says of itself does not concern this endpoint.
       if (!decoded.isWrongEndpoint) {
         listener.onRateLimit(decoded.rateLimit);
+        listener.onBrittle(decoded.brittle);
         listener.onNotice(decoded.notice);
       }
       if (decoded.isNotRun || decoded.isWrongEndpoint) {
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -10,6 +10,7 @@
 import type { WaitingCall } from '../placement/admission-decision.js';
 import type { Placer } from '../placement/placer.js';
 import type { AttemptWatch, Quarantine } from '../quarantine/quarantine.js';
+import type { SlotShares, SlotTicket } from '../slot-shares/slot-shares.js';
 import type { TimerService, Unsubscribe } from '../runtime/timer-service.js';
 import type { RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
 import type { RequestFailure } from '../types/outcomes.js';
@@ -35,6 +36,7 @@
 import type { AttemptRecord, CallObserver } from './call-records.js';
 import type { EndpointExchanges } from './endpoint-exchanges.js';
 import type { EndpointProtocol } from './endpoint-protocol.js';
+import { REJECTION } from './call-messages.js';
 import { createSendDecider } from './send-decision.js';
 import type { AttemptCommand } from './send-decision.js';
 
@@ -57,6 +59,10 @@
   readonly countInstances: () => number;
   readonly quarantine: Pick<Quarantine, 'check' | 'isCondemned' | 'startWatch'>;
   readonly limits: Pick<SendLimits, 'choose' | 'take' | 'recordAnswer'>;
+  readonly shares: Pick<
+    SlotShares,
+    'choose' | 'start' | 'recordAnswer' | 'recordRejected' | 'isBrittle'
+  >;
   readonly availability: Pick<
     EndpointAvailability,
     'recordAnswer' | 'isAvailable' | 'choose' | 'computeReturnMs'
@@ -86,6 +92,7 @@
   closeExchange: (() => void) | undefined;
   ticket: LoadTicket | undefined;
   watch: AttemptWatch | undefined;
+  slot: SlotTicket | undefined;
   firstMs: number | undefined;
   /** When the current attempt was sent. */
   sentMs: number;
@@ -104,6 +111,7 @@
     placer,
     availability: options.availability,
     limits: options.limits,
+    shares: options.shares,
     quarantine: options.quarantine,
     checkSendable: options.checkSendable,
     getNow,
@@ -151,10 +159,13 @@
     const ticket = placer.start(call, placement, startedMs);
     run.ticket = ticket;
     run.sentMs = startedMs;
+    const slot = options.shares.start(endpoint);
+    run.slot = slot;
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
     const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
       onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
+      onBrittle: (reading) => options.shares.recordAnswer(endpoint, reading),
       onNotice: (notice) => options.availability.recordAnswer(endpoint, notice),
       onStreamStarted(head) {
         watch.recordStarted();
@@ -170,6 +181,9 @@
       onEnded(end) {
         ticket.recordEnd(computeEndpointVerdict(end), getNow());
         observer.onAttemptEnded(record, end, getNow() - startedMs);
+        slot.release(end.kind === 'broken');
+        if (end.kind === 'rejected' && end.reason === REJECTION.Full)
+          options.shares.recordRejected(endpoint);
         if (!isNotRun(end)) recordNonStreamStarted(run);
         run.closeExchange = undefined;
         watch.recordEnd(end);
@@ -240,6 +254,7 @@
     waitingAttempts.delete(run);
     if (run.closeExchange !== undefined) recordNonStreamStarted(run);
     run.closeExchange?.();
+    run.slot?.release(true);
     run.watch?.recordCancelled();
     const isStalled = reason === 'stalled';
     run.ticket?.recordEnd(isStalled ? ENDPOINT_VERDICT.Failed : ENDPOINT_VERDICT.None, getNow());
@@ -337,6 +352,7 @@
         closeExchange: undefined,
         ticket: undefined,
         watch: undefined,
+        slot: undefined,
         firstMs: undefined,
         sentMs: 0,
         isStarted: false,
--- a/src/calls/send-decision.test.ts
+++ b/src/calls/send-decision.test.ts
@@ -44,6 +44,7 @@
     },
     availability: { choose: () => ({ kind: 'open' }) },
     limits: { choose: () => choice, take: (_, __, { id }) => !spent.includes(id) },
+    shares: { choose: (_, endpoints) => ({ kind: 'send', endpoints }) },
     quarantine: { check: () => ({ kind: 'send', isAlone: false }) },
     checkSendable: () => undefined,
     getNow: () => 0,
--- a/src/calls/send-decision.ts
+++ b/src/calls/send-decision.ts
@@ -9,6 +9,7 @@
 import type { Placement } from '../placement/choose-endpoint.js';
 import type { Placer } from '../placement/placer.js';
 import type { Quarantine } from '../quarantine/quarantine.js';
+import type { SlotShares } from '../slot-shares/slot-shares.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
@@ -26,6 +27,7 @@
   readonly placer: Pick<Placer, 'choose' | 'chooseAdmission'>;
   readonly availability: Pick<EndpointAvailability, 'choose'>;
   readonly limits: Pick<SendLimits, 'choose' | 'take'>;
+  readonly shares: Pick<SlotShares, 'choose'>;
   readonly quarantine: Pick<Quarantine, 'check'>;
   /** Returns a failure if the call must not be sent now. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
@@ -76,6 +78,23 @@
     return findTarget(input, endpoints);
   }
 
+  /** Leaves out brittle endpoints of which this instance's share is in use. */
+  function chooseShared(
+    call: RoutedCall,
+    choice: Extract<SendChoice, { kind: 'send' }>,
+  ): SendChoice {
+    const { endpoints, untested } = choice;
+    const all = untested === undefined ? endpoints : [untested, ...endpoints];
+    const shared = options.shares.choose(call, all);
+    if (shared.kind !== 'send') return shared;
+    const free = new Set(shared.endpoints);
+    return {
+      kind: 'send',
+      endpoints: endpoints.filter((endpoint) => free.has(endpoint)),
+      ...(untested !== undefined && free.has(untested) ? { untested } : {}),
+    };
+  }
+
   function resolveTarget({ call, command }: TargetInput, target: Target): SendDecision {
     const { placement, admission } = target;
     switch (admission) {
@@ -106,8 +125,11 @@
       const choice = limits.choose(call, command.attempt, tried);
       if (choice.kind === 'wait') return WAIT;
       if (choice.kind === 'refuse') return { kind: 'reject', failure: choice.failure };
+      const shared = chooseShared(call, choice);
+      if (shared.kind === 'wait') return WAIT;
+      if (shared.kind === 'refuse') return { kind: 'reject', failure: shared.failure };
       const input: TargetInput = { call, command, tried, isAlone: verdict.isAlone };
-      const target = chooseTarget(input, choice);
+      const target = chooseTarget(input, shared);
       if (target === undefined) return { kind: 'reject', failure: NO_ENDPOINT };
       return resolveTarget(input, target);
     },
--- a/src/forwarding/carrier.ts
+++ b/src/forwarding/carrier.ts
@@ -8,6 +8,7 @@
   ExchangeListener,
 } from '../calls/endpoint-connections.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
+import type { SlotTicket } from '../slot-shares/slot-shares.js';
 import { FORWARD_REFUSAL } from './forward-messages.js';
 import type {
   ForwardOffer,
@@ -20,6 +21,9 @@
 /** A request that comes later after its acceptance was held up on the way and is not sent. */
 const REQUEST_DELAY_MAX_MS = 1000;
 
+/** The sender counts the call in its own share. */
+const NO_SLOT: SlotTicket = { release: () => undefined };
+
 /** An exchange carried for a peer. */
 export interface CarriedExchange {
   readonly offer: ForwardOffer;
@@ -40,6 +44,8 @@
   /** `carried`: exchanges that are carried now. */
   readonly findRefusal: (offer: ForwardOffer, carried: number) => ForwardRefusal | undefined;
   readonly findEndpoint: (start: string) => RegisteredEndpoint | undefined;
+  /** Takes a slot of this instance's share of a brittle endpoint; undefined if none is free. */
+  readonly takeSlot: (endpoint: RegisteredEndpoint) => SlotTicket | undefined;
   /** Looked at right before the request is written. */
   readonly isSendAllowed: (offer: ForwardOffer, endpoint: RegisteredEndpoint) => boolean;
   /** States another time left in a request. */
@@ -135,7 +141,27 @@
       yield { kind: 'refused', reason: refusal };
       return;
     }
-    yield { kind: 'accepted' };
+    const slot = offer.usesShare ? options.takeSlot(endpoint) : NO_SLOT;
+    if (slot === undefined) {
+      record(offer, offeredMs, 'refused', FORWARD_REFUSAL.NoSlot);
+      yield { kind: 'refused', reason: FORWARD_REFUSAL.NoSlot };
+      return;
+    }
+    try {
+      yield { kind: 'accepted' };
+      yield* runAccepted(offer, endpoint, requests, signal);
+    } finally {
+      slot.release(signal.aborted);
+    }
+  }
+
+  async function* runAccepted(
+    offer: ForwardOffer,
+    endpoint: RegisteredEndpoint,
+    requests: AsyncIterator<ForwardRequest>,
+    signal: AbortSignal,
+  ): AsyncGenerator<ForwardResponse> {
+    const offeredMs = getNow();
     const acceptedMs = getNow();
     const next = await requests.next();
     // The peer withdrew its offer.
--- a/src/forwarding/choose-peer.ts
+++ b/src/forwarding/choose-peer.ts
@@ -14,7 +14,13 @@
    * Returns a peer to ask next; `asked` holds the names of those asked for this attempt.
    * `isElsewhere`: prefers other data centres, since a peer of the own one did not reach the endpoint.
    */
-  choose(start: string, asked: ReadonlySet<string>, isElsewhere: boolean): Contact | undefined;
+  choose(
+    start: string,
+    asked: ReadonlySet<string>,
+    isElsewhere: boolean,
+    /** Chooses among these alone. */
+    names?: readonly string[],
+  ): Contact | undefined;
   /** It does not reach the endpoint, or did not answer. */
   recordUnhelpful(peer: string, start: string): void;
   /** It does not answer, or has no room, whatever the endpoint. */
@@ -56,11 +62,15 @@
   }
 
   return {
-    choose(start, asked, isElsewhere) {
+    choose(start, asked, isElsewhere, names) {
       const peers = options
         .listPeers()
         .filter(
-          ({ name }) => !asked.has(name) && !isExcluded(name) && !isExcluded(buildId(name, start)),
+          ({ name }) =>
+            (names?.includes(name) ?? true) &&
+            !asked.has(name) &&
+            !isExcluded(name) &&
+            !isExcluded(buildId(name, start)),
         );
       const groups = peers.map((peer) => resolveGroup(peer, isElsewhere));
       const best = Math.min(...groups);
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -15,6 +15,8 @@
   EndpointUnavailable: 'endpoint_unavailable',
   /** A newer configuration sends the call elsewhere. */
   Outdated: 'outdated',
+  /** No slot of its share of a brittle endpoint is free. */
+  NoSlot: 'no_slot',
 } as const;
 export type ForwardRefusal = (typeof FORWARD_REFUSAL)[keyof typeof FORWARD_REFUSAL];
 
@@ -34,6 +36,8 @@
   /** Time of the source's clock at which the key was surely valid; undefined for calls without one. */
   readonly keyConfirmedAtMs: number | undefined;
   readonly remainingMs: number;
+  /** The endpoint is brittle, and the peer uses a slot of its own share for the call. */
+  readonly usesShare: boolean;
 }
 
 /** From the sender. */
--- a/src/forwarding/forwarded-exchanges.ts
+++ b/src/forwarding/forwarded-exchanges.ts
@@ -33,6 +33,8 @@
   readonly forwarder: Forwarder;
   readonly checkConnection: (address: string) => Promise<ConnectionResult>;
   readonly timers: TimerService;
+  /** Instances that own slots of a brittle endpoint, if this one does not; else undefined. */
+  readonly listOwners: (endpoint: RegisteredEndpoint) => readonly string[] | undefined;
 }
 
 export interface ForwardedExchanges extends EndpointExchanges {
@@ -158,16 +160,21 @@
     exchange: OutgoingExchange,
     listener: ExchangeListener,
     onUnavailable: () => void,
+    owners?: readonly string[],
   ): () => void {
     const { startId } = exchange.endpoint;
-    return forwarder.open(exchange, {
-      ...listener,
-      onAnswering: (sentMs) => ledger.recordPeerAnswered(startId, sentMs),
-      onUnavailable(isEndpointDown) {
-        if (isEndpointDown) ledger.recordPeersFailed(startId);
-        onUnavailable();
+    return forwarder.open(
+      exchange,
+      {
+        ...listener,
+        onAnswering: (sentMs) => ledger.recordPeerAnswered(startId, sentMs),
+        onUnavailable(isEndpointDown) {
+          if (isEndpointDown) ledger.recordPeersFailed(startId);
+          onUnavailable();
+        },
       },
-    });
+      owners,
+    );
   }
 
   /** Runs an exchange that may change its way before anything is sent. */
@@ -221,6 +228,16 @@
       );
     }
 
+    const close = (): void => {
+      ways += 1;
+      closeCurrent();
+    };
+    const owners = options.listOwners(endpoint);
+    if (owners !== undefined) {
+      const reason = 'no slot of the endpoint is free for this instance';
+      setCurrent(() => openForwarded(exchange, listener, () => closeUnsent(reason), owners));
+      return close;
+    }
     const choice = ledger.choose(startId, isRepeatable(call));
     switch (choice.kind) {
       case 'direct':
@@ -241,10 +258,7 @@
       default:
         assertNever(choice);
     }
-    return () => {
-      ways += 1;
-      closeCurrent();
-    };
+    return close;
   }
 
   /** Guards against calls that hold their places until their deadline on connections that hang. */
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -72,8 +72,15 @@
 }
 
 export interface Forwarder {
-  /** Starts an exchange; the returned function ends it without further notifications. */
-  open(exchange: OutgoingExchange, listener: ForwardedListener): () => void;
+  /**
+   * Starts an exchange; the returned function ends it without further notifications. `owners`: only
+   * these are asked, for a slot of their shares.
+   */
+  open(
+    exchange: OutgoingExchange,
+    listener: ForwardedListener,
+    owners?: readonly string[],
+  ): () => void;
 }
 
 /** Time of the exchange at which its stream with a peer is. */
@@ -83,7 +90,7 @@
   const { links, peers, timers } = options;
   const getNow = (): number => timers.clock.monotonicMs();
 
-  function buildOffer({ call, endpoint }: OutgoingExchange): ForwardOffer {
+  function buildOffer({ call, endpoint }: OutgoingExchange, usesShare: boolean): ForwardOffer {
     return {
       from: options.self,
       callId: call.callId,
@@ -95,10 +102,15 @@
       configurationVersion: options.getConfigurationVersion(),
       keyConfirmedAtMs: call.isAuthenticated ? options.getKeyConfirmedAt() : undefined,
       remainingMs: call.deadlineMs - getNow(),
+      usesShare,
     };
   }
 
-  function open(exchange: OutgoingExchange, listener: ForwardedListener): () => void {
+  function open(
+    exchange: OutgoingExchange,
+    listener: ForwardedListener,
+    owners?: readonly string[],
+  ): () => void {
     const { call, endpoint } = exchange;
     const asked = new Set<string>();
     let failedPeers = 0;
@@ -106,7 +118,9 @@
 
     function startNextOffer(): void {
       const isDone = asked.size >= PEERS_MAX || failedPeers >= FAILED_PEERS_MAX;
-      const peer = isDone ? undefined : peers.choose(endpoint.startId, asked, failedPeers > 0);
+      const peer = isDone
+        ? undefined
+        : peers.choose(endpoint.startId, asked, failedPeers > 0, owners);
       if (peer === undefined) {
         listener.onUnavailable(failedPeers > 0);
         return;
@@ -147,7 +161,7 @@
 
       function handleRefusal(reason: ForwardRefusal): void {
         if (reason === FORWARD_REFUSAL.PathLost) peers.recordUnhelpful(peer.name, endpoint.startId);
-        else peers.recordUnavailable(peer.name);
+        else if (reason !== FORWARD_REFUSAL.NoSlot) peers.recordUnavailable(peer.name);
         closeForNext(`refused: ${reason}`);
       }
 
@@ -236,7 +250,7 @@
         links.renew(peer.address);
         handleClosed(false, `no reply within ${OFFER_TIMEOUT_MS} ms`);
       });
-      stream.send({ kind: 'offer', offer: buildOffer(exchange) });
+      stream.send({ kind: 'offer', offer: buildOffer(exchange, owners !== undefined) });
       return () => {
         if (stage === 'over') return;
         const isSilent = stage === 'handed_over' && getNow() - handedOverMs >= SILENT_PEER_MS;
--- a/src/gateway/call-forwarding.ts
+++ b/src/gateway/call-forwarding.ts
@@ -18,6 +18,7 @@
 import type { ConnectionResult } from '../quarantine/crash-detector.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { TimerService } from '../runtime/timer-service.js';
+import type { SlotShares } from '../slot-shares/slot-shares.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
 
@@ -43,6 +44,7 @@
   readonly listPeers: () => readonly Contact[];
   readonly countInstances: () => number;
   readonly isLeaving: () => boolean;
+  readonly shares: Pick<SlotShares, 'listOwners' | 'takeForPeer'>;
   readonly getTable: () => RouteTable | undefined;
   /** The registered start of an endpoint. */
   readonly findStart: (start: string) => RegisteredEndpoint | undefined;
@@ -95,6 +97,7 @@
     forwarder,
     checkConnection: options.checkConnection,
     timers,
+    listOwners: (endpoint) => options.shares.listOwners(endpoint),
   });
 
   function isAvailable(endpoint: RegisteredEndpoint): boolean {
@@ -119,6 +122,7 @@
       });
     },
     findEndpoint: options.findStart,
+    takeSlot: (endpoint) => options.shares.takeForPeer(endpoint),
     isSendAllowed: (offer, endpoint) => isAvailable(endpoint) && isKeyValid(offer),
     updateRemaining: (request, remainingMs) =>
       options.protocol.updateRemaining(request, remainingMs),
--- a/src/gateway/call-quarantine.ts
+++ b/src/gateway/call-quarantine.ts
@@ -18,6 +18,8 @@
   readonly caseStore: CaseStore;
   /** Opens a separate connection to an endpoint as a probe; never rejects. */
   readonly checkConnection: (address: string) => Promise<ConnectionResult>;
+  /** Whether the endpoint may have crashed because it had no room. */
+  readonly mayLackRoom: (endpoint: RegisteredEndpoint) => boolean;
   readonly findEndpoint: (id: string) => RegisteredEndpoint | undefined;
 }
 
@@ -50,6 +52,7 @@
   const quarantine = createQuarantine({
     checkConnection: options.checkConnection,
     findEndpoint: options.findEndpoint,
+    mayLackRoom: options.mayLackRoom,
     takeTrialLease: (content) => caseStore.takeTrialLease(content),
     getNow: () => timers.clock.monotonicMs(),
     observer: {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -44,6 +44,9 @@
 import type { Invariants } from '../runtime/invariants.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import type { InstanceListClient } from '../storage/instance-list-client.js';
+import type { BrittleReport, KnownBrittle } from '../slot-shares/brittle-ledger.js';
+import { createSlotShares } from '../slot-shares/slot-shares.js';
+import type { SlotSharesObserver } from '../slot-shares/slot-shares.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
@@ -63,6 +66,8 @@
 import { createPeerExchange } from './peer-exchange.js';
 
 const TICK_MS = 100;
+/** Failure rate from which a brittle endpoint may have crashed because it had no room. */
+const ROOM_FAILURE_RATE_MIN = 0.1;
 /** Safety margin subtracted from the maximum age of keys. */
 const KEY_AGE_MARGIN_MS = 500;
 /** Fraction of the maximum age of keys at which readiness is withdrawn, before calls have to be refused. */
@@ -98,6 +103,7 @@
   readonly limitObserver: SendLimitsObserver;
   readonly availabilityObserver: AvailabilityObserver;
   readonly forwardingObserver: ForwardingObserver;
+  readonly shareObserver: SlotSharesObserver;
   /** Persistent store of condemned contents. */
   readonly caseStore: CaseStore;
   readonly retryBounds: RetryBounds;
@@ -147,12 +153,15 @@
   countCalls(): number;
   handleLimits(from: string, reports: readonly LimitReport[]): void;
   handleNotices(from: string, reports: readonly NoticeReport[]): void;
+  handleBrittle(from: string, reports: readonly BrittleReport[]): void;
   handlePermitRequests(from: string, requests: readonly PermitRequest[]): void;
   handlePermitReplies(replies: readonly PermitReply[]): void;
   /** Rate limits that endpoints name. */
   listLimits(): readonly KnownLimit[];
   /** Endpoints that said that they are leaving or want rest. */
   listNotices(): readonly KnownNotice[];
+  /** Endpoints that said that they are brittle. */
+  listBrittle(): readonly KnownBrittle[];
   /** Carries an exchange with an endpoint that a peer does not reach. */
   runCarried: CallForwarding['runCarried'];
   /** Calls of peers that are carried now. */
@@ -188,6 +197,7 @@
       limits.remove(endpoint.startId);
       availability.remove(endpoint.startId);
       forwarding.remove(endpoint.startId);
+      shares.remove(endpoint.startId);
       quarantine.recordEnded(endpoint);
       if (isRestarted) closeConnectionsTo(endpoint);
     },
@@ -201,6 +211,10 @@
     caseStore: options.caseStore,
     checkConnection: options.checkConnection,
     findEndpoint: (id) => knowledge.directory.find(id),
+    mayLackRoom: (endpoint) =>
+      shares.isBrittle(endpoint) &&
+      (shares.hasRejected(endpoint) ||
+        loads.getFailureRate(endpoint.startId, getNow()) >= ROOM_FAILURE_RATE_MIN),
   });
 
   /** Closes connections to the previous start, unless another endpoint now has its address. */
@@ -230,6 +244,7 @@
     quarantine,
     limits: { takeReports: () => limits.takeReports() },
     availability: { takeReports: () => availability.takeReports() },
+    shares: { takeReports: () => shares.takeReports() },
     knowledge: {
       ...knowledge,
       setRole(role) {
@@ -281,6 +296,14 @@
           isLeaving,
         });
 
+  const shares = createSlotShares({
+    self: options.self.name,
+    getNow,
+    listAlive: () => peers.listAliveNames(),
+    getMeanRunMs: (pool) => loads.getPoolTiming(pool).meanRunMs,
+    observer: options.shareObserver,
+  });
+
   const forwarding = createCallForwarding({
     self: options.self,
     timers,
@@ -293,6 +316,7 @@
     listPeers: () => peers.listPeers(),
     countInstances: () => peers.countInstances(),
     isLeaving,
+    shares,
     getTable: () => table,
     findStart: (start) => knowledge.directory.listAll().find(({ startId }) => startId === start),
     isAvailable: (endpoint) => availability.isAvailable(endpoint),
@@ -322,6 +346,7 @@
     countInstances: () => peers.countInstances(),
     quarantine,
     limits,
+    shares,
     availability,
     onStarted: (call, startedMs) => duties?.recordStarted(call, startedMs),
     checkSendable(call) {
@@ -367,6 +392,7 @@
   timers.subscribe(TICK_MS, () => {
     quarantine.advance();
     availability.advance();
+    shares.advance();
     runDrain({ kind: 'tick', inFlight: runner.count() + forwarding.countCarried() });
   });
 
@@ -409,10 +435,12 @@
     countCalls: () => runner.count(),
     handleLimits: (from, reports) => limits.mergeReports(reports, from),
     handleNotices: (from, reports) => availability.merge(reports, from),
+    handleBrittle: (from, reports) => shares.merge(reports, from),
     handlePermitRequests: (from, requests) => limits.handleRequests(requests, from),
     handlePermitReplies: (replies) => limits.handleReplies(replies),
     listLimits: () => limits.list(),
     listNotices: () => availability.list(),
+    listBrittle: () => shares.list(),
     runCarried: (requests, signal) => forwarding.runCarried(requests, signal),
     countCarried: () => forwarding.countCarried(),
     listPaths: () => forwarding.listPaths(),
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -23,6 +23,7 @@
 import type { Quarantine } from '../quarantine/quarantine.js';
 import type { Invariants } from '../runtime/invariants.js';
 import type { TimerService } from '../runtime/timer-service.js';
+import type { SlotShares } from '../slot-shares/slot-shares.js';
 import type { InstanceListClient } from '../storage/instance-list-client.js';
 import type { Random } from '../utils/random.js';
 import type { KnowledgeStore } from './knowledge-store.js';
@@ -47,7 +48,13 @@
   readonly links: PeerLinks;
   readonly datagrams: Pick<
     Datagrams,
-    'sendLoads' | 'sendGossip' | 'sendCases' | 'sendUsage' | 'sendLimits' | 'sendNotices'
+    | 'sendLoads'
+    | 'sendGossip'
+    | 'sendCases'
+    | 'sendUsage'
+    | 'sendLimits'
+    | 'sendNotices'
+    | 'sendBrittle'
   >;
   readonly time: FleetTime;
   readonly instances: InstanceListClient;
@@ -55,6 +62,7 @@
   readonly quarantine: Pick<Quarantine, 'takeReports' | 'merge'>;
   readonly limits: Pick<SendLimits, 'takeReports'>;
   readonly availability: Pick<EndpointAvailability, 'takeReports'>;
+  readonly shares: Pick<SlotShares, 'takeReports'>;
   readonly knowledge: Pick<
     KnowledgeStore,
     'applyResponse' | 'applySummary' | 'computeAge' | 'getSummary' | 'setRole'
@@ -189,6 +197,8 @@
     if (limits.length > 0) options.datagrams.sendLimits(addresses, limits);
     const notices = options.availability.takeReports();
     if (notices.length > 0) options.datagrams.sendNotices(addresses, notices);
+    const brittle = options.shares.takeReports();
+    if (brittle.length > 0) options.datagrams.sendBrittle(addresses, brittle);
   }
 
   /** Duty candidates are the instances that watch the source, which duties depend on. */
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -29,6 +29,7 @@
   readonly countLimitedEndpoints: () => number;
   readonly countNotices: () => number;
   /** Paths to endpoints that are not open. */
+  readonly countBrittleEndpoints: () => number;
   readonly countLostPaths: () => number;
   readonly countCarriedCalls: () => number;
 }
@@ -59,6 +60,8 @@
   recordRestRefusal(): void;
   /** What is known of an endpoint that is leaving or wants rest changed. */
   recordNotice(notice: string, change: string): void;
+  /** Records a call refused because this instance's share of brittle endpoints was in use. */
+  recordShareRefusal(): void;
   /** Records what became of an own call at a peer. */
   recordForward(result: string): void;
   /** Records what became of a call of a peer here. */
@@ -131,6 +134,11 @@
     help: 'Calls refused because all endpoints of their pool asked for rest',
     registers,
   });
+  const shareRefusals = new Counter({
+    name: 'hyssoptally_share_refusals_total',
+    help: 'Calls refused because the share of brittle endpoints was in use',
+    registers,
+  });
   const forwards = new Counter({
     name: 'hyssoptally_forwarded_calls_total',
     help: 'Offers of own calls to peers, by what became of them',
@@ -236,6 +244,11 @@
     'Notices in force of endpoints that are leaving or want rest',
     sources.countNotices,
   );
+  addGauge(
+    'hyssoptally_brittle_endpoints',
+    'Endpoints that crash if they have to reject too many requests',
+    sources.countBrittleEndpoints,
+  );
   addGauge(
     'hyssoptally_paths_not_open',
     'Endpoints that this instance does not reach or doubts to reach',
@@ -264,6 +277,7 @@
     recordLimitRefusal: () => limitRefusals.inc(),
     recordRestRefusal: () => restRefusals.inc(),
     recordNotice: (notice, change) => notices.inc({ notice, change }),
+    recordShareRefusal: () => shareRefusals.inc(),
     recordForward: (result) => forwards.inc({ result }),
     recordCarried: (result) => carriedCalls.inc({ result }),
     recordRefusal: (failure) => refusals.inc({ failure }),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -120,6 +120,29 @@
       /** Time since the offer. */
       readonly tookMs: number;
     }
+  | {
+      /** That an endpoint is brittle was learned or ended. */
+      readonly event: 'endpoint_brittle';
+      /** Name of the endpoint; a hash of its start id where this instance does not know the name. */
+      readonly endpoint: string;
+      /** Hash of the endpoint's start id. */
+      readonly start: string;
+      readonly isBrittle: boolean;
+      /** Rejections a second for want of room that it bears. */
+      readonly rejectionsMax: number;
+      /** 'own' or the name of the instance that reported it. */
+      readonly source: string;
+      /** Time since a response said so. */
+      readonly ageMs: number;
+    }
+  | {
+      /** A call was refused because this instance's share of brittle endpoints was in use. */
+      readonly event: 'share_refused';
+      readonly request: string;
+      readonly pool: string;
+      readonly urgency: number;
+      readonly organisation: string;
+    }
   | {
       /** A call was refused because of the rate limits of endpoints. */
       readonly event: 'limit_refused';
@@ -281,6 +304,7 @@
     case 'limit_refused':
     case 'rest_refused':
     case 'attempt_failed':
+    case 'share_refused':
     case 'call_forwarded':
     case 'call_carried':
       return LOG_KIND.Failure;
--- a/src/peers/datagrams.test.ts
+++ b/src/peers/datagrams.test.ts
@@ -47,6 +47,7 @@
         onCases: () => undefined,
         onLimits: () => undefined,
         onNotices: () => undefined,
+        onBrittle: () => undefined,
         onPermitRequests: () => undefined,
         onPermitReplies: () => undefined,
         onUsage: () => undefined,
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -11,6 +11,7 @@
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import type { AddressedLoadUpdate } from '../load-sharing/load-update.js';
 import type { CaseReport } from '../quarantine/case-ledger.js';
+import type { BrittleReport } from '../slot-shares/brittle-ledger.js';
 import type { NoticeReport } from '../endpoint-availability/availability-ledger.js';
 import type { LimitReport } from '../endpoint-limits/limit-ledger.js';
 import type { PermitReply, PermitRequest } from '../endpoint-limits/permit-messages.js';
@@ -24,6 +25,7 @@
   encodePermitRequests,
 } from './encode-limits.js';
 import { decodeLoadUpdate, encodeLoadUpdate } from './encode-load-update.js';
+import { decodeBrittle, encodeBrittle } from './encode-brittle.js';
 import { decodeNotices, encodeNotices } from './encode-notices.js';
 import { decodeUsage, encodeUsage } from './encode-usage.js';
 import type { KnowledgeSummary } from './peer-links.js';
@@ -40,6 +42,7 @@
   sendUsage(addresses: readonly string[], update: UsageUpdate): void;
   sendLimits(addresses: readonly string[], reports: readonly LimitReport[]): void;
   sendNotices(addresses: readonly string[], reports: readonly NoticeReport[]): void;
+  sendBrittle(addresses: readonly string[], reports: readonly BrittleReport[]): void;
   sendPermitRequests(address: string, requests: readonly PermitRequest[]): void;
   sendPermitReplies(address: string, replies: readonly PermitReply[]): void;
   close(): void;
@@ -58,6 +61,7 @@
   readonly onUsage: (update: UsageUpdate) => void;
   readonly onLimits: (from: string, reports: readonly LimitReport[]) => void;
   readonly onNotices: (from: string, reports: readonly NoticeReport[]) => void;
+  readonly onBrittle: (from: string, reports: readonly BrittleReport[]) => void;
   readonly onPermitRequests: (from: string, requests: readonly PermitRequest[]) => void;
   readonly onPermitReplies: (replies: readonly PermitReply[]) => void;
   /** Called for a message kind or value of a newer release, which is ignored. */
@@ -103,6 +107,9 @@
       case 'notices':
         options.onNotices(from, decodeNotices(body.value));
         break;
+      case 'brittle':
+        options.onBrittle(from, decodeBrittle(body.value));
+        break;
       case 'permitRequests':
         options.onPermitRequests(from, decodePermitRequests(body.value));
         break;
@@ -156,6 +163,9 @@
     sendNotices(addresses, reports) {
       sendBody(addresses, { case: 'notices', value: encodeNotices(reports) });
     },
+    sendBrittle(addresses, reports) {
+      sendBody(addresses, { case: 'brittle', value: encodeBrittle(reports) });
+    },
     sendPermitRequests(address, requests) {
       sendBody([address], { case: 'permitRequests', value: encodePermitRequests(requests) });
     },
--- a/src/peers/encode-forwarding.ts
+++ b/src/peers/encode-forwarding.ts
@@ -28,6 +28,7 @@
   endpoint_unknown: EncodedRefusal.ENDPOINT_UNKNOWN,
   endpoint_unavailable: EncodedRefusal.ENDPOINT_UNAVAILABLE,
   outdated: EncodedRefusal.OUTDATED,
+  no_slot: EncodedRefusal.NO_SLOT,
 };
 
 function decodeHeaders(headers: readonly ForwardedHeader[]): HeaderField[] {
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -54,6 +54,11 @@
   /** The endpoint registered under an id. */
   readonly findEndpoint: (id: string) => RegisteredEndpoint | undefined;
   readonly takeTrialLease: TakeTrialLease;
+  /**
+   * Whether the endpoint may have crashed because it had no room, which says nothing about the
+   * requests that it ran.
+   */
+  readonly mayLackRoom: (endpoint: RegisteredEndpoint) => boolean;
   readonly getNow: () => number;
   readonly observer: QuarantineObserver;
 }
@@ -242,15 +247,19 @@
     let lastEventMs = sentMs;
     let hasEnded = false;
 
+    function findSuspect(): RegisteredEndpoint | undefined {
+      return options.mayLackRoom(endpoint) ? undefined : findActiveStart(endpoint);
+    }
+
     function recordInterrupted(): void {
-      const active = findActiveStart(endpoint);
+      const active = findSuspect();
       if (active !== undefined)
         detector.recordInterrupted(active, buildInterruptedAnswer(call, sentMs));
     }
 
     function recordAbandoned(): void {
       if (getNow() - lastEventMs < SILENCE_MIN_MS) return;
-      const active = findActiveStart(endpoint);
+      const active = findSuspect();
       if (active !== undefined)
         detector.recordAbandoned(active, buildInterruptedAnswer(call, sentMs));
     }
--- a/src/test/configuration-simulation.ts
+++ b/src/test/configuration-simulation.ts
@@ -108,6 +108,7 @@
     },
     loads: createEndpointLoads(),
     quarantine: { takeReports: () => [], merge: () => undefined },
+    shares: { takeReports: () => [] },
     limits: { takeReports: () => [] },
     availability: { takeReports: () => [] },
     knowledge: store,
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -2,7 +2,6 @@
 import { createCallRunner } from '../calls/call-runner.js';
 import type { CallRunner } from '../calls/call-runner.js';
 import type { AttemptRecord } from '../calls/call-records.js';
-import { createDirectExchanges } from '../calls/endpoint-exchanges.js';
 import type { EndpointConnections } from '../calls/endpoint-connections.js';
 import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
 import { createFleetTime } from '../duties/fleet-time.js';
@@ -29,6 +28,12 @@
 import type { Random } from '../utils/random.js';
 import { Ok } from '../utils/result.js';
 import type { SimulatedNetwork } from './simulated-network.js';
+import { parseBrittle } from '../slot-shares/brittle-reading.js';
+import { createSlotShares } from '../slot-shares/slot-shares.js';
+import type { SlotShares } from '../slot-shares/slot-shares.js';
+import type { ForwardRecord } from '../forwarding/forwarder.js';
+import { createCallForwarding } from '../gateway/call-forwarding.js';
+import type { CallForwarding } from '../gateway/call-forwarding.js';
 import { QUEUE_FULL_STATUS } from './simulated-engine.js';
 
 export interface SimulatedInstanceOptions {
@@ -45,6 +50,7 @@
   readonly takeTrialLease: TakeTrialLease;
   readonly checkConnection: (address: string) => Promise<ConnectionResult>;
   readonly onAttempt: (record: AttemptRecord) => void;
+  readonly onForwarded?: (record: ForwardRecord) => void;
 }
 
 export interface SimulatedInstance {
@@ -53,6 +59,8 @@
   readonly quarantine: Quarantine;
   readonly limits: SendLimits;
   readonly availability: EndpointAvailability;
+  readonly shares: SlotShares;
+  readonly forwarding: CallForwarding;
 }
 
 /** Instances whose addresses every instance is configured with. */
@@ -79,6 +87,9 @@
         headers.filter(({ name }) => name === 'rest').map(({ value }) => value),
       ),
     },
+    brittle: parseBrittle(
+      headers.filter(({ name }) => name === 'brittle').map(({ value }) => value),
+    ),
     headers: [],
   }),
 };
@@ -89,6 +100,7 @@
   const quarantine = createQuarantine({
     checkConnection: options.checkConnection,
     findEndpoint: (id) => listOpen().find((endpoint) => endpoint.id === id),
+    mayLackRoom: (endpoint) => shares.isBrittle(endpoint) && shares.hasRejected(endpoint),
     takeTrialLease: options.takeTrialLease,
     getNow: () => timers.clock.monotonicMs(),
     observer: { onCrash: () => undefined, onChanged: () => undefined, onRefused: () => undefined },
@@ -113,6 +125,7 @@
     quarantine,
     limits: { takeReports: () => limits.takeReports() },
     availability: { takeReports: () => availability.takeReports() },
+    shares: { takeReports: () => shares.takeReports() },
     knowledge: {
       applyResponse: () => undefined,
       applySummary: () => false,
@@ -123,6 +136,18 @@
     knowledgeAgeMaxMs: Infinity,
     isLeaving: () => false,
   });
+  const shares = createSlotShares({
+    self: self.name,
+    getNow: () => timers.clock.monotonicMs(),
+    listAlive: () => exchange.listAliveNames(),
+    getMeanRunMs: (pool) => loads.getPoolTiming(pool).meanRunMs,
+    observer: {
+      onChanged: () => undefined,
+      onUnreadable: () => undefined,
+      onRefused: () => undefined,
+    },
+  });
+  timers.subscribe(QUARANTINE_TICK_MS, () => shares.advance());
   const availability = createEndpointAvailability({
     listRegistered: listOpen,
     isRegistered: (start) => listOpen().some(({ startId }) => hashStartId(startId) === start),
@@ -149,8 +174,31 @@
     peers: exchange,
     listOpen: (pool) => availability.listOpen(pool),
   });
+  const forwarding = createCallForwarding({
+    self,
+    timers,
+    random,
+    connections: options.connections,
+    links: network.createForwardLinks(),
+    protocol: PROTOCOL,
+    checkConnection: options.checkConnection,
+    observer: {
+      onPathChanged: () => undefined,
+      onForwarded: options.onForwarded ?? (() => undefined),
+      onCarried: () => undefined,
+    },
+    listPeers: () => exchange.listPeers(),
+    countInstances: () => exchange.countInstances(),
+    isLeaving: () => false,
+    shares,
+    getTable: () => undefined,
+    findStart: (start) => listOpen().find(({ startId }) => startId === start),
+    isAvailable: (endpoint) => availability.isAvailable(endpoint),
+    getKeyConfirmedAt: () => undefined,
+    isKeyTimeValid: () => true,
+  });
   const runner = createCallRunner({
-    exchanges: createDirectExchanges(options.connections, () => timers.clock.monotonicMs()),
+    exchanges: forwarding.exchanges,
     protocol: PROTOCOL,
     loads,
     placer: createPlacer({
@@ -174,9 +222,10 @@
     countInstances: () => exchange.countInstances(),
     quarantine,
     limits,
+    shares,
     availability,
     onStarted: () => undefined,
     checkSendable: () => undefined,
   });
-  return { runner, exchange, quarantine, limits, availability };
+  return { runner, exchange, quarantine, limits, availability, shares, forwarding };
 }
--- a/src/test/simulated-network.ts
+++ b/src/test/simulated-network.ts
@@ -1,4 +1,9 @@
 /** Links between simulated instances, with latency and datagram loss. */
+import { decodeBrittle, encodeBrittle } from '../peers/encode-brittle.js';
+import type { SlotShares } from '../slot-shares/slot-shares.js';
+import type { CallForwarding } from '../gateway/call-forwarding.js';
+import type { ForwardLinks } from '../forwarding/forward-messages.js';
+import { createSimulatedForwardLinks } from './simulated-forward-links.js';
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
 import type { SendLimits } from '../endpoint-limits/send-limits.js';
@@ -53,6 +58,10 @@
   /** Adds the receiver of messages about endpoints that are leaving or want rest at an address. */
   addAvailability(address: string, availability: EndpointAvailability): void;
   createLinks(self: Contact): PeerLinks;
+  addShares(address: string, shares: SlotShares): void;
+  /** Lets an instance carry calls of others. */
+  addCarrier(address: string, runCarried: CallForwarding['runCarried']): void;
+  createForwardLinks(): ForwardLinks;
   createDatagrams(self: Contact): Omit<Datagrams, 'close'>;
   /** Counts the datagrams sent so far, including lost ones. */
   countSent(): number;
@@ -67,6 +76,8 @@
   const knowledgeBuilders = new Map<string, BuildKnowledge>();
   const limitsByAddress = new Map<string, SendLimits>();
   const availabilityByAddress = new Map<string, EndpointAvailability>();
+  const sharesByAddress = new Map<string, SlotShares>();
+  const carriers = new Map<string, CallForwarding['runCarried']>();
   let sent = 0;
 
   function send(address: string, deliver: (peer: PeerExchange) => void): void {
@@ -127,6 +138,17 @@
     addAvailability(address, availability) {
       availabilityByAddress.set(address, availability);
     },
+    addShares(address, shares) {
+      sharesByAddress.set(address, shares);
+    },
+    addCarrier(address, runCarried) {
+      carriers.set(address, runCarried);
+    },
+    createForwardLinks: () =>
+      createSimulatedForwardLinks({
+        findCarrier: (address) => carriers.get(address),
+        runLater: (run) => time.add(undefined, DELAY_MIN_MS + random.next() * DELAY_SPREAD_MS, run),
+      }),
     createDatagrams: ({ name, dataCentre }) => ({
       sendLoads(loads, knowledge, sentTime) {
         for (const datagram of encodeLoadUpdate(loads, dataCentre, knowledge, sentTime)) {
@@ -154,6 +176,11 @@
         for (const address of addresses)
           sendDatagram(address, () => availabilityByAddress.get(address)?.merge(decoded, name));
       },
+      sendBrittle(addresses, reports) {
+        const decoded = decodeBrittle(encodeBrittle(reports));
+        for (const address of addresses)
+          sendDatagram(address, () => sharesByAddress.get(address)?.merge(decoded, name));
+      },
       sendPermitRequests(address, requests) {
         const decoded = decodePermitRequests(encodePermitRequests(requests));
         sendToLimits(address, (limits) => limits.handleRequests(decoded, name));
