--- a/src/cli/ctl-main.ts
+++ b/src/cli/ctl-main.ts
@@ -326,6 +326,20 @@
       (args) =>
         routerCommands.runNotices({ url: args.router, secret: args.operatorSecret }, args.json),
     )
+    .command(
+      'paths',
+      'list endpoints that the router does not reach, with the evidence',
+      (command) => command.demandOption(['router', 'operator-secret']),
+      (args) =>
+        routerCommands.runPaths({ url: args.router, secret: args.operatorSecret }, args.json),
+    )
+    .command(
+      'brittle',
+      'list endpoints that crash if they have to reject too many requests',
+      (command) => command.demandOption(['router', 'operator-secret']),
+      (args) =>
+        routerCommands.runBrittle({ url: args.router, secret: args.operatorSecret }, args.json),
+    )
     .command(
       'duties [step-down]',
       'show the holder of the fleet duties; step-down: make the router hand them over',
--- a/src/cli/format-output.ts
+++ b/src/cli/format-output.ts
@@ -4,6 +4,7 @@
 import type { DutyStatus } from '../duties/fleet-duties.js';
 import type { ListedNotice } from '../endpoint-availability/availability-api.js';
 import type { ListedLimit } from '../endpoint-limits/limits-api.js';
+import type { ListedBrittle, ListedPath } from '../forwarding/paths-api.js';
 import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
 
@@ -137,6 +138,30 @@
   return formatTable([['endpoint', 'start', 'notice', 'source', 'heard', 'ends in'], ...rows]);
 }
 
+/** Formats the endpoints that a router does not reach, or doubts to reach. */
+export function formatPaths(paths: readonly ListedPath[]): string {
+  if (paths.length === 0) return 'the router reaches all endpoints that it uses';
+  const rows = paths.map(({ endpoint, state, evidence, sinceMs }) => [
+    endpoint,
+    state,
+    `${(sinceMs / 1000).toFixed(1)} s`,
+    evidence,
+  ]);
+  return formatTable([['endpoint', 'path', 'for', 'evidence'], ...rows]);
+}
+
+/** Formats the endpoints that crash if they have to reject too many requests. */
+export function formatBrittle(brittle: readonly ListedBrittle[]): string {
+  if (brittle.length === 0) return 'no endpoint is brittle';
+  const rows = brittle.map(({ endpoint, rejectionsMax, source, heardAgoMs }) => [
+    endpoint,
+    `${rejectionsMax}/s`,
+    source,
+    `${(heardAgoMs / 1000).toFixed(1)} s ago`,
+  ]);
+  return formatTable([['endpoint', 'rejections', 'source', 'heard'], ...rows]);
+}
+
 /** Formats the holder of the fleet duties and, if it is this router, the requested scale of each pool. */
 export function formatDuties(duties: DutyStatus | null): string {
   if (duties === null) return 'the platform does not use fleet duties';
--- a/src/cli/router-commands.ts
+++ b/src/cli/router-commands.ts
@@ -2,14 +2,17 @@
 import type { DutyStatus } from '../duties/fleet-duties.js';
 import type { ListedNotice } from '../endpoint-availability/availability-api.js';
 import type { ListedLimit } from '../endpoint-limits/limits-api.js';
+import type { ListedBrittle, ListedPath } from '../forwarding/paths-api.js';
 import type { ListedCase } from '../quarantine/quarantine-api.js';
 import type { RouterStatus } from '../types/router-status.js';
 import type { ExitCode } from './command-line.js';
 import {
+  formatBrittle,
   formatQuarantine,
   formatDuties,
   formatLimits,
   formatNotices,
+  formatPaths,
   formatStatus,
 } from './format-output.js';
 import { queryRouter } from './query-router.js';
@@ -40,6 +43,8 @@
   runLimits(router: RouterAddress, isJson: boolean): Promise<void>;
   /** Lists the endpoints that said that they are leaving or want rest. */
   runNotices(router: RouterAddress, isJson: boolean): Promise<void>;
+  runPaths(router: RouterAddress, isJson: boolean): Promise<void>;
+  runBrittle(router: RouterAddress, isJson: boolean): Promise<void>;
   runDuties(router: RouterAddress, isJson: boolean): Promise<void>;
   /** Makes the router release the fleet duties to another one. */
   runStepDown(router: RouterAddress, isJson: boolean): Promise<void>;
@@ -88,6 +93,18 @@
         isJson,
         ({ notices }) => formatNotices(notices),
       ),
+    runPaths: (router, isJson) =>
+      runRequest<{ readonly paths: readonly ListedPath[] }>(
+        { ...router, path: '/paths' },
+        isJson,
+        ({ paths }) => formatPaths(paths),
+      ),
+    runBrittle: (router, isJson) =>
+      runRequest<{ readonly brittle: readonly ListedBrittle[] }>(
+        { ...router, path: '/brittle' },
+        isJson,
+        ({ brittle }) => formatBrittle(brittle),
+      ),
     runDuties: (router, isJson) =>
       runRequest<{ readonly duties: DutyStatus | null }>(
         { ...router, path: '/duties' },
