--- a/src/forwarding/carrier.ts
+++ b/src/forwarding/carrier.ts
@@ -18,7 +18,7 @@
 } from './forward-messages.js';
 import { createResponseQueue } from './response-queue.js';
 
-/** A request that comes later after its acceptance was held up on the way and is not sent. */
+/** A request that comes later after its offer was held up on the way and is not sent. */
 const REQUEST_DELAY_MAX_MS = 1000;
 
 /** The sender counts the call in its own share. */
@@ -32,6 +32,13 @@
   readonly deadlineMs: number;
 }
 
+interface AcceptedOffer {
+  readonly offer: ForwardOffer;
+  readonly endpoint: RegisteredEndpoint;
+  /** When the offer came. */
+  readonly offeredMs: number;
+}
+
 export interface CarriedRecord {
   readonly offer: ForwardOffer;
   readonly result: 'taken' | 'ended' | 'refused' | 'failed';
@@ -149,25 +156,22 @@
     }
     try {
       yield { kind: 'accepted' };
-      yield* runAccepted(offer, endpoint, requests, signal);
+      yield* runAccepted({ offer, endpoint, offeredMs }, requests, signal);
     } finally {
       slot.release(signal.aborted);
     }
   }
 
   async function* runAccepted(
-    offer: ForwardOffer,
-    endpoint: RegisteredEndpoint,
+    { offer, endpoint, offeredMs }: AcceptedOffer,
     requests: AsyncIterator<ForwardRequest>,
     signal: AbortSignal,
   ): AsyncGenerator<ForwardResponse> {
-    const offeredMs = getNow();
-    const acceptedMs = getNow();
     const next = await requests.next();
     // The peer withdrew its offer.
     if (next.done === true || next.value.kind !== 'request' || signal.aborted) return;
     const { request } = next.value;
-    if (getNow() - acceptedMs > REQUEST_DELAY_MAX_MS) {
+    if (getNow() - offeredMs > REQUEST_DELAY_MAX_MS) {
       record(offer, offeredMs, 'failed', 'the request was held up on its way');
       yield { kind: 'failed', isSent: false, reason: 'the request was held up on its way' };
       return;
--- a/src/slot-shares/slot-shares.ts
+++ b/src/slot-shares/slot-shares.ts
@@ -202,10 +202,8 @@
         : chooseWaiting(call, endpoints);
     },
     start,
-    takeForPeer(endpoint) {
-      if (isBrittle(endpoint) && !isFree(endpoint)) return undefined;
-      return start(endpoint);
-    },
+    // The peer knows that the endpoint is brittle; this instance may not have heard it yet.
+    takeForPeer: (endpoint) => (isFree(endpoint) ? start(endpoint) : undefined),
     listOwners(endpoint) {
       if (!isBrittle(endpoint) || computeOwnShare(endpoint) > 0) return undefined;
       const { slotsOfAll, owners } = getOwners(endpoint);
