--- a/src/soak/fake-endpoint.ts
+++ b/src/soak/fake-endpoint.ts
@@ -19,6 +19,14 @@
   nextTakenMs: number;
   /** Share of requests that crash it; a request that is sent again crashes the next endpoint, too. */
   crashShare: number;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  /** Requests under way. */
+  running: number;
+  /** Whether it crashes if it has to reject a request for want of room. */
+  isBrittle: boolean;
+  /** How often it did. */
+  falls: number;
   slowdown: number;
   /** Share of frames that are repeated, crossed or left out. */
   badFrames: number;
@@ -38,7 +46,7 @@
 const RESTART_MS = 1500;
 const CRASH_HASH_STEPS = 1000;
 
-export function createFakeEndpoint(name: string, dataCentre: string): FakeEndpoint {
+export function createFakeEndpoint(name: string, dataCentre: string, slots: number): FakeEndpoint {
   return {
     name,
     dataCentre,
@@ -50,6 +58,10 @@
     rateLimit: Infinity,
     nextTakenMs: -Infinity,
     crashShare: 0,
+    slots,
+    running: 0,
+    isBrittle: false,
+    falls: 0,
     slowdown: 1,
     badFrames: 0,
     lostAnswers: 0,
@@ -77,6 +89,18 @@
   return true;
 }
 
+/** Requests beyond the slots that an endpoint lets wait. */
+const WAITING_MAX = 1;
+
+/** Makes a brittle endpoint crash if it has no room for one more request; returns whether it did. */
+export function checkRoom(checked: FakeEndpoint, time: VirtualTime): boolean {
+  const endpoint = checked;
+  if (!endpoint.isBrittle || endpoint.running < endpoint.slots + WAITING_MAX) return true;
+  endpoint.falls += 1;
+  stopEndpoint(endpoint, time);
+  return false;
+}
+
 /** Whether the request, under whatever attempt, is one that crashes endpoints. */
 export function isCrashing({ crashShare }: FakeEndpoint, attemptId: string): boolean {
   const requestId = attemptId.slice(0, attemptId.lastIndexOf('-'));
--- a/src/soak/fake-endpoints.ts
+++ b/src/soak/fake-endpoints.ts
@@ -9,6 +9,7 @@
 import type { EndpointDeclaration } from '../types/declarations.js';
 import type { Random } from '../utils/random.js';
 import {
+  checkRoom,
   createFakeEndpoint,
   isCrashing,
   isReportedLeaving,
@@ -74,8 +75,8 @@
 ): FakeEndpoints {
   const log: EndpointLog = { ran: new Set(), runsByKey: new Map(), breaches: [] };
   const byName = new Map<string, FakeEndpoint>();
-  for (const { name, dataCentre } of declared) {
-    byName.set(name, createFakeEndpoint(name, dataCentre));
+  for (const { name, dataCentre, slots } of declared) {
+    byName.set(name, createFakeEndpoint(name, dataCentre, slots));
   }
 
   function checkLeaving(endpoint: FakeEndpoint, attemptId: string): void {
@@ -102,6 +103,7 @@
         if (endpoint === undefined || endpoint.isCrashed) {
           time.add(actor, CONNECT_MS, onUnsent);
         } else if (
+          !network.troubles.withoutEndpoints.has(actor.name) &&
           network.isOpen(dataCentre, endpoint.dataCentre) &&
           network.isOpen(endpoint.dataCentre, dataCentre)
         ) {
@@ -112,7 +114,11 @@
       }
 
       function isConnected(endpoint: FakeEndpoint): boolean {
-        return network.isOpen(endpoint.dataCentre, dataCentre) && !actor.isDead;
+        return (
+          !network.troubles.withoutEndpoints.has(actor.name) &&
+          network.isOpen(endpoint.dataCentre, dataCentre) &&
+          !actor.isDead
+        );
       }
 
       function recordArrival(endpoint: FakeEndpoint, attemptId: string): void {
@@ -183,9 +189,15 @@
         const { prompt, offset } = parseAttempt(attempt);
         const frames = parseFrames(prompt);
         let index = offset;
+        const taking = endpoint;
+        taking.running += 1;
         function runStep(): void {
-          if (isCancelled() || actor.isDead) return;
+          if (isCancelled() || actor.isDead) {
+            taking.running -= 1;
+            return;
+          }
           if (endpoint.isCrashed) {
+            taking.running -= 1;
             time.add(actor, CONNECT_MS, () => listener.onEnded('broken'));
             return;
           }
@@ -199,6 +211,7 @@
             });
           }
           if (!isSilent && current >= frames) {
+            taking.running -= 1;
             time.add(actor, CONNECT_MS, () => {
               if (!isCancelled()) listener.onFinished(attempt.attemptId, frames, 'stop');
             });
@@ -226,6 +239,10 @@
                 checkLeaving(endpoint, attempt.attemptId);
                 return;
               }
+              if (!checkRoom(endpoint, time)) {
+                time.add(actor, CONNECT_MS, () => listener.onEnded('broken'));
+                return;
+              }
               log.ran.add(attempt.attemptId);
               if (isCrashing(endpoint, attempt.attemptId)) stopEndpoint(endpoint, time);
               else sendHead(endpoint, listener, isCancelled);
@@ -262,10 +279,17 @@
                 checkLeaving(endpoint, attempt.attemptId);
                 return;
               }
+              if (!checkRoom(endpoint, time)) {
+                end({ kind: 'ended', ending: 'broken' });
+                return;
+              }
+              const taking = endpoint;
+              taking.running += 1;
               log.ran.add(attempt.attemptId);
               const key = attempt.headers['idempotency-key'] ?? attempt.attemptId;
               log.runsByKey.set(key, (log.runsByKey.get(key) ?? 0) + 1);
               time.add(undefined, SERVICE_MS * endpoint.slowdown, () => {
+                taking.running -= 1;
                 if (endpoint.isFrozen || !isConnected(endpoint)) return;
                 const isLost = endpoint.isCrashed || random.next() < endpoint.lostAnswers;
                 if (isLost) end({ kind: 'ended', ending: 'broken' });
--- a/src/soak/fake-network.ts
+++ b/src/soak/fake-network.ts
@@ -11,6 +11,8 @@
   loss: number;
   /** Pairs `from>to` of data centres between which nothing passes. */
   readonly cuts: Set<string>;
+  /** Names of instances that no endpoint can be reached from; all else reaches them. */
+  readonly withoutEndpoints: Set<string>;
 }
 
 /** An instance on the network. */
@@ -43,7 +45,7 @@
 const CALL_TIMEOUT_MS = 1000;
 
 export function createFakeNetwork(time: VirtualTime, random: Random): FakeNetwork {
-  const troubles: NetworkTroubles = { loss: 0, cuts: new Set() };
+  const troubles: NetworkTroubles = { loss: 0, cuts: new Set(), withoutEndpoints: new Set() };
   const peers = new Map<string, NetworkPeer>();
 
   function isOpen(from: string, to: string): boolean {
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -27,6 +27,8 @@
   CutOneWay: 'cut_one_way',
   MessageLoss: 'message_loss',
   OperatorsRace: 'operators_race',
+  EntryWithoutEndpoints: 'entry_without_endpoints',
+  BrittleEndpoints: 'brittle_endpoints',
 } as const;
 export type Fault = (typeof FAULT)[keyof typeof FAULT];
 
@@ -143,6 +145,10 @@
       return startEndpointFault(world, random, { rateLimit: RATE_LIMIT });
     case FAULT.CrashingRequests:
       return startFleetFault(world, { crashShare: CRASH_SHARE });
+    case FAULT.EntryWithoutEndpoints:
+      return world.cutEntryFromEndpoints();
+    case FAULT.BrittleEndpoints:
+      return startFleetFault(world, { isBrittle: true });
     case FAULT.BadFrames:
       return startEndpointFault(world, random, { badFrames: BAD_FRAMES_SHARE });
     case FAULT.ServiceLosesAnswers:
--- a/src/soak/soak-world.ts
+++ b/src/soak/soak-world.ts
@@ -35,6 +35,8 @@
   /** Restarts an entry unless one of that name is running. */
   startEntry(name: string): void;
   pauseEntry(): () => void;
+  /** Cuts an entry from all endpoints, until the returned function is called. */
+  cutEntryFromEndpoints(): () => void;
   /** Makes operators publish concurrently until the returned function is called. */
   startRace(): () => void;
 }
@@ -62,6 +64,9 @@
 const SETTLE_MS = 25_000;
 const ARRIVAL_MS = 25;
 const RACE_PERIOD_MS = 700;
+/** Falls of brittle endpoints that are allowed, and those for each endpoint beyond them. */
+const FALLS_MAX = 2;
+const FALLS_SHARE_MAX = 0.1;
 /** Time after the last fault within which a version must be in force everywhere. */
 const IN_FORCE_MS = 6000;
 
@@ -198,6 +203,12 @@
         time.resume(entry.actor);
       };
     },
+    cutEntryFromEndpoints() {
+      const { name } = chooseEntry();
+      network.troubles.withoutEndpoints.add(name);
+      recordStory(`${name} is cut from all endpoints`);
+      return () => network.troubles.withoutEndpoints.delete(name);
+    },
     startRace() {
       let isRacing = true;
       function runRace(): void {
@@ -264,6 +275,9 @@
   }
   steps += await time.runUntil(faultsEndMs + SETTLE_MS);
   checkSettled();
+  const falls = endpoints.list.reduce((sum, endpoint) => sum + endpoint.falls, 0);
+  const fallsMax = FALLS_MAX + endpoints.list.length * FALLS_SHARE_MAX;
+  if (falls > fallsMax) onBreach(`brittle endpoints fell ${falls} times`);
   breaches.push(...callers.listBreaches(), ...endpoints.log.breaches);
   return {
     steps,
--- a/src/soak/soak.test.ts
+++ b/src/soak/soak.test.ts
@@ -19,6 +19,9 @@
   ['pool_rests', 'burst'],
   ['endpoint_limited', 'entry_crash'],
   ['crashing_requests', 'endpoint_rests'],
+  ['entry_without_endpoints', 'entry_crash'],
+  ['entry_without_endpoints', 'platform_down'],
+  ['brittle_endpoints', 'burst'],
 ];
 
 /** Seeds whose long runs broke a promise once, each with its story. */
