--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -23,6 +23,11 @@
 const PEERS_MAX = 5;
 /** Peers of one attempt that may fail to reach the endpoint before it counts as down. */
 const FAILED_PEERS_MAX = 2;
+/**
+ * Peers without a path to the endpoint after which others than those of the own data centre are
+ * asked: it may have lost its links as a whole.
+ */
+const NEAR_REFUSALS_MAX = 2;
 /** A peer that is silent for longer after a request was handed over is asked after the others. */
 const SILENT_PEER_MS = 500;
 /** The peer ends an exchange that outlives its call by this. */
@@ -114,13 +119,13 @@
     const { call, endpoint } = exchange;
     const asked = new Set<string>();
     let failedPeers = 0;
+    let lostPeers = 0;
     let closeCurrent: () => void = () => undefined;
 
     function startNextOffer(): void {
       const isDone = asked.size >= PEERS_MAX || failedPeers >= FAILED_PEERS_MAX;
-      const peer = isDone
-        ? undefined
-        : peers.choose(endpoint.startId, asked, failedPeers > 0, owners);
+      const isElsewhere = failedPeers > 0 || lostPeers >= NEAR_REFUSALS_MAX;
+      const peer = isDone ? undefined : peers.choose(endpoint.startId, asked, isElsewhere, owners);
       if (peer === undefined) {
         listener.onUnavailable(failedPeers > 0);
         return;
@@ -160,8 +165,10 @@
       }
 
       function handleRefusal(reason: ForwardRefusal): void {
-        if (reason === FORWARD_REFUSAL.PathLost) peers.recordUnhelpful(peer.name, endpoint.startId);
-        else if (reason !== FORWARD_REFUSAL.NoSlot) peers.recordUnavailable(peer.name);
+        if (reason === FORWARD_REFUSAL.PathLost) {
+          lostPeers += 1;
+          peers.recordUnhelpful(peer.name, endpoint.startId);
+        } else if (reason !== FORWARD_REFUSAL.NoSlot) peers.recordUnavailable(peer.name);
         closeForNext(`refused: ${reason}`);
       }
 
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -24,6 +24,8 @@
   saysLeaving: boolean;
   /** Turns requests away with status 503 and asks for this rest in seconds; 0: serves. */
   restSeconds: number;
+  /** Says in every response that it is brittle, and crashes where it has no room for a request. */
+  isBrittle: boolean;
   /** Answers every request with status 500 without running it. */
   isFailing: boolean;
   /** Number of upcoming frames to send twice. */
@@ -41,6 +43,8 @@
 /** Counters served by `GET /counts`. */
 export interface EngineCounts {
   tokens: number;
+  /** Crashes for want of room. */
+  falls: number;
   /** Number of accepted requests by request id. */
   readonly started: Map<string, number>;
   cancelled: number;
@@ -110,6 +114,10 @@
 /** Every nth cache event is dropped. */
 const CACHE_EVENT_DROP_INTERVAL = 7;
 const BREAK_AFTER_TOKENS = 5;
+/** Requests beyond the slots that a brittle engine lets wait. */
+const BRITTLE_WAITING_MAX = 1;
+/** Time after which an engine that crashed for want of room is back. */
+const FALL_MS = 2000;
 
 function createFaults(): EngineFaults {
   return {
@@ -118,6 +126,7 @@
     isLeaving: false,
     saysLeaving: false,
     restSeconds: 0,
+    isBrittle: false,
     isFailing: false,
     duplicateFrames: 0,
     crossedFrames: 0,
@@ -132,6 +141,7 @@
   const faults = createFaults();
   const counts: EngineCounts = {
     tokens: 0,
+    falls: 0,
     started: new Map(),
     cancelled: 0,
     received: 0,
@@ -149,6 +159,8 @@
   const exchanges = new Map<string, Exchange>();
   const models = new Set(options.models ?? []);
   let fence = 0;
+  /** Until when it is down after a crash for want of room. */
+  let fallenUntilMs = 0;
   const loadReports: { readonly atMs: number; readonly load: EngineLoad }[] = [];
 
   function buildFrame(exchange: Exchange, id: string, event: StepEvent): string {
@@ -218,8 +230,28 @@
     for (const event of batch.advance()) handleStepEvent(event);
   }
 
+  /** Breaks off all requests; new ones are reset until the engine is back. */
+  function closeForFall(): void {
+    counts.falls += 1;
+    fallenUntilMs = performance.now() + FALL_MS;
+    for (const exchange of [...exchanges.values()]) {
+      exchange.response.destroy();
+      closeExchange(exchange);
+    }
+  }
+
+  function hasRoom(): boolean {
+    return !faults.isBrittle || exchanges.size < slots + BRITTLE_WAITING_MAX;
+  }
+
   function handleCompletion(request: Request, response: Response): void {
     counts.received += 1;
+    if (performance.now() >= fallenUntilMs && !hasRoom()) closeForFall();
+    if (performance.now() < fallenUntilMs) {
+      response.destroy();
+      return;
+    }
+    if (faults.isBrittle) response.set('x-endpoint-brittle', '0');
     if (faults.saysLeaving) response.set('x-endpoint-leaving', 'true');
     if (faults.restSeconds > 0) {
       counts.turnedAway += 1;
--- a/src/test/failures.test.ts
+++ b/src/test/failures.test.ts
@@ -413,6 +413,25 @@
     t.is(await countReceived(urls[1] ?? ''), before + 2);
   });
 
+  it('engines that crash where they have no room for a request', async (t) => {
+    // Guards against more requests under way than slots: each instance sends, and engines fall in turn.
+    const fleet = await startFleet({ stepMs: 5 });
+    const urls = fleet.engines.map((engine) => engine.addresses.url ?? '');
+    await setEngineFaults(fleet, { isBrittle: true });
+    const results = await Promise.all(
+      Array.from({ length: 60 }, (_, index) =>
+        sendCompletion(fleet, index % 2, `note ${index} [length:20]`),
+      ),
+    );
+    const falls = await Promise.all(
+      urls.map(
+        async (url) => ((await sendRequest(`${url}/counts`)).json as { falls: number }).falls,
+      ),
+    );
+    t.deepEqual(falls, [0, 0]);
+    t.true(results.some((result) => result.isWhole));
+  });
+
   it('an instance that starts during a platform outage after a configuration change', async (t) => {
     // Guards against starting with no configuration or an outdated one: the instance must take the
     // latest version from its peers.
