--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -88,7 +88,7 @@
   ): () => void;
 }
 
-/** Time of the exchange at which its stream with a peer is. */
+/** How far an exchange has come with one peer. */
 type Stage = 'offered' | 'handed_over' | 'answering' | 'over';
 
 export function createForwarder(options: ForwarderOptions): Forwarder {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,68 +2,31 @@
  * Composes a router from the source's tables, the running calls, the exchange with other instances and
  * the lifecycle. The servers and the protocols of a deployment are supplied by the caller.
  */
-import type { RetryBounds } from '../attempts/shared-retry-budget.js';
-import type { CallSink, RoutedCall } from '../calls/call-messages.js';
-import type { CallObserver } from '../calls/call-records.js';
 import { createCallRunner } from '../calls/call-runner.js';
-import type { CallRunner, RunningCall } from '../calls/call-runner.js';
-import type { EndpointConnections } from '../calls/endpoint-connections.js';
-import type { EndpointProtocol } from '../calls/endpoint-protocol.js';
+import type { CallRunner } from '../calls/call-runner.js';
 import { createFleetTime } from '../duties/fleet-time.js';
-import type { DutyStatus } from '../duties/fleet-duties.js';
-import type { UsageUpdate } from '../duties/usage-meter.js';
-import type { KnownLimit, LimitReport } from '../endpoint-limits/limit-ledger.js';
-import type { PermitReply, PermitRequest } from '../endpoint-limits/permit-messages.js';
-import type { KnownNotice, NoticeReport } from '../endpoint-availability/availability-ledger.js';
 import { createEndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
-import type { AvailabilityObserver } from '../endpoint-availability/endpoint-availability.js';
-import type { SendLimitsObserver } from '../endpoint-limits/send-limits.js';
-import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
-import type { ForwardLinks } from '../forwarding/forward-messages.js';
-import type { KnownPath } from '../forwarding/path-ledger.js';
-import type { FeedReader } from '../knowledge/feed.js';
 import { createDrain, STAGE } from '../lifecycle/drain.js';
 import type { DrainCommand } from '../lifecycle/drain.js';
-import type { Contact } from '../membership/membership-messages.js';
-import type { DecisionLog } from '../observability/decision-log.js';
-import type { Datagrams } from '../peers/datagrams.js';
-import type { PeerLinks } from '../peers/peer-links.js';
-import type { PeerStatus } from '../peers/peer-status.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { hashStartId } from '../placement/remote-loads.js';
-import type { EndpointKey } from '../placement/remote-loads.js';
 import { createPlacer } from '../placement/placer.js';
-import type { CaseStore } from '../quarantine/case-rows.js';
-import type { CaseReport } from '../quarantine/case-ledger.js';
-import type { CrashCase } from '../quarantine/crash-case.js';
-import type { ConnectionResult } from '../quarantine/crash-detector.js';
-import type { QuarantineObserver } from '../quarantine/quarantine.js';
 import { TOP_RANK } from '../routes/route-rank.js';
 import { createRouteTable } from '../routes/route-table.js';
 import type { RouteTable } from '../routes/route-table.js';
-import type { Invariants } from '../runtime/invariants.js';
-import type { TimerService } from '../runtime/timer-service.js';
-import type { InstanceListClient } from '../storage/instance-list-client.js';
-import type { BrittleReport, KnownBrittle } from '../slot-shares/brittle-ledger.js';
 import { createSlotShares } from '../slot-shares/slot-shares.js';
-import type { SlotSharesObserver } from '../slot-shares/slot-shares.js';
-import type { RequestFailure } from '../types/outcomes.js';
-import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
-import type { Random } from '../utils/random.js';
 import { Err } from '../utils/result.js';
-import type { Result } from '../utils/result.js';
 import { createLeavingFailure, createNotReadyFailure, resolveCall } from './resolve-call.js';
-import type { CallerRequest } from './resolve-call.js';
 import { createCallForwarding } from './call-forwarding.js';
-import type { CallForwarding, ForwardingObserver } from './call-forwarding.js';
 import { createCallLimits } from './call-limits.js';
 import { createCallQuarantine } from './call-quarantine.js';
 import { createGatewayDuties, createTimedFeed } from './gateway-duties.js';
-import type { DutyOptions, GatewayDuties } from './gateway-duties.js';
+import type { GatewayDuties } from './gateway-duties.js';
 import { LEADING_WATCH_WAIT_MS, createKnowledgeStore } from './knowledge-store.js';
-import type { RowDecoder } from './knowledge-store.js';
 import { createPeerExchange } from './peer-exchange.js';
+import type { Gateway, GatewayOptions } from './gateway-api.js';
 
 const TICK_MS = 100;
 /** Failure rate from which a brittle endpoint may have crashed because it had no room. */
@@ -78,99 +41,6 @@
  */
 const RECENT_KNOWLEDGE_MAX_MS = LEADING_WATCH_WAIT_MS + 700;
 
-export interface GatewayOptions {
-  readonly self: Contact;
-  /** Wall clock at the start; higher than that of any earlier start under the same name. */
-  readonly incarnation: number;
-  readonly seeds: readonly string[];
-  readonly timers: TimerService;
-  readonly random: Random;
-  readonly invariants: Invariants;
-  readonly log: DecisionLog;
-  readonly links: PeerLinks;
-  readonly datagrams: Omit<Datagrams, 'close'>;
-  readonly instances: InstanceListClient;
-  readonly configurationFeed: FeedReader;
-  readonly endpointFeed: FeedReader;
-  readonly decoder: RowDecoder;
-  readonly connections: EndpointConnections;
-  readonly forwardLinks: ForwardLinks;
-  /** Checks whether connections to an endpoint's address are accepted. */
-  readonly checkConnection: (address: string) => Promise<ConnectionResult>;
-  readonly protocol: EndpointProtocol;
-  readonly observer: CallObserver;
-  readonly quarantineObserver: QuarantineObserver;
-  readonly limitObserver: SendLimitsObserver;
-  readonly availabilityObserver: AvailabilityObserver;
-  readonly forwardingObserver: ForwardingObserver;
-  readonly shareObserver: SlotSharesObserver;
-  /** Persistent store of condemned contents. */
-  readonly caseStore: CaseStore;
-  readonly retryBounds: RetryBounds;
-  /** Duties that one instance performs for the fleet; undefined if the deployment has none. */
-  readonly duties: DutyOptions | undefined;
-  /** Maximum age of the knowledge of keys when a call is sent. */
-  readonly keyAgeMaxMs: number;
-  /** Maximum wait for running calls when leaving. */
-  readonly drainTimeoutMs: number;
-  /** Time for which new calls are still accepted after this instance starts to leave. */
-  readonly drainNoticeMs: number;
-  readonly onConfiguration: (configuration: TrafficConfiguration) => void;
-  readonly onStopAccepting: () => void;
-  readonly onDrained: () => void;
-}
-
-export interface KnowledgeState {
-  readonly configurationVersion: number;
-  readonly ageMs: number;
-}
-
-export interface Gateway {
-  resolve(request: CallerRequest): Result<RoutedCall, RequestFailure>;
-  run(call: RoutedCall, sink: CallSink): RunningCall;
-  isReady(): boolean;
-  isLeaving(): boolean;
-  leave(): void;
-  getConfiguration(): TrafficConfiguration | undefined;
-  getKnowledgeState(): KnowledgeState;
-  handlePeerStatus(status: PeerStatus): void;
-  handleCases(from: string, cases: readonly CaseReport[]): void;
-  handleMessages(from: string, bodies: readonly PeerMessage['body'][]): void;
-  handleUsage(usage: UsageUpdate): void;
-  /** Undefined if the deployment has no duties. */
-  getDutyStatus(): DutyStatus | undefined;
-  /** Temporarily hands the duties over to other instances; false if this instance does not hold them. */
-  releaseDuties(): boolean;
-  recordUnreachable(address: string): void;
-  buildKnowledge(request: FetchKnowledgeRequest): FetchKnowledgeResponse;
-  /** Returns the name of an endpoint by the key of its start, if it is still registered. */
-  findEndpointName(start: EndpointKey): string | undefined;
-  /** Lists the contents that are linked to endpoint crashes. */
-  listCases(): readonly CrashCase[];
-  /** Releases a content on all instances on behalf of an operator; false if the content is unknown. */
-  releaseCase(content: string, who: string, reason: string): boolean;
-  countInstances(): number;
-  countCalls(): number;
-  handleLimits(from: string, reports: readonly LimitReport[]): void;
-  handleNotices(from: string, reports: readonly NoticeReport[]): void;
-  handleBrittle(from: string, reports: readonly BrittleReport[]): void;
-  handlePermitRequests(from: string, requests: readonly PermitRequest[]): void;
-  handlePermitReplies(replies: readonly PermitReply[]): void;
-  /** Rate limits that endpoints name. */
-  listLimits(): readonly KnownLimit[];
-  /** Endpoints that said that they are leaving or want rest. */
-  listNotices(): readonly KnownNotice[];
-  /** Endpoints that said that they are brittle. */
-  listBrittle(): readonly KnownBrittle[];
-  /** Carries an exchange with an endpoint that a peer does not reach. */
-  runCarried: CallForwarding['runCarried'];
-  /** Calls of peers that are carried now. */
-  countCarried(): number;
-  /** Paths to endpoints that are not open. */
-  listPaths(): readonly KnownPath[];
-  stop(): void;
-}
-
 /** Creates a gateway, which immediately starts to contact other instances and the source. */
 export function createGateway(options: GatewayOptions): Gateway {
   const { timers, log, random } = options;
