ORDER, sight: an attempt's log line names the endpoint's version and what the caller resumes

The hypotheses could not be told apart: no line named a software version, the last event or the call that began the stream. Attempts that go on are now logged like second attempts, whether the caller or this instance goes on. Nothing acts on it.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -51,6 +51,8 @@
   readonly payload: CallPayload;
   /** Last event that the caller received from an earlier response. */
   readonly lastEventId: string | undefined;
+  /** Call that brought the first event of the stream that this call resumes, as the caller says. */
+  readonly resumedCallId: string | undefined;
   readonly receivedMs: number;
   /** Monotonic time at which the timeout of the caller or the route ends. */
   readonly deadlineMs: number;
--- a/src/calls/call-records.ts
+++ b/src/calls/call-records.ts
@@ -9,6 +9,8 @@
   readonly call: RoutedCall;
   readonly attempt: number;
   readonly endpoint: RegisteredEndpoint;
+  /** Event after which a stream goes on; undefined where it begins. */
+  readonly lastEventId: string | undefined;
   /** Known load of the endpoint when it was chosen. */
   readonly load: EndpointLoad;
   /** Number of endpoints to choose from. */
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -151,6 +151,7 @@
       call,
       attempt,
       endpoint,
+      lastEventId,
       load: loads.get(endpoint.startId),
       candidates: options.listOpen(call.pool).length,
       waitedMs: startedMs - call.receivedMs,
--- a/src/calls/send-decision.test.ts
+++ b/src/calls/send-decision.test.ts
@@ -16,6 +16,7 @@
     slots: 1,
     isLeaving: false,
     isSpot: false,
+    softwareVersion: 'v1',
   };
 }
 
--- a/src/directory/endpoint-directory.test.ts
+++ b/src/directory/endpoint-directory.test.ts
@@ -16,6 +16,7 @@
     slots: 1,
     isLeaving,
     isSpot: false,
+    softwareVersion: 'v1',
   };
 }
 
--- a/src/endpoint-availability/endpoint-availability.test.ts
+++ b/src/endpoint-availability/endpoint-availability.test.ts
@@ -22,6 +22,7 @@
     slots: 4,
     isLeaving: false,
     isSpot: false,
+    softwareVersion: 'v1',
   };
 }
 
--- a/src/forwarding/carrier.test.ts
+++ b/src/forwarding/carrier.test.ts
@@ -15,6 +15,7 @@
   slots: 1,
   isLeaving: false,
   isSpot: false,
+  softwareVersion: 'v1',
 };
 const OFFER: ForwardOffer = {
   from: 'sender',
--- a/src/forwarding/cut-fleet.test.ts
+++ b/src/forwarding/cut-fleet.test.ts
@@ -49,6 +49,7 @@
       slots: 8,
       isLeaving: false,
       isSpot: false,
+      softwareVersion: 'v1',
     },
     connectionsMax: 8,
     buildRequest: () => ({ method: 'GET', target: '/', headers: [], body: Buffer.alloc(0) }),
--- a/src/forwarding/forwarder.test.ts
+++ b/src/forwarding/forwarder.test.ts
@@ -86,6 +86,7 @@
       slots: 1,
       isLeaving: false,
       isSpot: false,
+      softwareVersion: 'v1',
     },
     connectionsMax: 1,
     buildRequest: (remainingMs) => ({
--- a/src/gateway/resolve-call.ts
+++ b/src/gateway/resolve-call.ts
@@ -23,6 +23,8 @@
   /** Timeout set by the caller, if any. */
   readonly callerTimeoutMs: number | undefined;
   readonly lastEventId: string | undefined;
+  /** Call that brought the first event of the stream that this request resumes. */
+  readonly resumedCallId: string | undefined;
   readonly prompt: PromptShape | undefined;
   readonly payload: CallPayload;
   readonly receivedMs: number;
@@ -129,6 +131,7 @@
     prompt: request.prompt,
     payload: request.payload,
     lastEventId: request.lastEventId,
+    resumedCallId: request.resumedCallId,
     receivedMs: request.receivedMs,
     deadlineMs: request.receivedMs + timeoutMs,
   });
--- a/src/load-sharing/load-exchange.test.ts
+++ b/src/load-sharing/load-exchange.test.ts
@@ -19,6 +19,7 @@
   slots: 24,
   isLeaving: false,
   isSpot: false,
+  softwareVersion: 'v1',
 };
 
 interface Instance {
--- a/src/observability/call-observer.ts
+++ b/src/observability/call-observer.ts
@@ -7,6 +7,8 @@
 import type { DecisionLog } from './decision-log.js';
 
 const SERVER_ERROR_MIN = 500;
+/** Characters of an id that a caller names. */
+const LOGGED_ID_MAX = 64;
 
 export interface CallObserverOptions {
   readonly log: DecisionLog;
@@ -73,7 +75,8 @@
 export function createCallObserver(options: CallObserverOptions): CallObserver {
   const { log, metrics } = options;
   return {
-    onAttempt({ call, attempt, endpoint, load, candidates, waitedMs, remainingMs }: AttemptRecord) {
+    onAttempt(record: AttemptRecord) {
+      const { call, attempt, endpoint, lastEventId, load, waitedMs } = record;
       const knowledge = options.getKnowledge();
       metrics.recordWait(call.urgency, waitedMs);
       log.write({
@@ -82,11 +85,16 @@
         urgency: call.urgency,
         attempt,
         endpoint: endpoint.id,
+        endpointVersion: endpoint.softwareVersion,
+        ...(lastEventId === undefined ? {} : { lastEventId }),
+        ...(call.resumedCallId === undefined
+          ? {}
+          : { resumes: call.resumedCallId.slice(0, LOGGED_ID_MAX) }),
         endpointRunning: load.running,
         endpointUnreadTokens: load.unreadTokens,
-        candidates,
+        candidates: record.candidates,
         waitedMs: Math.round(waitedMs),
-        remainingMs: Math.round(remainingMs),
+        remainingMs: Math.round(record.remainingMs),
         configurationVersion: knowledge.configurationVersion,
         knowledgeAgeMs: Math.round(knowledge.ageMs),
       });
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -239,6 +239,11 @@
       readonly urgency: number;
       readonly attempt: number;
       readonly endpoint: string;
+      readonly endpointVersion: string;
+      /** Event after which the stream goes on; absent where it begins. */
+      readonly lastEventId?: string;
+      /** Call that began the stream, as the caller says; absent where the caller names none. */
+      readonly resumes?: string;
       /** Known load of the endpoint: running calls and prompt tokens not yet processed. */
       readonly endpointRunning: number;
       readonly endpointUnreadTokens: number;
@@ -309,7 +314,9 @@
     case 'call_carried':
       return LOG_KIND.Failure;
     case 'attempt_started':
-      return event.attempt > 1 ? LOG_KIND.Failure : LOG_KIND.Served;
+      return event.attempt > 1 || event.lastEventId !== undefined
+        ? LOG_KIND.Failure
+        : LOG_KIND.Served;
     case 'call_ended':
       return isSuccess ? LOG_KIND.Served : LOG_KIND.Failure;
     default:
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -19,6 +19,7 @@
     slots: 128,
     isLeaving: false,
     isSpot: false,
+    softwareVersion: 'v1',
   };
 }
 
--- a/src/placement/engine-reserve.test.ts
+++ b/src/placement/engine-reserve.test.ts
@@ -20,6 +20,7 @@
       slots: SLOTS,
       isLeaving: false,
       isSpot: false,
+      softwareVersion: 'v1',
     };
   });
 }
--- a/src/placement/placer.test.ts
+++ b/src/placement/placer.test.ts
@@ -16,6 +16,7 @@
   slots: 16,
   isLeaving: false,
   isSpot: false,
+  softwareVersion: 'v1',
 };
 const CALL: RoutedCall = {
   callId: 'c',
@@ -28,6 +29,7 @@
   prompt: { model: 'm', inputTokens: 10, outputTokensMax: 10, parts: [{ id: 'x', tokens: 10 }] },
   payload: { method: 'POST', target: '/', headers: [], body: Buffer.alloc(0) },
   lastEventId: undefined,
+  resumedCallId: undefined,
   receivedMs: 0,
   deadlineMs: 5000,
 };
--- a/src/placement/prefill-slowdown.test.ts
+++ b/src/placement/prefill-slowdown.test.ts
@@ -18,6 +18,7 @@
     slots: 16,
     isLeaving: false,
     isSpot: false,
+    softwareVersion: 'v1',
   };
 }
 
--- a/src/quarantine/crash-detector.test.ts
+++ b/src/quarantine/crash-detector.test.ts
@@ -17,6 +17,7 @@
   slots: 16,
   isLeaving: false,
   isSpot: false,
+  softwareVersion: 'v1',
 };
 
 function buildAnswer(content: string, interruptedMs = 0): InterruptedAnswer {
--- a/src/slot-shares/slot-shares.test.ts
+++ b/src/slot-shares/slot-shares.test.ts
@@ -25,6 +25,7 @@
     slots,
     isLeaving: false,
     isSpot: false,
+    softwareVersion: 'v1',
   };
 }
 
--- a/src/test/crashing-engines.ts
+++ b/src/test/crashing-engines.ts
@@ -78,6 +78,7 @@
       slots: options.slots,
       isLeaving: false,
       isSpot: false,
+      softwareVersion: 'v1',
     };
     const engine = createSimulatedEngine(time, options);
     processes.set(endpoint.address, { endpoint, engine, listeners: new Set() });
--- a/src/test/fleet-simulation.ts
+++ b/src/test/fleet-simulation.ts
@@ -123,6 +123,7 @@
       slots,
       isLeaving: false,
       isSpot: false,
+      softwareVersion: 'v1',
     };
   });
 }
--- a/src/test/knowledge-harness.ts
+++ b/src/test/knowledge-harness.ts
@@ -45,6 +45,7 @@
       slots: 1,
       isLeaving,
       isSpot: false,
+      softwareVersion: 'v1',
     };
   },
 };
--- a/src/test/limit-simulation.ts
+++ b/src/test/limit-simulation.ts
@@ -125,6 +125,7 @@
     slots: SLOTS,
     isLeaving: false,
     isSpot: false,
+    softwareVersion: 'v1',
   }));
 }
 
--- a/src/test/send-limits-simulation.ts
+++ b/src/test/send-limits-simulation.ts
@@ -83,6 +83,7 @@
     slots: 64,
     isLeaving: false,
     isSpot: false,
+    softwareVersion: 'v1',
   };
 }
 
--- a/src/test/simulated-routes.ts
+++ b/src/test/simulated-routes.ts
@@ -79,6 +79,7 @@
     },
     payload: { method: 'POST', target: '/', headers: [], body: Buffer.alloc(0) },
     lastEventId: undefined,
+    resumedCallId: undefined,
     receivedMs,
     deadlineMs: receivedMs + route.timeoutMs,
   };
--- a/src/types/traffic.ts
+++ b/src/types/traffic.ts
@@ -109,4 +109,6 @@
   readonly isLeaving: boolean;
   /** Whether the provider may reclaim the endpoint at any time. */
   readonly isSpot: boolean;
+  /** Version of the endpoint's software; any text, compared for equality only. */
+  readonly softwareVersion: string;
 }
