ORDER: a stream goes on only at the software version that began it

Cause: whatever moves work from one endpoint to another took the endpoints of a pool for alike. The version was read from the registry and used nowhere; what a caller resumes was not read, so no instance could know who began its stream.

Now the first event binds its stream to the endpoint's version (docs/design/stream-versions.md, written before). Further attempts and further tries of the caller leave out all other versions, looked at again right before the request is written. Instances tell three owners of their streams, by rendezvous hashing of the call id, while they could not conclude the version without; a try that comes elsewhere asks four. Who cannot know refuses at once, as not run. A start that ended before the registry says so binds nothing and takes nothing that goes on. The route's split is decided by the first call's id.

--- a/src/calls/call-refusals.ts
+++ b/src/calls/call-refusals.ts
@@ -15,6 +15,24 @@
   retryAfterMs: NO_ENDPOINT_RETRY_MS,
 };
 
+/** Nobody can tell which software version began the stream that the call resumes. */
+export const STREAM_UNKNOWN: RequestFailure = {
+  type: FAILURE.NoEndpoint,
+  message:
+    'no instance in reach knows which version of the endpoints began this stream; begin it anew, without its last event',
+  outcome: OUTCOME.NotRun,
+  retryAfterMs: NO_ENDPOINT_RETRY_MS,
+};
+
+/** No endpoint of the software version that began the stream is left. */
+export const VERSION_GONE: RequestFailure = {
+  type: FAILURE.NoEndpoint,
+  message:
+    'no endpoint of the version that began this stream is left; begin it anew, without its last event',
+  outcome: OUTCOME.NotRun,
+  retryAfterMs: NO_ENDPOINT_RETRY_MS,
+};
+
 /** The engines are busy with more urgent calls. */
 export const NO_CAPACITY: RequestFailure = {
   type: FAILURE.Overloaded,
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -10,6 +10,8 @@
 import type { WaitingCall } from '../placement/admission-decision.js';
 import type { Placer } from '../placement/placer.js';
 import type { AttemptWatch, Quarantine } from '../quarantine/quarantine.js';
+import type { VersionKey } from '../stream-versions/stream-binding.js';
+import type { StreamVersions } from '../stream-versions/stream-versions.js';
 import type { SlotShares, SlotTicket } from '../slot-shares/slot-shares.js';
 import type { TimerService, Unsubscribe } from '../runtime/timer-service.js';
 import type { RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
@@ -67,6 +69,12 @@
     EndpointAvailability,
     'recordAnswer' | 'isAvailable' | 'choose' | 'computeReturnMs'
   >;
+  readonly streams: Pick<
+    StreamVersions,
+    'resolve' | 'isFit' | 'isCurrent' | 'computeVersion' | 'recordStarted'
+  >;
+  /** Registered endpoints of a pool that are not leaving. */
+  readonly listRegistered: (pool: string) => readonly RegisteredEndpoint[];
   /** An endpoint started the call, at a time of the monotonic clock; called once for each call. */
   readonly onStarted: (call: RoutedCall, startedMs: number) => void;
   /** Returns a failure if the call must not be sent now. */
@@ -94,6 +102,8 @@
   watch: AttemptWatch | undefined;
   slot: SlotTicket | undefined;
   firstMs: number | undefined;
+  /** Version that wrote the events that were delivered; undefined before the first. */
+  version: VersionKey | undefined;
   /** When the current attempt was sent. */
   sentMs: number;
   isStarted: boolean;
@@ -113,6 +123,8 @@
     limits: options.limits,
     shares: options.shares,
     quarantine: options.quarantine,
+    streams: options.streams,
+    listRegistered: options.listRegistered,
     checkSendable: options.checkSendable,
     getNow,
   });
@@ -133,6 +145,19 @@
     options.onStarted(run.call, startedMs);
   }
 
+  /** The first event that is delivered binds the stream. */
+  function recordVersion(run: Run, endpoint: RegisteredEndpoint): void {
+    if (run.version !== undefined || !isStream(run.call.route.kind)) return;
+    run.version = options.streams.computeVersion(endpoint);
+    options.streams.recordStarted(run.call, endpoint);
+  }
+
+  /** Looked at again, since the exchange may have waited for a connection or a peer. */
+  function isSendAllowed({ call }: Run, endpoint: RegisteredEndpoint): boolean {
+    if (isStream(call.route.kind) && !options.streams.isCurrent(endpoint)) return false;
+    return options.availability.isAvailable(endpoint) && options.checkSendable(call) === undefined;
+  }
+
   /** A stream counts as started at its first event, any other call when it was sent. */
   function recordNonStreamStarted(run: Run): void {
     if (!isStream(run.call.route.kind)) recordStarted(run, run.sentMs);
@@ -177,6 +202,7 @@
         watch.recordEvent();
         run.firstMs ??= getNow() - call.receivedMs;
         recordStarted(run, getNow());
+        recordVersion(run, endpoint);
         advanceRun(run, { kind: 'event', attempt, id, bytes });
       },
       onEnded(end) {
@@ -205,9 +231,7 @@
           protocol.encode(call, { endpointId: endpoint.id, remainingMs, lastEventId }),
       },
       {
-        // Looked at again, since the exchange may have waited for a connection or a peer.
-        isSendAllowed: () =>
-          options.availability.isAvailable(endpoint) && options.checkSendable(call) === undefined,
+        isSendAllowed: () => isSendAllowed(run, endpoint),
         onWithheld: () => reader.readWithheld(),
         onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
         onData: (bytes) => reader.readData(bytes),
@@ -219,7 +243,8 @@
 
   /** Sends or rejects the requested attempt; false if it has to wait. */
   function sendAttempt(run: Run, command: AttemptCommand): boolean {
-    const decision = decider.choose(run.call, command, run.triedEndpointIds);
+    const { triedEndpointIds: tried, version } = run;
+    const decision = decider.choose(run.call, command, { tried, version });
     switch (decision.kind) {
       case 'send':
         run.triedEndpointIds.push(decision.placement.endpoint.id);
@@ -355,6 +380,7 @@
         watch: undefined,
         slot: undefined,
         firstMs: undefined,
+        version: undefined,
         sentMs: 0,
         isStarted: false,
       };
--- a/src/calls/send-decision.test.ts
+++ b/src/calls/send-decision.test.ts
@@ -47,13 +47,15 @@
     limits: { choose: () => choice, take: (_, __, { id }) => !spent.includes(id) },
     shares: { choose: (_, endpoints) => ({ kind: 'send', endpoints }) },
     quarantine: { check: () => ({ kind: 'send', isAlone: false }) },
+    streams: { resolve: () => ({ kind: 'any' }), isFit: () => true },
+    listRegistered: () => [],
     checkSendable: () => undefined,
     getNow: () => 0,
   });
   const decision = decider.choose(
     CALL,
     { kind: 'attempt', attempt: 1, lastEventId: undefined },
-    [],
+    { tried: [], version: undefined },
   );
   return decision.kind === 'send' ? decision.placement.endpoint.id : decision.kind;
 }
--- a/src/calls/send-decision.ts
+++ b/src/calls/send-decision.ts
@@ -14,7 +14,9 @@
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
 import type { CallCommand, RoutedCall } from './call-messages.js';
-import { NO_CAPACITY, NO_ENDPOINT } from './call-refusals.js';
+import type { StreamVersions } from '../stream-versions/stream-versions.js';
+import type { VersionKey } from '../stream-versions/stream-binding.js';
+import { NO_CAPACITY, NO_ENDPOINT, STREAM_UNKNOWN, VERSION_GONE } from './call-refusals.js';
 
 export type AttemptCommand = Extract<CallCommand, { kind: 'attempt' }>;
 
@@ -29,14 +31,24 @@
   readonly limits: Pick<SendLimits, 'choose' | 'take'>;
   readonly shares: Pick<SlotShares, 'choose'>;
   readonly quarantine: Pick<Quarantine, 'check'>;
+  readonly streams: Pick<StreamVersions, 'resolve' | 'isFit'>;
+  /** Registered endpoints of a pool that are not leaving. */
+  readonly listRegistered: (pool: string) => readonly RegisteredEndpoint[];
   /** Returns a failure if the call must not be sent now. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
   readonly getNow: () => number;
 }
 
+/** What earlier attempts of a call leave to the next. */
+export interface AttemptHistory {
+  /** Ids of endpoints that the call was sent to. */
+  readonly tried: readonly string[];
+  /** Version that wrote the events that were delivered; undefined before the first. */
+  readonly version: VersionKey | undefined;
+}
+
 export interface SendDecider {
-  /** `tried` holds the ids of endpoints that the call was sent to before. */
-  choose(call: RoutedCall, command: AttemptCommand, tried: readonly string[]): SendDecision;
+  choose(call: RoutedCall, command: AttemptCommand, history: AttemptHistory): SendDecision;
 }
 
 interface Target {
@@ -82,8 +94,10 @@
   function chooseShared(
     call: RoutedCall,
     choice: Extract<SendChoice, { kind: 'send' }>,
+    excluded: readonly string[],
   ): SendChoice {
-    const { endpoints, untested } = choice;
+    const { untested } = choice;
+    const endpoints = choice.endpoints.filter(({ id }) => !excluded.includes(id));
     const all = untested === undefined ? endpoints : [untested, ...endpoints];
     const shared = options.shares.choose(call, all);
     if (shared.kind !== 'send') return shared;
@@ -112,26 +126,72 @@
     }
   }
 
+  /** Chooses among the endpoints that are not excluded. */
+  function chooseAmong(
+    call: RoutedCall,
+    command: AttemptCommand,
+    excluded: readonly string[],
+    isAlone: boolean,
+  ): SendDecision {
+    const availability = options.availability.choose(call, excluded);
+    if (availability.kind === 'wait') return WAIT;
+    if (availability.kind === 'refuse') return { kind: 'reject', failure: availability.failure };
+    const choice = limits.choose(call, command.attempt, excluded);
+    if (choice.kind === 'wait') return WAIT;
+    if (choice.kind === 'refuse') return { kind: 'reject', failure: choice.failure };
+    const shared = chooseShared(call, choice, excluded);
+    if (shared.kind === 'wait') return WAIT;
+    if (shared.kind === 'refuse') return { kind: 'reject', failure: shared.failure };
+    const input: TargetInput = { call, command, tried: excluded, isAlone };
+    const target = chooseTarget(input, shared);
+    if (target === undefined) return { kind: 'reject', failure: NO_ENDPOINT };
+    return resolveTarget(input, target);
+  }
+
+  /** Leaves out the endpoints at which a stream of the version may not go on. */
+  function chooseOfVersion(
+    call: RoutedCall,
+    command: AttemptCommand,
+    { tried, version }: AttemptHistory & { readonly version: VersionKey },
+    isAlone: boolean,
+  ): SendDecision {
+    const registered = options.listRegistered(call.pool);
+    const unfit = registered.filter((endpoint) => !options.streams.isFit(endpoint, version));
+    if (unfit.length === registered.length) return { kind: 'reject', failure: VERSION_GONE };
+    return chooseAmong(call, command, [...tried, ...unfit.map(({ id }) => id)], isAlone);
+  }
+
+  function chooseForStream(
+    call: RoutedCall,
+    command: AttemptCommand,
+    history: AttemptHistory,
+    isAlone: boolean,
+  ): SendDecision {
+    const { tried, version } = history;
+    if (version !== undefined) return chooseOfVersion(call, command, { tried, version }, isAlone);
+    const stream = options.streams.resolve(call);
+    switch (stream.kind) {
+      case 'any':
+        return chooseAmong(call, command, tried, isAlone);
+      case 'bound':
+        return chooseOfVersion(call, command, { tried, version: stream.version }, isAlone);
+      case 'wait':
+        return WAIT;
+      case 'unknown':
+        return { kind: 'reject', failure: STREAM_UNKNOWN };
+      default:
+        return assertNever(stream);
+    }
+  }
+
   return {
-    choose(call, command, tried) {
+    choose(call, command, history) {
       const failure = options.checkSendable(call);
       if (failure !== undefined) return { kind: 'reject', failure };
       const verdict = options.quarantine.check(call);
       if (verdict.kind === 'wait') return WAIT;
       if (verdict.kind === 'refuse') return { kind: 'reject', failure: verdict.failure };
-      const availability = options.availability.choose(call, tried);
-      if (availability.kind === 'wait') return WAIT;
-      if (availability.kind === 'refuse') return { kind: 'reject', failure: availability.failure };
-      const choice = limits.choose(call, command.attempt, tried);
-      if (choice.kind === 'wait') return WAIT;
-      if (choice.kind === 'refuse') return { kind: 'reject', failure: choice.failure };
-      const shared = chooseShared(call, choice);
-      if (shared.kind === 'wait') return WAIT;
-      if (shared.kind === 'refuse') return { kind: 'reject', failure: shared.failure };
-      const input: TargetInput = { call, command, tried, isAlone: verdict.isAlone };
-      const target = chooseTarget(input, shared);
-      if (target === undefined) return { kind: 'reject', failure: NO_ENDPOINT };
-      return resolveTarget(input, target);
+      return chooseForStream(call, command, history, verdict.isAlone);
     },
   };
 }
--- /dev/null
+++ b/src/gateway/call-streams.ts
@@ -0,0 +1,86 @@
+/** The stream bindings of a gateway, with the messages that instances exchange about them. */
+import type { Contact } from '../membership/membership-messages.js';
+import type { Datagrams } from '../peers/datagrams.js';
+import type { EndpointKey } from '../placement/remote-loads.js';
+import type { CaseReport } from '../quarantine/case-ledger.js';
+import type { TimerService } from '../runtime/timer-service.js';
+import type { BindingMessage } from '../stream-versions/binding-messages.js';
+import { createStreamVersions } from '../stream-versions/stream-versions.js';
+import type { StreamObserver, StreamVersions } from '../stream-versions/stream-versions.js';
+import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
+import { assertNever } from '../utils/assert-never.js';
+import type { PeerExchange } from './peer-exchange.js';
+
+const TICK_MS = 100;
+/** A caller's tries and the answer to the last one take at most two timeouts of the route. */
+const TIMEOUTS_PER_STREAM = 2;
+/** Lower bound, and the life while there is no configuration. */
+const STREAM_LIFE_MIN_MS = 10_000;
+
+export interface CallStreamsOptions {
+  readonly self: Contact;
+  readonly timers: TimerService;
+  readonly observer: StreamObserver;
+  readonly datagrams: Pick<Datagrams, 'sendStreams' | 'sendStreamQuery' | 'sendStreamReply'>;
+  readonly peers: Pick<PeerExchange, 'listPeers' | 'findAddress'>;
+  readonly listRegistered: () => readonly RegisteredEndpoint[];
+  readonly findEndpoint: (id: string) => RegisteredEndpoint | undefined;
+  /** Whether the view of the registry was lately confirmed as the newest. */
+  readonly isViewConfirmed: () => boolean;
+}
+
+export interface CallStreams extends StreamVersions {
+  setConfiguration(configuration: TrafficConfiguration): void;
+  /** Takes note of the ended starts that crash cases name. */
+  recordCrashes(cases: readonly CaseReport[]): void;
+}
+
+export function createCallStreams(options: CallStreamsOptions): CallStreams {
+  const { self, timers, datagrams, peers } = options;
+  let streamLifeMs = STREAM_LIFE_MIN_MS;
+
+  function sendMessage(message: BindingMessage): void {
+    const address = peers.findAddress(message.to);
+    if (address === undefined) return;
+    switch (message.kind) {
+      case 'told':
+        datagrams.sendStreams(address, message.groups);
+        break;
+      case 'query':
+        datagrams.sendStreamQuery(address, message.query);
+        break;
+      case 'reply':
+        datagrams.sendStreamReply(address, message.reply);
+        break;
+      default:
+        assertNever(message);
+    }
+  }
+
+  const streams = createStreamVersions({
+    self: self.name,
+    getNow: () => timers.clock.monotonicMs(),
+    listAlive: () => [...peers.listPeers(), self],
+    listRegistered: options.listRegistered,
+    find: options.findEndpoint,
+    isViewConfirmed: options.isViewConfirmed,
+    getStreamLifeMs: () => streamLifeMs,
+    send: sendMessage,
+    observer: options.observer,
+  });
+  timers.subscribe(TICK_MS, () => streams.advance());
+
+  return {
+    ...streams,
+    setConfiguration({ routes }) {
+      const timeoutMs = Math.max(0, ...routes.map((route) => route.timeoutMs));
+      streamLifeMs = Math.max(STREAM_LIFE_MIN_MS, TIMEOUTS_PER_STREAM * timeoutMs);
+    },
+    recordCrashes(cases) {
+      const starts: EndpointKey[] = cases.flatMap(({ crashes }) =>
+        crashes.map(({ start }) => start),
+      );
+      for (const start of starts) streams.recordEnded(start);
+    },
+  };
+}
--- a/src/gateway/gateway-api.ts
+++ b/src/gateway/gateway-api.ts
@@ -31,9 +31,12 @@
 import type { TimerService } from '../runtime/timer-service.js';
 import type { InstanceListClient } from '../storage/instance-list-client.js';
 import type { BrittleReport, KnownBrittle } from '../slot-shares/brittle-ledger.js';
+import type { BindingQuery, BindingReply } from '../stream-versions/binding-messages.js';
+import type { BindingGroup } from '../stream-versions/stream-binding.js';
+import type { StreamObserver } from '../stream-versions/stream-versions.js';
 import type { SlotSharesObserver } from '../slot-shares/slot-shares.js';
 import type { RequestFailure } from '../types/outcomes.js';
-import type { TrafficConfiguration } from '../types/traffic.js';
+import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
 import type { Result } from '../utils/result.js';
 import type { CallerRequest } from './resolve-call.js';
@@ -67,6 +70,7 @@
   readonly availabilityObserver: AvailabilityObserver;
   readonly forwardingObserver: ForwardingObserver;
   readonly shareObserver: SlotSharesObserver;
+  readonly streamObserver: StreamObserver;
   /** Persistent store of condemned contents. */
   readonly caseStore: CaseStore;
   readonly retryBounds: RetryBounds;
@@ -119,6 +123,13 @@
   handleBrittle(from: string, reports: readonly BrittleReport[]): void;
   handlePermitRequests(from: string, requests: readonly PermitRequest[]): void;
   handlePermitReplies(replies: readonly PermitReply[]): void;
+  handleStreams(from: string, groups: readonly BindingGroup[]): void;
+  handleStreamQuery(from: string, query: BindingQuery): void;
+  handleStreamReply(from: string, reply: BindingReply): void;
+  /** Registered endpoints, whatever their state. */
+  listEndpoints(): readonly RegisteredEndpoint[];
+  /** Number of streams whose version this instance keeps. */
+  countStreamBindings(): number;
   /** Rate limits that endpoints name. */
   listLimits(): readonly KnownLimit[];
   /** Endpoints that said that they are leaving or want rest. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { createCallForwarding } from './call-forwarding.js';
 import { createCallLimits } from './call-limits.js';
 import { createCallQuarantine } from './call-quarantine.js';
+import { createCallStreams } from './call-streams.js';
 import { createGatewayDuties, createTimedFeed } from './gateway-duties.js';
 import type { GatewayDuties } from './gateway-duties.js';
 import { LEADING_WATCH_WAIT_MS, createKnowledgeStore } from './knowledge-store.js';
@@ -60,6 +61,7 @@
     onConfiguration(configuration) {
       table = createRouteTable(configuration);
       drain.handle({ kind: 'configured' }, getNow());
+      streams.setConfiguration(configuration);
       options.onConfiguration(configuration);
     },
     onEndpointEnded(endpoint, isRestarted) {
@@ -77,7 +79,13 @@
   const { quarantine, ...quarantineControl } = createCallQuarantine({
     timers,
     log,
-    observer: options.quarantineObserver,
+    observer: {
+      ...options.quarantineObserver,
+      onCrash(crash) {
+        streams.recordEnded(hashStartId(crash.endpoint.startId));
+        options.quarantineObserver.onCrash(crash);
+      },
+    },
     caseStore: options.caseStore,
     checkConnection: options.checkConnection,
     findEndpoint: (id) => knowledge.directory.find(id),
@@ -174,6 +182,17 @@
     observer: options.shareObserver,
   });
 
+  const streams = createCallStreams({
+    self: options.self,
+    timers,
+    observer: options.streamObserver,
+    datagrams: options.datagrams,
+    peers,
+    listRegistered: () => knowledge.directory.listAll(),
+    findEndpoint: (id) => knowledge.directory.find(id),
+    isViewConfirmed: () => knowledge.computeAge() <= RECENT_KNOWLEDGE_MAX_MS,
+  });
+
   const forwarding = createCallForwarding({
     self: options.self,
     timers,
@@ -218,6 +237,8 @@
     limits,
     shares,
     availability,
+    streams,
+    listRegistered: (pool) => knowledge.directory.listOpen(pool),
     onStarted: (call, startedMs) => duties?.recordStarted(call, startedMs),
     checkSendable(call) {
       // Checked right before each send, since the key may have been revoked while the call waited.
@@ -290,7 +311,10 @@
       ageMs: knowledge.computeAge(),
     }),
     handlePeerStatus: (status) => peers.handlePeerStatus(status),
-    handleCases: (from, cases) => peers.handleCases(from, cases),
+    handleCases(from, cases) {
+      streams.recordCrashes(cases);
+      peers.handleCases(from, cases);
+    },
     findEndpointName: (start) =>
       knowledge.directory.listAll().find(({ startId }) => hashStartId(startId) === start)?.id,
     listCases: quarantineControl.listCases,
@@ -308,6 +332,11 @@
     handleBrittle: (from, reports) => shares.merge(reports, from),
     handlePermitRequests: (from, requests) => limits.handleRequests(requests, from),
     handlePermitReplies: (replies) => limits.handleReplies(replies),
+    handleStreams: (from, groups) => streams.handleTold(groups, from),
+    handleStreamQuery: (from, query) => streams.handleQuery(query, from),
+    handleStreamReply: (from, reply) => streams.handleReply(reply, from),
+    listEndpoints: () => knowledge.directory.listAll(),
+    countStreamBindings: () => streams.count(),
     listLimits: () => limits.list(),
     listNotices: () => availability.list(),
     listBrittle: () => shares.list(),
--- a/src/gateway/resolve-call.ts
+++ b/src/gateway/resolve-call.ts
@@ -105,7 +105,9 @@
       createNotRunFailure(FAILURE.Unauthenticated, 'the key is missing or unknown; send one'),
     );
   }
-  const pool = choosePool(route, callId);
+  // A resumed stream goes on in the pool that the route's split chose for its first call.
+  const isResumed = request.lastEventId !== undefined && request.resumedCallId !== undefined;
+  const pool = choosePool(route, isResumed ? request.resumedCallId : callId);
   if (pool === undefined) {
     return Err(createNotReadyFailure('the route has no pool yet; come back'));
   }
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -32,6 +32,7 @@
   readonly countBrittleEndpoints: () => number;
   readonly countLostPaths: () => number;
   readonly countCarriedCalls: () => number;
+  readonly countStreamBindings: () => number;
 }
 
 export interface CallMetrics {
@@ -62,6 +63,10 @@
   recordNotice(notice: string, change: string): void;
   /** Records a call refused because this instance's share of brittle endpoints was in use. */
   recordShareRefusal(): void;
+  /** Records whether the version of a resumed stream was found. */
+  recordResumedStream(outcome: string): void;
+  /** Records streams that other instances were told of. */
+  recordToldStreams(streams: number): void;
   /** Records what became of an own call at a peer. */
   recordForward(result: string): void;
   /** Records what became of a call of a peer here. */
@@ -139,6 +144,17 @@
     help: 'Calls refused because the share of brittle endpoints was in use',
     registers,
   });
+  const resumedStreams = new Counter({
+    name: 'hyssoptally_resumed_streams_total',
+    help: 'Streams that callers resume, by whether the version that began them is known',
+    labelNames: ['outcome'],
+    registers,
+  });
+  const toldStreams = new Counter({
+    name: 'hyssoptally_told_streams_total',
+    help: 'Streams whose version other instances were told of, counted once for each copy',
+    registers,
+  });
   const forwards = new Counter({
     name: 'hyssoptally_forwarded_calls_total',
     help: 'Offers of own calls to peers, by what became of them',
@@ -259,6 +275,11 @@
     'Calls of peers that this instance carries now',
     sources.countCarriedCalls,
   );
+  addGauge(
+    'hyssoptally_stream_bindings',
+    'Streams of which this instance keeps the version that began them',
+    sources.countStreamBindings,
+  );
 
   return {
     recordCall({ route: { kind }, urgency }, result, firstMs, tookMs) {
@@ -278,6 +299,8 @@
     recordRestRefusal: () => restRefusals.inc(),
     recordNotice: (notice, change) => notices.inc({ notice, change }),
     recordShareRefusal: () => shareRefusals.inc(),
+    recordResumedStream: (outcome) => resumedStreams.inc({ outcome }),
+    recordToldStreams: (streams) => toldStreams.inc(streams),
     recordForward: (result) => forwards.inc({ result }),
     recordCarried: (result) => carriedCalls.inc({ result }),
     recordRefusal: (failure) => refusals.inc({ failure }),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -233,6 +233,25 @@
       readonly configurationVersion: number;
       readonly knowledgeAgeMs: number;
     }
+  | {
+      /** The software version of a stream that a caller resumes was found, or nobody knows it. */
+      readonly event: 'stream_resumed';
+      readonly request: string;
+      /** Call that began the stream, as the caller says; empty where the caller names none. */
+      readonly resumes: string;
+      readonly pool: string;
+      readonly outcome: string;
+      readonly version: string;
+      /** 'own', 'asked' or the name of the instance that told the binding. */
+      readonly source: string;
+      /** Time since the binding was recorded; null where none is kept here. */
+      readonly ageMs: number | null;
+      readonly asked: readonly string[];
+      readonly replies: readonly string[];
+      readonly tookMs: number;
+      /** Endpoints of other versions. */
+      readonly passedOver: readonly string[];
+    }
   | {
       readonly event: 'attempt_started';
       readonly request: string;
@@ -312,6 +331,7 @@
     case 'share_refused':
     case 'call_forwarded':
     case 'call_carried':
+    case 'stream_resumed':
       return LOG_KIND.Failure;
     case 'attempt_started':
       return event.attempt > 1 || event.lastEventId !== undefined
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -11,6 +11,8 @@
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import type { AddressedLoadUpdate } from '../load-sharing/load-update.js';
 import type { CaseReport } from '../quarantine/case-ledger.js';
+import type { BindingQuery, BindingReply } from '../stream-versions/binding-messages.js';
+import type { BindingGroup } from '../stream-versions/stream-binding.js';
 import type { BrittleReport } from '../slot-shares/brittle-ledger.js';
 import type { NoticeReport } from '../endpoint-availability/availability-ledger.js';
 import type { LimitReport } from '../endpoint-limits/limit-ledger.js';
@@ -27,6 +29,14 @@
 import { decodeLoadUpdate, encodeLoadUpdate } from './encode-load-update.js';
 import { decodeBrittle, encodeBrittle } from './encode-brittle.js';
 import { decodeNotices, encodeNotices } from './encode-notices.js';
+import {
+  decodeStreamQuery,
+  decodeStreamReply,
+  decodeStreams,
+  encodeStreamQuery,
+  encodeStreamReply,
+  encodeStreams,
+} from './encode-streams.js';
 import { decodeUsage, encodeUsage } from './encode-usage.js';
 import type { KnowledgeSummary } from './peer-links.js';
 import type { PeerStatus } from './peer-status.js';
@@ -45,6 +55,9 @@
   sendBrittle(addresses: readonly string[], reports: readonly BrittleReport[]): void;
   sendPermitRequests(address: string, requests: readonly PermitRequest[]): void;
   sendPermitReplies(address: string, replies: readonly PermitReply[]): void;
+  sendStreams(address: string, groups: readonly BindingGroup[]): void;
+  sendStreamQuery(address: string, query: BindingQuery): void;
+  sendStreamReply(address: string, reply: BindingReply): void;
   close(): void;
 }
 
@@ -64,6 +77,9 @@
   readonly onBrittle: (from: string, reports: readonly BrittleReport[]) => void;
   readonly onPermitRequests: (from: string, requests: readonly PermitRequest[]) => void;
   readonly onPermitReplies: (replies: readonly PermitReply[]) => void;
+  readonly onStreams: (from: string, groups: readonly BindingGroup[]) => void;
+  readonly onStreamQuery: (from: string, query: BindingQuery) => void;
+  readonly onStreamReply: (from: string, reply: BindingReply) => void;
   /** Called for a message kind or value of a newer release, which is ignored. */
   readonly onUnknown: (field: string, value: string) => void;
   /** Called if a datagram cannot be sent, authenticated or decoded. */
@@ -116,6 +132,15 @@
       case 'permitReplies':
         options.onPermitReplies(decodePermitReplies(body.value));
         break;
+      case 'streams':
+        options.onStreams(from, decodeStreams(body.value));
+        break;
+      case 'queryStream':
+        options.onStreamQuery(from, decodeStreamQuery(body.value));
+        break;
+      case 'streamReply':
+        options.onStreamReply(from, decodeStreamReply(body.value));
+        break;
       default:
         options.onUnknown('datagram', `of ${from}`);
     }
@@ -172,6 +197,15 @@
     sendPermitReplies(address, replies) {
       sendBody([address], { case: 'permitReplies', value: encodePermitReplies(replies) });
     },
+    sendStreams(address, groups) {
+      sendBody([address], { case: 'streams', value: encodeStreams(groups) });
+    },
+    sendStreamQuery(address, query) {
+      sendBody([address], { case: 'queryStream', value: encodeStreamQuery(query) });
+    },
+    sendStreamReply(address, reply) {
+      sendBody([address], { case: 'streamReply', value: encodeStreamReply(reply) });
+    },
     close: () => socket.close(),
   };
 }
--- /dev/null
+++ b/src/peers/encode-streams.ts
@@ -0,0 +1,98 @@
+/** Converts messages about the software versions that began streams to and from their wire form. */
+import { create } from '@bufbuild/protobuf';
+import {
+  QueryStreamSchema,
+  StreamAnswer,
+  StreamGroupSchema,
+  StreamReplySchema,
+  TellStreamsSchema,
+} from '../gen/peer_pb.js';
+import type { QueryStream, StreamReply, TellStreams } from '../gen/peer_pb.js';
+import { BINDING_ANSWER } from '../stream-versions/binding-messages.js';
+import type {
+  BindingAnswer,
+  BindingQuery,
+  BindingReply,
+} from '../stream-versions/binding-messages.js';
+import { STREAM_KEY_DIGITS } from '../stream-versions/stream-binding.js';
+import type { BindingGroup, StreamKey } from '../stream-versions/stream-binding.js';
+import { encodeUint32 } from './encode-uint32.js';
+
+const KEY_BYTES = STREAM_KEY_DIGITS / 2;
+
+const WIRE_ANSWER: Readonly<Record<BindingAnswer, StreamAnswer>> = {
+  bound: StreamAnswer.BOUND,
+  only: StreamAnswer.ONLY,
+  unknown: StreamAnswer.UNKNOWN,
+};
+
+function encodeKeys(keys: readonly StreamKey[]): Uint8Array {
+  return Buffer.from(keys.join(''), 'hex');
+}
+
+function decodeKeys(bytes: Uint8Array): StreamKey[] {
+  const text = Buffer.from(bytes).toString('hex');
+  const count = Math.floor(bytes.length / KEY_BYTES);
+  return Array.from({ length: count }, (_, index) =>
+    text.slice(index * STREAM_KEY_DIGITS, (index + 1) * STREAM_KEY_DIGITS),
+  );
+}
+
+/** Answers of a newer release count as unknown. */
+function decodeAnswer(answer: StreamAnswer): BindingAnswer {
+  switch (answer) {
+    case StreamAnswer.BOUND:
+      return BINDING_ANSWER.Bound;
+    case StreamAnswer.ONLY:
+      return BINDING_ANSWER.Only;
+    default:
+      return BINDING_ANSWER.Unknown;
+  }
+}
+
+export function encodeStreams(groups: readonly BindingGroup[]): TellStreams {
+  return create(TellStreamsSchema, {
+    groups: groups.map(({ pool, version, keys }) =>
+      create(StreamGroupSchema, { pool, version, keys: encodeKeys(keys) }),
+    ),
+  });
+}
+
+export function decodeStreams({ groups }: TellStreams): BindingGroup[] {
+  return groups.map(({ pool, version, keys }) => ({ pool, version, keys: decodeKeys(keys) }));
+}
+
+export function encodeStreamQuery({ key, pool }: BindingQuery): QueryStream {
+  return create(QueryStreamSchema, { key: encodeKeys([key]), pool });
+}
+
+export function decodeStreamQuery({ key, pool }: QueryStream): BindingQuery {
+  return { key: decodeKeys(key)[0] ?? '', pool };
+}
+
+export function encodeStreamReply(reply: BindingReply): StreamReply {
+  const { key, answer, pool, version, ageMs } = reply;
+  return create(StreamReplySchema, {
+    key: encodeKeys([key]),
+    answer: WIRE_ANSWER[answer],
+    pool,
+    version,
+    agoMs: encodeUint32(ageMs),
+  });
+}
+
+export function decodeStreamReply({
+  key,
+  answer,
+  pool,
+  version,
+  agoMs,
+}: StreamReply): BindingReply {
+  return {
+    key: decodeKeys(key)[0] ?? '',
+    answer: decodeAnswer(answer),
+    pool,
+    version,
+    ageMs: agoMs,
+  };
+}
--- /dev/null
+++ b/src/stream-versions/binding-messages.ts
@@ -0,0 +1,32 @@
+/** Messages about bindings; docs/design/stream-versions.md is their protocol. */
+import type { BindingGroup, PoolKey, StreamKey, VersionKey } from './stream-binding.js';
+
+export interface BindingQuery {
+  readonly key: StreamKey;
+  readonly pool: PoolKey;
+}
+
+/** What an asked instance knows of the stream. */
+export const BINDING_ANSWER = {
+  /** It keeps the binding. */
+  Bound: 'bound',
+  /** It does not, but the pool can only have had one version. */
+  Only: 'only',
+  Unknown: 'unknown',
+} as const;
+export type BindingAnswer = (typeof BINDING_ANSWER)[keyof typeof BINDING_ANSWER];
+
+export interface BindingReply {
+  readonly key: StreamKey;
+  readonly answer: BindingAnswer;
+  readonly pool: PoolKey;
+  readonly version: VersionKey;
+  /** Time since the binding was recorded; 0 if there is none. */
+  readonly ageMs: number;
+}
+
+/** A message to another instance, by name. */
+export type BindingMessage =
+  | { readonly kind: 'told'; readonly to: string; readonly groups: readonly BindingGroup[] }
+  | { readonly kind: 'query'; readonly to: string; readonly query: BindingQuery }
+  | { readonly kind: 'reply'; readonly to: string; readonly reply: BindingReply };
--- /dev/null
+++ b/src/stream-versions/stream-versions.ts
@@ -0,0 +1,229 @@
+/**
+ * Keeps each stream at the software version that began it: records which version wrote the first
+ * event, tells other instances, and asks them about streams that callers bring from elsewhere.
+ * Performs no I/O.
+ */
+import { isStream } from '../calls/attempt-policy.js';
+import type { RoutedCall } from '../calls/call-messages.js';
+import { hashStartId } from '../placement/remote-loads.js';
+import type { EndpointKey } from '../placement/remote-loads.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import { hashName } from '../utils/hash.js';
+import { createBindingLedger } from './binding-ledger.js';
+import { BINDING_ANSWER } from './binding-messages.js';
+import type { BindingMessage, BindingQuery, BindingReply } from './binding-messages.js';
+import { listOwners } from './binding-owners.js';
+import type { OwnerCandidate } from './binding-owners.js';
+import { createBindingQueries } from './binding-queries.js';
+import type { QueryRecord, Resolution } from './binding-queries.js';
+import { createPoolVersions } from './pool-versions.js';
+import { UNSURE_VERSION, buildBinding, findStreamKey, isResumed } from './stream-binding.js';
+import type {
+  BindingGroup,
+  PoolKey,
+  StreamBinding,
+  StreamKey,
+  VersionKey,
+} from './stream-binding.js';
+import { buildToldMessages } from './told-messages.js';
+
+const OWNERS_TOLD = 3;
+/** More than are told, since two instances may see slightly different fleets. */
+const OWNERS_ASKED = 4;
+/** Time for which a start that has ended is remembered: the registry lists it for less. */
+const ENDED_KEPT_MS = 60_000;
+
+/** Where an attempt of a call may go. */
+export type StreamChoice =
+  /** The call begins its stream, or is none. */
+  { readonly kind: 'any' } | Resolution;
+
+/** How the version of a resumed stream was found, as logged. */
+export interface ResolvedStream {
+  readonly call: RoutedCall;
+  readonly resolution: Exclude<Resolution, { kind: 'wait' }>;
+  /** 'own', 'asked', or the name of the instance that told the binding. */
+  readonly source: string;
+  /** Time since the binding was recorded; undefined if none is known. */
+  readonly ageMs: number | undefined;
+  readonly query: QueryRecord | undefined;
+}
+
+export interface StreamObserver {
+  /** Called once for each call that resumes a stream. */
+  onResolved(stream: ResolvedStream): void;
+  onTold(keys: number): void;
+}
+
+export interface StreamVersionsOptions {
+  readonly self: string;
+  readonly getNow: () => number;
+  /** Live instances, including this one. */
+  readonly listAlive: () => readonly OwnerCandidate[];
+  /** All registered endpoints. */
+  readonly listRegistered: () => readonly RegisteredEndpoint[];
+  readonly find: (id: string) => RegisteredEndpoint | undefined;
+  /** Whether the view of the registry was lately confirmed as the newest. */
+  readonly isViewConfirmed: () => boolean;
+  /** Longest time from a stream's first event to the last try of its caller. */
+  readonly getStreamLifeMs: () => number;
+  readonly send: (message: BindingMessage) => void;
+  readonly observer: StreamObserver;
+}
+
+export interface StreamVersions {
+  /** Returns the version at which a call that its caller resumes may go on. */
+  resolve(call: RoutedCall): StreamChoice;
+  /** Version that an event of this endpoint binds its stream to. */
+  computeVersion(endpoint: RegisteredEndpoint): VersionKey;
+  /** Records that the first event of the call came from the endpoint. */
+  recordStarted(call: RoutedCall, endpoint: RegisteredEndpoint): void;
+  /** Whether a stream of that version may go on at the endpoint now. */
+  isFit(endpoint: RegisteredEndpoint, version: VersionKey): boolean;
+  /** Whether the start that was chosen is still the registered one. */
+  isCurrent(endpoint: RegisteredEndpoint): boolean;
+  /** A start of an endpoint has ended, perhaps before the registry says so. */
+  recordEnded(start: EndpointKey): void;
+  handleTold(groups: readonly BindingGroup[], from: string): void;
+  handleQuery(query: BindingQuery, from: string): void;
+  handleReply(reply: BindingReply, from: string): void;
+  /** Sends what is due. */
+  advance(): void;
+  /** Number of bindings that are kept. */
+  count(): number;
+}
+
+export function createStreamVersions(options: StreamVersionsOptions): StreamVersions {
+  const { self, getNow, observer } = options;
+  const ledger = createBindingLedger();
+  const queries = createBindingQueries();
+  const poolVersions = createPoolVersions();
+  const endedMs = new Map<EndpointKey, number>();
+  /** Calls whose resolution was reported. */
+  const reported = new WeakSet<RoutedCall>();
+
+  function findOnly(pool: PoolKey): VersionKey | undefined {
+    if (!options.isViewConfirmed()) return undefined;
+    return poolVersions.findOnly(pool, options.getStreamLifeMs(), getNow());
+  }
+
+  function isCurrent({ id, startId, softwareVersion }: RegisteredEndpoint): boolean {
+    const registered = options.find(id);
+    if (endedMs.has(hashStartId(startId))) return false;
+    if (registered === undefined) return true;
+    return registered.startId === startId && registered.softwareVersion === softwareVersion;
+  }
+
+  function computeVersion(endpoint: RegisteredEndpoint): VersionKey {
+    return isCurrent(endpoint) ? buildBinding(endpoint).version : UNSURE_VERSION;
+  }
+
+  function recordResolved(
+    call: RoutedCall,
+    resolution: Resolution,
+    source: string,
+    ageMs?: number,
+  ): Resolution {
+    if (resolution.kind === 'wait' || reported.has(call)) return resolution;
+    reported.add(call);
+    const key = findStreamKey(call);
+    const query = key === undefined ? undefined : queries.getRecord(key, getNow());
+    observer.onResolved({ call, resolution, source, ageMs, query });
+    return resolution;
+  }
+
+  function buildResolution(version: VersionKey | undefined): Resolution {
+    return version === undefined || version === UNSURE_VERSION
+      ? { kind: 'unknown' }
+      : { kind: 'bound', version };
+  }
+
+  function listAsked(key: string): string[] {
+    return listOwners(key, options.listAlive(), OWNERS_ASKED).filter((name) => name !== self);
+  }
+
+  function startQuery(key: string, pool: PoolKey): void {
+    const asked = listAsked(key);
+    if (!queries.start(key, pool, asked, getNow())) return;
+    for (const to of asked) options.send({ kind: 'query', to, query: { key, pool } });
+  }
+
+  function resolveResumed(call: RoutedCall): Resolution {
+    const key = findStreamKey(call);
+    const pool = hashName(call.pool);
+    if (key === undefined) return recordResolved(call, buildResolution(findOnly(pool)), 'own');
+    const known = ledger.find(key);
+    if (known !== undefined) {
+      const version = known.pool === pool ? known.version : undefined;
+      const ageMs = getNow() - known.recordedMs;
+      return recordResolved(call, buildResolution(version), known.source, ageMs);
+    }
+    if (!queries.has(key)) startQuery(key, pool);
+    return recordResolved(call, queries.resolve(key, findOnly(pool), getNow()), 'asked');
+  }
+
+  /** Whether instances must be told of a stream: nobody could conclude its version without. */
+  function createToldCheck(): (binding: StreamBinding) => boolean {
+    const onlyByPool = new Map<PoolKey, boolean>();
+    return ({ pool, version }) => {
+      if (version === UNSURE_VERSION) return true;
+      const isOnly = onlyByPool.get(pool) ?? findOnly(pool) !== undefined;
+      onlyByPool.set(pool, isOnly);
+      return !isOnly;
+    };
+  }
+
+  function sendTold(): void {
+    const untold = ledger.takeUntold(createToldCheck());
+    if (untold.length === 0) return;
+    const alive = options.listAlive();
+    const listOthers = (key: StreamKey): string[] =>
+      listOwners(key, alive, OWNERS_TOLD).filter((name) => name !== self);
+    for (const message of buildToldMessages(untold, listOthers)) options.send(message);
+    observer.onTold(untold.length);
+  }
+
+  function buildReply({ key, pool }: BindingQuery): BindingReply {
+    const known = ledger.find(key);
+    if (known !== undefined) {
+      const ageMs = getNow() - known.recordedMs;
+      return { key, answer: BINDING_ANSWER.Bound, pool: known.pool, version: known.version, ageMs };
+    }
+    const only = findOnly(pool);
+    return only === undefined
+      ? { key, answer: BINDING_ANSWER.Unknown, pool, version: UNSURE_VERSION, ageMs: 0 }
+      : { key, answer: BINDING_ANSWER.Only, pool, version: only, ageMs: 0 };
+  }
+
+  return {
+    resolve(call) {
+      if (!isStream(call.route.kind) || !isResumed(call)) return { kind: 'any' };
+      return resolveResumed(call);
+    },
+    computeVersion,
+    recordStarted(call, endpoint) {
+      if (!isStream(call.route.kind)) return;
+      const { pool } = buildBinding(endpoint);
+      const key = findStreamKey(call);
+      if (key !== undefined)
+        ledger.record(key, { pool, version: computeVersion(endpoint) }, getNow());
+    },
+    isFit: (endpoint, version) => buildBinding(endpoint).version === version && isCurrent(endpoint),
+    isCurrent,
+    recordEnded: (start) => endedMs.set(start, getNow()),
+    handleTold: (groups, from) => ledger.merge(groups, from, getNow()),
+    handleQuery(query, from) {
+      options.send({ kind: 'reply', to: from, reply: buildReply(query) });
+    },
+    handleReply: (reply, from) => queries.handle(reply, from, getNow()),
+    advance() {
+      const nowMs = getNow();
+      poolVersions.record(options.listRegistered(), options.isViewConfirmed(), nowMs);
+      sendTold();
+      queries.removeExpired(nowMs);
+      ledger.removeBefore(nowMs - options.getStreamLifeMs());
+      for (const [start, ms] of endedMs) if (nowMs - ms > ENDED_KEPT_MS) endedMs.delete(start);
+    },
+    count: () => ledger.count(),
+  };
+}
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -11,6 +11,8 @@
 import { parseRateLimit } from '../endpoint-limits/rate-limit.js';
 import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import { createCallLimits } from '../gateway/call-limits.js';
+import { createCallStreams } from '../gateway/call-streams.js';
+import type { CallStreams } from '../gateway/call-streams.js';
 import { createPeerExchange } from '../gateway/peer-exchange.js';
 import type { PeerExchange } from '../gateway/peer-exchange.js';
 import type { Contact } from '../membership/membership-messages.js';
@@ -61,6 +63,7 @@
   readonly availability: EndpointAvailability;
   readonly shares: SlotShares;
   readonly forwarding: CallForwarding;
+  readonly streams: CallStreams;
 }
 
 /** Instances whose addresses every instance is configured with. */
@@ -197,6 +200,17 @@
     getKeyConfirmedAt: () => undefined,
     isKeyTimeValid: () => true,
   });
+  const streams = createCallStreams({
+    self,
+    timers,
+    observer: { onResolved: () => undefined, onTold: () => undefined },
+    datagrams: network.createDatagrams(self),
+    peers: exchange,
+    listRegistered: listOpen,
+    findEndpoint: (id) => listOpen().find((endpoint) => endpoint.id === id),
+    isViewConfirmed: () => true,
+  });
+  network.addStreams(self.address, streams);
   const runner = createCallRunner({
     exchanges: forwarding.exchanges,
     protocol: PROTOCOL,
@@ -224,8 +238,10 @@
     limits,
     shares,
     availability,
+    streams,
+    listRegistered: listOpen,
     onStarted: () => undefined,
     checkSendable: () => undefined,
   });
-  return { runner, exchange, quarantine, limits, availability, shares, forwarding };
+  return { runner, exchange, quarantine, limits, availability, shares, forwarding, streams };
 }
--- a/src/test/simulated-network.ts
+++ b/src/test/simulated-network.ts
@@ -18,6 +18,15 @@
   encodePermitReplies,
   encodePermitRequests,
 } from '../peers/encode-limits.js';
+import {
+  decodeStreamQuery,
+  decodeStreamReply,
+  decodeStreams,
+  encodeStreamQuery,
+  encodeStreamReply,
+  encodeStreams,
+} from '../peers/encode-streams.js';
+import type { StreamVersions } from '../stream-versions/stream-versions.js';
 import { decodeNotices, encodeNotices } from '../peers/encode-notices.js';
 import { decodeLoadUpdate, encodeLoadUpdate } from '../peers/encode-load-update.js';
 import type { KnownRevisions, PeerLinks } from '../peers/peer-links.js';
@@ -59,6 +68,8 @@
   addAvailability(address: string, availability: EndpointAvailability): void;
   createLinks(self: Contact): PeerLinks;
   addShares(address: string, shares: SlotShares): void;
+  /** Adds the receiver of messages about the versions that began streams at an address. */
+  addStreams(address: string, streams: StreamVersions): void;
   /** Lets an instance carry calls of others. */
   addCarrier(address: string, runCarried: CallForwarding['runCarried']): void;
   createForwardLinks(): ForwardLinks;
@@ -77,6 +88,7 @@
   const limitsByAddress = new Map<string, SendLimits>();
   const availabilityByAddress = new Map<string, EndpointAvailability>();
   const sharesByAddress = new Map<string, SlotShares>();
+  const streamsByAddress = new Map<string, StreamVersions>();
   const carriers = new Map<string, CallForwarding['runCarried']>();
   let sent = 0;
 
@@ -141,6 +153,9 @@
     addShares(address, shares) {
       sharesByAddress.set(address, shares);
     },
+    addStreams(address, streams) {
+      streamsByAddress.set(address, streams);
+    },
     addCarrier(address, runCarried) {
       carriers.set(address, runCarried);
     },
@@ -189,6 +204,18 @@
         const decoded = decodePermitReplies(encodePermitReplies(replies));
         sendToLimits(address, (limits) => limits.handleReplies(decoded));
       },
+      sendStreams(address, groups) {
+        const decoded = decodeStreams(encodeStreams(groups));
+        sendDatagram(address, () => streamsByAddress.get(address)?.handleTold(decoded, name));
+      },
+      sendStreamQuery(address, query) {
+        const decoded = decodeStreamQuery(encodeStreamQuery(query));
+        sendDatagram(address, () => streamsByAddress.get(address)?.handleQuery(decoded, name));
+      },
+      sendStreamReply(address, reply) {
+        const decoded = decodeStreamReply(encodeStreamReply(reply));
+        sendDatagram(address, () => streamsByAddress.get(address)?.handleReply(decoded, name));
+      },
       sendGossip(address, body) {
         sendDatagram(address, (peer) => peer.handleMessages(name, [body]));
       },
