--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -12,7 +12,7 @@
 import { createBindingLedger } from './binding-ledger.js';
 import { BINDING_ANSWER } from './binding-messages.js';
 import type { BindingMessage, BindingQuery, BindingReply } from './binding-messages.js';
-import { listOwners } from './binding-owners.js';
+import { createOwnerChooser } from './binding-owners.js';
 import type { OwnerCandidate } from './binding-owners.js';
 import { createBindingQueries } from './binding-queries.js';
 import type { QueryRecord, Resolution } from './binding-queries.js';
@@ -97,6 +97,7 @@
   const { self, getNow, observer } = options;
   const ledger = createBindingLedger();
   const queries = createBindingQueries();
+  const owners = createOwnerChooser();
   const poolVersions = createPoolVersions();
   const endedMs = new Map<EndpointKey, number>();
   /** Calls whose resolution was reported. */
@@ -139,7 +140,7 @@
   }
 
   function listAsked(key: string): string[] {
-    return listOwners(key, options.listAlive(), OWNERS_ASKED).filter((name) => name !== self);
+    return owners.choose(key, options.listAlive(), OWNERS_ASKED).filter((name) => name !== self);
   }
 
   function startQuery(key: string, pool: PoolKey): void {
@@ -178,7 +179,7 @@
     if (untold.length === 0) return;
     const alive = options.listAlive();
     const listOthers = (key: StreamKey): string[] =>
-      listOwners(key, alive, OWNERS_TOLD).filter((name) => name !== self);
+      owners.choose(key, alive, OWNERS_TOLD).filter((name) => name !== self);
     for (const message of buildToldMessages(untold, listOthers)) options.send(message);
     observer.onTold(untold.length);
   }
