--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -45,6 +45,8 @@
       readonly pool: string;
       readonly evidence: string;
       readonly contents: readonly string[];
+      /** Parts of the prompts that ran there and that other calls may share. */
+      readonly parts: readonly string[];
     }
   | {
       /** The rate limit that an endpoint names was learned, changed or lifted. */
--- a/src/observability/quarantine-observer.ts
+++ b/src/observability/quarantine-observer.ts
@@ -6,6 +6,9 @@
 import type { CallMetrics } from './call-metrics.js';
 import type { DecisionLog } from './decision-log.js';
 
+/** Parts named in the line of a crash. */
+const LOGGED_PARTS_MAX = 64;
+
 export interface QuarantineObserverOptions {
   readonly log: DecisionLog;
   readonly metrics: CallMetrics;
@@ -35,6 +38,7 @@
         pool: endpoint.pool,
         evidence,
         contents: answers.map(({ content }) => content),
+        parts: [...new Set(answers.flatMap(({ parts }) => parts))].slice(0, LOGGED_PARTS_MAX),
       });
     },
     onChanged({ subject, before, standing }, source) {
--- a/src/quarantine/crash-detector.test.ts
+++ b/src/quarantine/crash-detector.test.ts
@@ -21,7 +21,7 @@
 };
 
 function buildAnswer(content: string, interruptedMs = 0): InterruptedAnswer {
-  return { content, organisation: 1, sentMs: 0, interruptedMs };
+  return { content, parts: [], organisation: 1, sentMs: 0, interruptedMs };
 }
 
 interface Setup {
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -6,6 +6,7 @@
 import type { ContentId } from '../calls/content-id.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { OrganisationKey } from './crash-case.js';
+import type { SubjectId } from './crash-subject.js';
 
 /** Longer than the registry takes to notice three missed heartbeats. */
 const SUSPICION_MAX_MS = 10_000;
@@ -25,6 +26,8 @@
 /** An interrupted answer. Times are on the local monotonic clock. */
 export interface InterruptedAnswer {
   readonly content: ContentId;
+  /** Parts of the call's prompt. */
+  readonly parts: readonly SubjectId[];
   readonly organisation: OrganisationKey;
   readonly sentMs: number;
   readonly interruptedMs: number;
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -18,6 +18,7 @@
 import type { CrashCase, Standing } from './crash-case.js';
 import { createCrashDetector } from './crash-detector.js';
 import type { ConnectionResult, InterruptedAnswer, EndpointCrash } from './crash-detector.js';
+import { listPartSubjects } from './crash-subject.js';
 import { createOrganisationBackoff } from './organisation-backoff.js';
 import { createTrials } from './trials.js';
 import type { TakeTrialLease } from './trials.js';
@@ -224,6 +225,7 @@
   function buildInterruptedAnswer(call: RoutedCall, sentMs: number): InterruptedAnswer {
     return {
       content: call.contentId,
+      parts: listPartSubjects(call),
       organisation: hashName(call.organisation ?? ''),
       sentMs,
       interruptedMs: getNow(),
