--- a/src/test/crash-simulation.ts
+++ b/src/test/crash-simulation.ts
@@ -29,6 +29,16 @@
   readonly atMs: readonly number[];
 }
 
+/** Calls that share parts of their prompts and are alike in nothing else. */
+export interface PartTraffic {
+  readonly simulatedRoute: SimulatedRoute;
+  /** Chooses the parts of a call's prompt but the last. */
+  readonly chooseParts: (random: Random) => readonly string[];
+  /** Relative to the start of arrivals. @default the whole time */
+  readonly fromMs?: number;
+  readonly toMs?: number;
+}
+
 export interface CrashSimulationOptions {
   readonly seed: number;
   readonly instances: number;
@@ -37,6 +47,9 @@
   readonly repeats: readonly RepeatedRequest[];
   /** Ordinary calls. */
   readonly routes: readonly SimulatedRoute[];
+  readonly partTraffic?: readonly PartTraffic[];
+  /** Parts that crash engines. */
+  readonly culpritParts?: readonly string[];
   /** Crashes that no request causes. */
   readonly crashes?: readonly { readonly atMs: number; readonly engine: number }[];
   readonly lengthMs: number;
@@ -45,6 +58,8 @@
 /** The result of a call as its caller sees it. */
 export interface ObservedCall {
   readonly content: ContentId;
+  /** Parts of the prompt but the last. */
+  readonly parts: readonly string[];
   readonly receivedMs: number;
   end: 'whole' | 'refused' | 'failed' | 'none';
   retryAfterMs: number | undefined;
@@ -90,6 +105,7 @@
     culprits: new Set(
       options.repeats.filter(({ isCulprit }) => isCulprit).map(({ content }) => content),
     ),
+    culpritParts: new Set(options.culpritParts),
     calls,
     onRegistered(endpoint) {
       registered = [...registered, endpoint];
@@ -103,9 +119,11 @@
   const network = createSimulatedNetwork(time, createRandom(options.seed + 1));
   const contacts = buildContacts(options.instances, options.dataCentres);
   const ranks = createRouteRanks(
-    [...options.routes, ...options.repeats.map(({ simulatedRoute }) => simulatedRoute)].map(
-      ({ route }) => route,
-    ),
+    [
+      ...options.routes,
+      ...options.repeats.map(({ simulatedRoute }) => simulatedRoute),
+      ...(options.partTraffic ?? []).map(({ simulatedRoute }) => simulatedRoute),
+    ].map(({ route }) => route),
   );
   contacts.forEach((self, index) => {
     const instanceTimers = time.createTimers(createActor(self.name), 0);
@@ -146,19 +164,29 @@
   };
 }
 
+function setParts(call: RoutedCall, parts: readonly string[] | undefined): RoutedCall {
+  const { prompt } = call;
+  const last = prompt?.parts.at(-1);
+  if (prompt === undefined || last === undefined || parts === undefined) return call;
+  const tokens = Math.round((prompt.inputTokens - last.tokens) / Math.max(1, parts.length));
+  return { ...call, prompt: { ...prompt, parts: [...parts.map((id) => ({ id, tokens })), last] } };
+}
+
 function startCall(
   simulation: Simulation,
   instance: number,
   simulatedRoute: SimulatedRoute,
   content: ContentId | undefined,
+  parts?: readonly string[],
 ): void {
   const { time, random, calls, instances, observedCalls } = simulation;
   const callId = `call-${calls.size}`;
   const built = buildCall(simulatedRoute, callId, time.getNow(), random);
-  const call: RoutedCall = { ...built, contentId: content ?? callId };
+  const call: RoutedCall = { ...setParts(built, parts), contentId: content ?? callId };
   calls.set(callId, call);
   const result: ObservedCall = {
     content: call.contentId,
+    parts: call.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [],
     receivedMs: time.getNow() - WARM_UP_MS,
     end: 'none',
     retryAfterMs: undefined,
@@ -201,6 +229,24 @@
         startCall(simulation, random.nextIndex(instances.length), simulatedRoute, undefined),
     });
   }
+  for (const { simulatedRoute, chooseParts, fromMs = 0, toMs = Infinity } of options.partTraffic ??
+    []) {
+    const isTime = (): boolean => {
+      const sinceMs = time.getNow() - WARM_UP_MS;
+      return sinceMs >= fromMs && sinceMs < toMs;
+    };
+    addArrivals({
+      time,
+      random,
+      endMs: WARM_UP_MS + options.lengthMs,
+      getRate: () => simulatedRoute.callsPerSecond,
+      start() {
+        const instance = random.nextIndex(instances.length);
+        if (isTime())
+          startCall(simulation, instance, simulatedRoute, undefined, chooseParts(random));
+      },
+    });
+  }
   for (const repeat of options.repeats) addRepeats(simulation, repeat);
   for (const { atMs, engine } of options.crashes ?? []) {
     time.add(undefined, atMs, () => pool.crash(engine));
--- a/src/test/crashing-engines.ts
+++ b/src/test/crashing-engines.ts
@@ -29,6 +29,8 @@
   readonly dataCentres: number;
   /** Requests that crash an engine at their first token. */
   readonly culprits: ReadonlySet<ContentId>;
+  /** Parts of prompts that crash an engine at its first token; not as the last part. */
+  readonly culpritParts: ReadonlySet<string>;
   /** Calls by ID, since a request to an engine carries only the ID. */
   readonly calls: ReadonlyMap<string, RoutedCall>;
   readonly onRegistered: (endpoint: RegisteredEndpoint) => void;
@@ -37,6 +39,14 @@
 
 export interface CulpritSend {
   readonly content: ContentId;
+  /** The part of the prompt that crashes engines; undefined if the whole content does. */
+  readonly part: string | undefined;
+  readonly atMs: number;
+}
+
+export interface EngineCrash {
+  readonly content: ContentId | undefined;
+  readonly part: string | undefined;
   readonly atMs: number;
 }
 
@@ -46,7 +56,7 @@
   /** Culprits that reached an engine. */
   readonly sends: readonly CulpritSend[];
   /** Crashes, with the request that caused them; undefined for those started by `crash`. */
-  readonly crashes: readonly { readonly content: ContentId | undefined; readonly atMs: number }[];
+  readonly crashes: readonly EngineCrash[];
   /** Crashes an engine without a request as the cause. */
   crash(index: number): void;
 }
@@ -63,7 +73,7 @@
   const { time } = options;
   const processes = new Map<string, EngineProcess>();
   const sends: CulpritSend[] = [];
-  const crashes: { content: ContentId | undefined; atMs: number }[] = [];
+  const crashes: EngineCrash[] = [];
   let started = 0;
 
   function startEngine(index: number): void {
@@ -85,12 +95,17 @@
     options.onRegistered(endpoint);
   }
 
-  function stopEngine(index: number, content: ContentId | undefined): void {
+  function findCulpritPart({ prompt }: RoutedCall): string | undefined {
+    const shared = prompt?.parts.slice(0, -1) ?? [];
+    return shared.find(({ id }) => options.culpritParts.has(id))?.id;
+  }
+
+  function stopEngine(index: number, content?: ContentId, part?: string): void {
     const address = `address-${index}`;
     const engineProcess = processes.get(address);
     if (engineProcess === undefined) return;
     processes.delete(address);
-    crashes.push({ content, atMs: time.getNow() });
+    crashes.push({ content, part, atMs: time.getNow() });
     for (const listener of engineProcess.listeners) {
       time.add(undefined, CONNECTION_ERROR_MS, () => listener.onError(true, 'other side closed'));
     }
@@ -106,8 +121,9 @@
       time.add(undefined, CONNECTION_ERROR_MS, () => listener.onError(false, 'refused'));
       return () => undefined;
     }
-    const isCulprit = options.culprits.has(call.contentId);
-    if (isCulprit) sends.push({ content: call.contentId, atMs: time.getNow() });
+    const part = findCulpritPart(call);
+    const isCulprit = part !== undefined || options.culprits.has(call.contentId);
+    if (isCulprit) sends.push({ content: call.contentId, part, atMs: time.getNow() });
     engineProcess.listeners.add(listener);
     const isOpen = (): boolean => engineProcess.listeners.has(listener);
     const cancel = engineProcess.engine.start(call, {
@@ -116,7 +132,7 @@
       onData(bytes) {
         if (!isOpen()) return false;
         if (!isCulprit) return listener.onData(bytes);
-        stopEngine(Number(address.split('-')[1]), call.contentId);
+        stopEngine(Number(address.split('-')[1]), call.contentId, part);
         return false;
       },
       onEnd() {
@@ -147,6 +163,6 @@
       }),
     sends,
     crashes,
-    crash: (index) => stopEngine(index, undefined),
+    crash: (index) => stopEngine(index),
   };
 }
