BUDGET: a part of a prompt under which endpoints crash is found and no longer sent

Cause: the quarantine knew a request by one hash of all that it holds. Requests that share a crashing part and nothing else were strangers to each other.

Now a crash also accuses each part of the prompts that ran, but the last, in the same ledger, with the same trials, reports, rows and release by operators. Every whole answer, and every one that went on for two seconds, acquits its parts. A part with a recent sound run is excused three crashes since that run, so that a rack's end does not make popular parts suspect; an instance that hears of an accused part that it knows as sound clears it for all. A part all of whose crashes another condemned part explains gets a trial alone; a condemned part gets one ten minutes after its last crash. Parts do not count against their organisation.

--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -174,6 +174,8 @@
       readonly event: 'content_refused';
       readonly request: string;
       readonly content: string;
+      /** What is condemned: the content, or a part of its prompt; empty for the organisation. */
+      readonly subject: string;
       readonly endpoints: readonly string[];
       readonly organisation: string;
     }
--- a/src/observability/quarantine-observer.ts
+++ b/src/observability/quarantine-observer.ts
@@ -66,6 +66,7 @@
         event: 'content_refused',
         request: call.callId,
         content: call.contentId,
+        subject: subject?.content ?? '',
         endpoints: subject === undefined ? [] : listEndpoints(subject),
         organisation: call.organisation ?? '',
       });
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -53,8 +53,8 @@
   recordAbandoned(endpoint: RegisteredEndpoint, answer: InterruptedAnswer): void;
   /** The registry reports that this start of the endpoint has ended. */
   recordEnded(endpoint: RegisteredEndpoint): void;
-  /** Endpoints being checked after an answer with this content was interrupted. */
-  countPendingChecks(content: ContentId): number;
+  /** Endpoints being checked after an answer with this content or part was interrupted. */
+  countPendingChecks(subject: SubjectId): number;
   /** Drops answers that are too old to be explained by a crash. */
   advance(nowMs: number): void;
 }
@@ -117,10 +117,11 @@
       const answers = [...suspicion.unconfirmed, ...suspicion.pending];
       options.onCrash({ endpoint: suspicion.endpoint, answers, evidence: 'start ended' });
     },
-    countPendingChecks: (content) =>
+    countPendingChecks: (subject) =>
       [...suspicions.values()].filter(
         ({ isChecking, pending }) =>
-          isChecking && pending.some((answer) => answer.content === content),
+          isChecking &&
+          pending.some(({ content, parts }) => content === subject || parts.includes(subject)),
       ).length,
     advance(nowMs) {
       for (const [startId, suspicion] of suspicions) {
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,31 +1,31 @@
 /**
  * Stops requests that crash the endpoints running them from being sent again, by any instance and
- * under any request id. Crashes count against the contents that were running, and instances share
- * this evidence. Does no I/O.
+ * under any request id. Crashes count against the contents that were running and against the parts
+ * of their prompts, and instances share this evidence. Does no I/O.
  */
 import { isNotRun } from '../calls/attempt-policy.js';
 import type { AttemptEnd, RoutedCall } from '../calls/call-messages.js';
 import { hashStartId } from '../placement/remote-loads.js';
 import type { EndpointKey } from '../placement/remote-loads.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
-import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import { hashName } from '../utils/hash.js';
+import { createCallStanding } from './call-standing.js';
 import { createCaseLedger } from './case-ledger.js';
 import type { CaseChange, CaseReport } from './case-ledger.js';
 import { createCaseOutbox } from './case-outbox.js';
-import { STANDING, computeStanding } from './crash-case.js';
-import type { CrashCase, Standing } from './crash-case.js';
+import { STANDING } from './crash-case.js';
+import type { CrashCase } from './crash-case.js';
 import { createCrashDetector } from './crash-detector.js';
 import type { ConnectionResult, InterruptedAnswer, EndpointCrash } from './crash-detector.js';
-import { listPartSubjects } from './crash-subject.js';
+import { isPartSubject, listPartSubjects } from './crash-subject.js';
+import type { SubjectId } from './crash-subject.js';
 import { createOrganisationBackoff } from './organisation-backoff.js';
+import { buildCaseRefusal, buildOrganisationRefusal } from './refusals.js';
+import { createSoundParts } from './sound-parts.js';
 import { createTrials } from './trials.js';
 import type { TakeTrialLease } from './trials.js';
 
-/** Long, since a retry cannot succeed before an operator has released the content. */
-const CONDEMNED_RETRY_MS = 60 * 60 * 1000;
-
 /**
  * Delay between the latest evidence and the first refusal. Guards against refusing a popular
  * request after several endpoints that ran it failed together: copies on other endpoints complete
@@ -33,6 +33,8 @@
  */
 const REFUSAL_DELAY_MS = 3000;
 
+/** Time from the first event of an answer after which it speaks for the parts of its prompt. */
+const SOUND_RUN_MS = 2000;
 /** Expiry scans all cases, so it runs rarely. */
 const EXPIRY_PERIOD_MS = 10_000;
 /**
@@ -106,36 +108,12 @@
 const SEND_ALONE: AdmissionDecision = { kind: 'send', isAlone: true };
 const WAIT: AdmissionDecision = { kind: 'wait' };
 
-function buildContentRefusal({ content, crashes }: CrashCase): AdmissionDecision {
-  return {
-    kind: 'refuse',
-    failure: {
-      type: FAILURE.Quarantined,
-      message: `${crashes.size} endpoints ended while they ran this request; change it, or ask the operators to release ${content}`,
-      outcome: OUTCOME.NotRun,
-      retryAfterMs: CONDEMNED_RETRY_MS,
-    },
-  };
-}
-
-function buildOrganisationRefusal(remainingMs: number): AdmissionDecision {
-  return {
-    kind: 'refuse',
-    failure: {
-      type: FAILURE.Quarantined,
-      message:
-        'endpoints keep ending under requests of this organisation; find those that are quarantined and stop sending them',
-      outcome: OUTCOME.NotRun,
-      retryAfterMs: remainingMs,
-    },
-  };
-}
-
 export function createQuarantine(options: QuarantineOptions): Quarantine {
   const { getNow, observer } = options;
   const ledger = createCaseLedger();
   const outbox = createCaseOutbox();
   const backoff = createOrganisationBackoff();
+  const soundParts = createSoundParts();
   let lastExpiryMs = getNow();
   const trials = createTrials({
     takeLease: options.takeTrialLease,
@@ -146,7 +124,8 @@
   function recordChange(change: CaseChange | undefined, source: string): void {
     if (change === undefined) return;
     outbox.recordUpdate(change.subject.content);
-    backoff.recordChange(change);
+    // Parts come from many callers, whose other requests are served.
+    if (!isPartSubject(change.subject.content)) backoff.recordChange(change);
     observer.onChanged(change, source);
   }
 
@@ -155,21 +134,17 @@
     onCrash(crash) {
       observer.onCrash(crash);
       const start = hashStartId(crash.endpoint.startId);
-      for (const { content, organisation, sentMs, interruptedMs } of crash.answers) {
-        const found = { content, organisation, start, sentMs, crashedMs: interruptedMs };
-        recordChange(ledger.recordCrash(found, getNow()), 'own');
+      for (const { content, parts, organisation, sentMs, interruptedMs } of crash.answers) {
+        const accused = parts.filter((part) => !soundParts.takeExcuse(part, start, getNow()));
+        for (const subject of [content, ...accused]) {
+          const found = { content: subject, organisation, start, sentMs, crashedMs: interruptedMs };
+          recordChange(ledger.recordCrash(found, getNow()), 'own');
+        }
       }
     },
   });
 
-  /** Skips computing the content's hash while there are no cases. */
-  function findCase(call: RoutedCall): CrashCase | undefined {
-    return ledger.isEmpty() ? undefined : ledger.find(call.contentId);
-  }
-
-  function computeCurrentStanding(subject: CrashCase): Standing {
-    return computeStanding(subject, detector.countPendingChecks(subject.content));
-  }
+  const { listCases, listOfStanding } = createCallStanding({ ledger, detector, getNow });
 
   function isRefusalDue({ changedMs }: CrashCase): boolean {
     return getNow() - changedMs >= REFUSAL_DELAY_MS;
@@ -185,35 +160,32 @@
     const remainingMs = backoff.computeRemainingMs(hashName(organisation), getNow());
     if (remainingMs === 0) return SEND;
     observer.onRefused(call, undefined);
-    return buildOrganisationRefusal(remainingMs);
+    return { kind: 'refuse', failure: buildOrganisationRefusal(remainingMs) };
   }
 
   function check(call: RoutedCall): AdmissionDecision {
-    if (ledger.isEmpty()) return SEND;
-    const subject = findCase(call);
-    if (subject === undefined) return checkOrganisation(call);
-    subject.lastActiveMs = getNow();
-    switch (computeCurrentStanding(subject)) {
-      case STANDING.Condemned:
-        if (!isRefusalDue(subject)) return WAIT;
-        observer.onRefused(call, subject);
-        return buildContentRefusal(subject);
-      case STANDING.LastTrial:
-        return isTrialDue(subject) ? SEND_ALONE : WAIT;
-      default:
-        return checkOrganisation(call);
+    const cases = listCases(call);
+    for (const subject of cases) subject.lastActiveMs = getNow();
+    if (cases.length === 0) return ledger.isEmpty() ? SEND : checkOrganisation(call);
+    const [condemned] = listOfStanding(call, STANDING.Condemned);
+    if (condemned !== undefined) {
+      if (!isRefusalDue(condemned)) return WAIT;
+      observer.onRefused(call, condemned);
+      return { kind: 'refuse', failure: buildCaseRefusal(condemned) };
     }
+    const trialsDue = listOfStanding(call, STANDING.LastTrial).map(isTrialDue);
+    if (trialsDue.length === 0) return checkOrganisation(call);
+    return trialsDue.every(Boolean) ? SEND_ALONE : WAIT;
   }
 
-  function startTrial(call: RoutedCall, start: EndpointKey): CrashCase | undefined {
-    const subject = findCase(call);
-    if (subject === undefined || computeStanding(subject) !== STANDING.LastTrial) return undefined;
-    trials.start(subject, start);
-    return subject;
+  function startTrials(call: RoutedCall, start: EndpointKey): readonly CrashCase[] {
+    const subjects = listOfStanding(call, STANDING.LastTrial);
+    for (const subject of subjects) trials.start(subject, start);
+    return subjects;
   }
 
-  function stopTrial(subject: CrashCase | undefined, mayHaveRun: boolean): void {
-    if (subject !== undefined) trials.stop(subject, mayHaveRun);
+  function stopTrials(subjects: readonly CrashCase[], mayHaveRun: boolean): void {
+    for (const subject of subjects) trials.stop(subject, mayHaveRun);
   }
 
   /** The endpoint of an attempt, unless that start has been replaced or is leaving as planned. */
@@ -232,9 +204,21 @@
     };
   }
 
+  function releaseSubjects(subjects: readonly SubjectId[]): void {
+    if (ledger.isEmpty()) return;
+    for (const subject of subjects) recordChange(ledger.release(subject, getNow()), 'own');
+  }
+
+  /** An answer of the call speaks for the parts of its prompt. */
+  function recordSoundRun(call: RoutedCall): void {
+    const parts = listPartSubjects(call);
+    soundParts.record(parts, getNow());
+    releaseSubjects(parts);
+  }
+
   function recordCompleted(call: RoutedCall): void {
-    const subject = findCase(call);
-    if (subject !== undefined) recordChange(ledger.release(subject.content, getNow()), 'own');
+    recordSoundRun(call);
+    if (!ledger.isEmpty()) releaseSubjects([call.contentId]);
   }
 
   function recordAlive(start: EndpointKey, sentMs: number): void {
@@ -245,8 +229,10 @@
   function startWatch(call: RoutedCall, endpoint: RegisteredEndpoint): AttemptWatch {
     const sentMs = getNow();
     const start = hashStartId(endpoint.startId);
-    const trialCase = startTrial(call, start);
+    const trialCases = startTrials(call, start);
     let lastEventMs = sentMs;
+    let firstEventMs: number | undefined;
+    let isSound = false;
     let hasEnded = false;
 
     function findSuspect(): RegisteredEndpoint | undefined {
@@ -273,10 +259,14 @@
       },
       recordEvent() {
         lastEventMs = getNow();
+        firstEventMs ??= lastEventMs;
+        if (isSound || lastEventMs - firstEventMs < SOUND_RUN_MS) return;
+        isSound = true;
+        recordSoundRun(call);
       },
       recordEnd(end) {
         hasEnded = true;
-        stopTrial(trialCase, !isNotRun(end));
+        stopTrials(trialCases, !isNotRun(end));
         switch (end.kind) {
           case 'broken':
             recordInterrupted();
@@ -294,19 +284,25 @@
         // A call can be cancelled between attempts, when the last attempt has already ended.
         if (hasEnded) return;
         hasEnded = true;
-        stopTrial(trialCase, true);
+        stopTrials(trialCases, true);
         recordAbandoned();
       },
     };
   }
 
+  /** Clears a part that a peer suspects and that this instance knows as sound. */
+  function releaseExcused({ content, crashes }: CaseReport): void {
+    if (!isPartSubject(content) || crashes.length === 0) return;
+    const nowMs = getNow();
+    const isExcused = crashes
+      .map(({ start }) => soundParts.takeExcuse(content, start, nowMs))
+      .every(Boolean);
+    if (isExcused) releaseSubjects([content]);
+  }
+
   return {
     check,
-    isCondemned(call) {
-      const subject = findCase(call);
-      if (subject === undefined || !isRefusalDue(subject)) return false;
-      return computeCurrentStanding(subject) === STANDING.Condemned;
-    },
+    isCondemned: (call) => listOfStanding(call, STANDING.Condemned).some(isRefusalDue),
     startWatch,
     isInTrial: ({ startId }) => trials.hasAny() && trials.isInTrial(hashStartId(startId)),
     recordEnded: (endpoint) => detector.recordEnded(endpoint),
@@ -314,6 +310,7 @@
     merge(reports, source) {
       for (const report of reports) {
         recordChange(ledger.merge(report, getNow()), source);
+        releaseExcused(report);
         const { trial } = ledger.find(report.content) ?? {};
         if (trial !== undefined) trials.record(trial);
       }
