Bytes without end in a rejection, at the store's client and at services no longer hold a call or fill memory

Answers that end with their connection were right before, plain, streams, and through a peer: whole when closed in order, broken off by a reset and within an event. Their tests pass on the code as found and stay.

--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -7,7 +7,7 @@
 import type { BrittleReading } from '../slot-shares/brittle-reading.js';
 import { REJECTION } from './call-messages.js';
 import type { AttemptEnd, HeaderField, RejectionReason, ResponseHead } from './call-messages.js';
-import { RESPONSE_BYTES_MAX } from './response-limits.js';
+import { REJECTION_BYTES_MAX, RESPONSE_BYTES_MAX } from './response-limits.js';
 import { createEventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
 
@@ -98,6 +98,14 @@
     return false;
   }
 
+  /** Its head has said that the call did not run, however much follows. */
+  function readRejection(bytes: Buffer): boolean {
+    bytesRead += bytes.length;
+    if (bytesRead <= REJECTION_BYTES_MAX) return true;
+    close({ kind: 'rejected', reason: rejection });
+    return false;
+  }
+
   return {
     readHead(status, decoded) {
       const isSuccess = status >= SUCCESS_STATUS_MIN && status <= SUCCESS_STATUS_MAX;
@@ -133,8 +141,10 @@
           return readStream(bytes);
         case 'whole':
           return readBody(bytes);
+        case 'rejected':
+          return readRejection(bytes);
         default:
-          return mode === 'rejected';
+          return false;
       }
     },
     readEnd() {
--- a/src/calls/response-limits.ts
+++ b/src/calls/response-limits.ts
@@ -2,5 +2,7 @@
 
 /** Size of one server-sent event. */
 export const EVENT_BYTES_MAX = 256 * 1024;
+/** Size of the body of a rejection, which nobody reads. */
+export const REJECTION_BYTES_MAX = 64 * 1024;
 /** Size of a response body that is not a stream: four times the largest body that a caller may send. */
 export const RESPONSE_BYTES_MAX = 16 * 1024 * 1024;
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -11,6 +11,7 @@
 import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type { EndpointDeclaration } from '../types/declarations.js';
 import type { AttemptEnding } from '../requests/request-messages.js';
+import { readText } from '../utils/read-text.js';
 
 const CONNECT_TIMEOUT_MS = 800;
 const CONNECTIONS_MAX = 512;
@@ -277,7 +278,7 @@
       signal,
     });
     listener.onNotice(decodeNotice(response));
-    const body = await response.body.text();
+    const body = await readText(response.body);
     if (body.length > SERVICE_BODY_MAX_CHARACTERS) return { kind: 'ended', ending: 'error' };
     const turnedAway = computeTurnedAway(response);
     if (turnedAway !== undefined) return { kind: 'ended', ending: turnedAway };
@@ -318,7 +319,7 @@
           body: bytes === undefined ? null : Readable.from(listGuardedParts(bytes, isAllowed)),
           signal: AbortSignal.timeout(timeoutMs),
         });
-        const text = await response.body.text();
+        const text = await readText(response.body);
         return response.statusCode === 200 ? (JSON.parse(text) as unknown) : undefined;
       } catch {
         return undefined;
--- a/src/storage/instance-list-client.ts
+++ b/src/storage/instance-list-client.ts
@@ -5,6 +5,7 @@
 import type { Result } from '../utils/result.js';
 import { PLATFORM_FAILURE, createPlatformError } from './platform-error.js';
 import type { PlatformError } from './platform-error.js';
+import { readText } from '../utils/read-text.js';
 
 const LIST_TIMEOUT_MS = 1500;
 
@@ -36,7 +37,7 @@
     try {
       const signal = AbortSignal.timeout(LIST_TIMEOUT_MS);
       const response = await request(`${url}${path}`, { method, headers, body, signal });
-      const text = await response.body.text();
+      const text = await readText(response.body);
       if (response.statusCode === 200) return Ok(text);
       return Err(
         createPlatformError(
--- a/src/storage/signed-client.ts
+++ b/src/storage/signed-client.ts
@@ -5,6 +5,7 @@
 import type { Result } from '../utils/result.js';
 import { PLATFORM_FAILURE, createPlatformError } from './platform-error.js';
 import type { PlatformError } from './platform-error.js';
+import { readText } from '../utils/read-text.js';
 
 export interface SignedRequest {
   readonly method: 'GET' | 'PUT' | 'POST';
@@ -77,7 +78,7 @@
           // connection as well.
           signal: AbortSignal.timeout(timeoutMs),
         });
-        return Ok({ status: response.statusCode, text: await response.body.text() });
+        return Ok({ status: response.statusCode, text: await readText(response.body) });
       } catch (error) {
         const code = getErrorCode(error);
         const isUnsent = UNSENT_CODES.includes(code);
