--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,21 +1,11 @@
 /** Executes the commands of call state machines: places attempts, talks to endpoints, delivers responses. */
 import { createPoolRetryBudgets } from '../attempts/pool-retry-budgets.js';
-import type { RetryBounds } from '../attempts/shared-retry-budget.js';
-import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
-import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
-import type { EndpointLoads, LoadTicket } from '../placement/endpoint-loads.js';
 import { compareWaiting } from '../placement/admission-decision.js';
 import type { WaitingCall } from '../placement/admission-decision.js';
-import type { Placer } from '../placement/placer.js';
-import type { AttemptWatch, Quarantine } from '../quarantine/quarantine.js';
-import type { VersionKey } from '../stream-versions/stream-binding.js';
-import type { StreamVersions } from '../stream-versions/stream-versions.js';
-import type { SlotShares, SlotTicket } from '../slot-shares/slot-shares.js';
-import type { TimerService, Unsubscribe } from '../runtime/timer-service.js';
-import type { RegisteredEndpoint, TrafficPool } from '../types/traffic.js';
-import type { RequestFailure } from '../types/outcomes.js';
+import { createActiveTimer } from '../runtime/active-timer.js';
+import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
 import {
   computeStreamIdleTimeoutMs,
@@ -27,7 +17,9 @@
 import { createAttemptReader } from './attempt-reader.js';
 import { createCallStateMachine } from './call-state-machine.js';
 import { computeConnectionsMax } from './connection-limit.js';
-import type { CallStateMachine } from './call-state-machine.js';
+import { createRun } from './call-run.js';
+import type { CallRunnerOptions } from './call-runner-options.js';
+import type { Run } from './call-run.js';
 import type {
   CallCommand,
   CallMessage,
@@ -35,9 +27,7 @@
   CallSink,
   RoutedCall,
 } from './call-messages.js';
-import type { AttemptRecord, CallObserver } from './call-records.js';
-import type { EndpointExchanges } from './endpoint-exchanges.js';
-import type { EndpointProtocol } from './endpoint-protocol.js';
+import type { AttemptRecord } from './call-records.js';
 import { REJECTION } from './call-messages.js';
 import { createSendDecider } from './send-decision.js';
 import type { AttemptCommand } from './send-decision.js';
@@ -47,40 +37,6 @@
 /** Interval at which placement of waiting calls is retried. */
 const PLACEMENT_INTERVAL_MS = 25;
 
-export interface CallRunnerOptions {
-  readonly exchanges: EndpointExchanges;
-  readonly protocol: EndpointProtocol;
-  readonly loads: EndpointLoads;
-  readonly placer: Placer;
-  readonly retryBounds: RetryBounds;
-  readonly timers: TimerService;
-  readonly observer: CallObserver;
-  readonly listOpen: (pool: string) => readonly RegisteredEndpoint[];
-  readonly findPool: (name: string) => TrafficPool | undefined;
-  /** Number of instances that share the endpoints, including this one. */
-  readonly countInstances: () => number;
-  readonly quarantine: Pick<Quarantine, 'check' | 'isCondemned' | 'startWatch'>;
-  readonly limits: Pick<SendLimits, 'choose' | 'take' | 'recordAnswer'>;
-  readonly shares: Pick<
-    SlotShares,
-    'choose' | 'start' | 'recordAnswer' | 'recordRejected' | 'isBrittle'
-  >;
-  readonly availability: Pick<
-    EndpointAvailability,
-    'recordAnswer' | 'isAvailable' | 'choose' | 'computeReturnMs'
-  >;
-  readonly streams: Pick<
-    StreamVersions,
-    'resolve' | 'isFit' | 'isCurrent' | 'computeVersion' | 'recordStarted'
-  >;
-  /** Registered endpoints of a pool that are not leaving. */
-  readonly listRegistered: (pool: string) => readonly RegisteredEndpoint[];
-  /** An endpoint started the call, at a time of the monotonic clock; called once for each call. */
-  readonly onStarted: (call: RoutedCall, startedMs: number) => void;
-  /** Returns a failure if the call must not be sent now. */
-  readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
-}
-
 export interface RunningCall {
   /** Called when the caller disconnects. */
   close(): void;
@@ -92,30 +48,11 @@
   count(): number;
 }
 
-interface Run {
-  readonly call: RoutedCall;
-  readonly sink: CallSink;
-  readonly stateMachine: CallStateMachine;
-  readonly triedEndpointIds: string[];
-  closeExchange: (() => void) | undefined;
-  ticket: LoadTicket | undefined;
-  watch: AttemptWatch | undefined;
-  slot: SlotTicket | undefined;
-  firstMs: number | undefined;
-  /** Version that wrote the events that were delivered; undefined before the first. */
-  version: VersionKey | undefined;
-  /** When the current attempt was sent. */
-  sentMs: number;
-  isStarted: boolean;
-}
-
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
   const { exchanges, protocol, loads, placer, timers, observer } = options;
   const runs = new Set<Run>();
   /** Attempts queued at this instance until an endpoint has capacity. */
   const waitingAttempts = new Map<Run, AttemptCommand>();
-  let stopTickTimer: Unsubscribe | undefined;
-  let stopPlacementTimer: Unsubscribe | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
   const decider = createSendDecider({
     placer,
@@ -263,7 +200,7 @@
   function startAttempt(run: Run, command: AttemptCommand): void {
     if (sendAttempt(run, command)) return;
     waitingAttempts.set(run, command);
-    startPlacementTimer();
+    placementTimer.start();
   }
 
   function advanceWaitingCalls(): void {
@@ -335,57 +272,37 @@
     });
   }
 
-  /** Runs the timer only while calls wait. */
-  function startPlacementTimer(): void {
-    stopPlacementTimer ??= timers.subscribe(PLACEMENT_INTERVAL_MS, () => {
-      advanceWaitingCalls();
-      if (waitingAttempts.size > 0) return;
-      stopPlacementTimer?.();
-      stopPlacementTimer = undefined;
-    });
-  }
-
-  /** Runs the timer only while there are calls, so that an idle process does not wake up. */
-  function startTickTimer(): void {
-    stopTickTimer ??= timers.subscribe(TICK_MS, () => {
-      for (const run of [...runs]) advanceRun(run, { kind: 'tick' });
-      if (runs.size > 0) return;
-      stopTickTimer?.();
-      stopTickTimer = undefined;
-    });
-  }
+  const placementTimer = createActiveTimer(timers, PLACEMENT_INTERVAL_MS, () => {
+    advanceWaitingCalls();
+    return waitingAttempts.size > 0;
+  });
+  const tickTimer = createActiveTimer(timers, TICK_MS, () => {
+    for (const run of [...runs]) advanceRun(run, { kind: 'tick' });
+    return runs.size > 0;
+  });
 
   return {
     run(call, sink) {
       const budget = budgets.get(call.pool);
       budget.recordCall(getNow());
-      const stateMachine = createCallStateMachine({
-        kind: call.route.kind,
-        attemptsMax: call.route.attemptsMax,
-        deadlineMs: call.deadlineMs,
-        lastEventId: call.lastEventId,
-        firstResponseTimeoutMs: computeFirstResponseTimeoutMs(call),
-        streamIdleTimeoutMs: computeStreamIdleTimeoutMs(call),
-        getReturnMs: () => options.availability.computeReturnMs(call.pool),
-        takeRetry: () =>
-          !options.quarantine.isCondemned(call) && budget.take(options.countInstances(), getNow()),
-      });
-      const run: Run = {
+      const run = createRun(
         call,
         sink,
-        stateMachine,
-        triedEndpointIds: [],
-        closeExchange: undefined,
-        ticket: undefined,
-        watch: undefined,
-        slot: undefined,
-        firstMs: undefined,
-        version: undefined,
-        sentMs: 0,
-        isStarted: false,
-      };
+        createCallStateMachine({
+          kind: call.route.kind,
+          attemptsMax: call.route.attemptsMax,
+          deadlineMs: call.deadlineMs,
+          lastEventId: call.lastEventId,
+          firstResponseTimeoutMs: computeFirstResponseTimeoutMs(call),
+          streamIdleTimeoutMs: computeStreamIdleTimeoutMs(call),
+          getReturnMs: () => options.availability.computeReturnMs(call.pool),
+          takeRetry: () =>
+            !options.quarantine.isCondemned(call) &&
+            budget.take(options.countInstances(), getNow()),
+        }),
+      );
       runs.add(run);
-      startTickTimer();
+      tickTimer.start();
       advanceRun(run, { kind: 'start' });
       return { close: () => advanceRun(run, { kind: 'caller_left' }) };
     },
