--- a/src/gateway/call-streams.ts
+++ b/src/gateway/call-streams.ts
@@ -5,7 +5,7 @@
 import type { CaseReport } from '../quarantine/case-ledger.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import type { BindingMessage } from '../stream-versions/binding-messages.js';
-import { createStreamVersions } from '../stream-versions/stream-versions.js';
+import { ENDED_KEPT_MS, createStreamVersions } from '../stream-versions/stream-versions.js';
 import type { StreamObserver, StreamVersions } from '../stream-versions/stream-versions.js';
 import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
@@ -31,7 +31,7 @@
 
 export interface CallStreams extends StreamVersions {
   setConfiguration(configuration: TrafficConfiguration): void;
-  /** Takes note of the ended starts that crash cases name. */
+  /** Records the starts that ended lately, as crash cases name them. */
   recordCrashes(cases: readonly CaseReport[]): void;
 }
 
@@ -78,7 +78,9 @@
     },
     recordCrashes(cases) {
       const starts: EndpointKey[] = cases.flatMap(({ crashes }) =>
-        crashes.map(({ start }) => start),
+        crashes
+          .filter(({ crashedAgoMs }) => crashedAgoMs < ENDED_KEPT_MS)
+          .map(({ start }) => start),
       );
       for (const start of starts) streams.recordEnded(start);
     },
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -31,7 +31,7 @@
 /** More than are told, since two instances may see slightly different fleets. */
 const OWNERS_ASKED = 4;
 /** Time for which a start that has ended is remembered: the registry lists it for less. */
-const ENDED_KEPT_MS = 60_000;
+export const ENDED_KEPT_MS = 60_000;
 
 /** Where an attempt of a call may go. */
 export type StreamChoice =
@@ -211,7 +211,9 @@
     },
     isFit: (endpoint, version) => buildBinding(endpoint).version === version && isCurrent(endpoint),
     isCurrent,
-    recordEnded: (start) => endedMs.set(start, getNow()),
+    recordEnded(start) {
+      if (!endedMs.has(start)) endedMs.set(start, getNow());
+    },
     handleTold: (groups, from) => ledger.merge(groups, from, getNow()),
     handleQuery(query, from) {
       options.send({ kind: 'reply', to: from, reply: buildReply(query) });
