--- a/src/bench/arrivals.ts
+++ b/src/bench/arrivals.ts
@@ -1,11 +1,11 @@
-/** Arrivals of a run, drawn once from a seed: every policy meets the same ones. */
+/** Generates the arrivals of a run from a seed, so that all policies receive the same requests. */
 import { createRandom } from '../utils/random.js';
 import type { Random } from '../utils/random.js';
 import { computeCapacity } from './deployments.js';
 import type { ClassTraffic, Deployment } from './deployments.js';
 import type { Scenario } from './scenarios.js';
 
-/** One request to come. */
+/** One request to send. */
 export interface Arrival {
   /** From the start of the run, in milliseconds. */
   readonly atMs: number;
@@ -17,7 +17,7 @@
   readonly giveUpMs: number | undefined;
   /** Part of a flood. */
   readonly isFlood: boolean;
-  /** Before the measured window: only for learning. */
+  /** Sent before the measured window, as warm-up. */
   readonly isWarmUp: boolean;
 }
 
--- a/src/bench/callers.ts
+++ b/src/bench/callers.ts
@@ -1,10 +1,10 @@
-/** The bench's callers: they send each arrival at its moment, whatever became of the others. */
+/** Callers of the bench: an open loop that sends each arrival at its time. */
 import { createCompletionClient } from '../load/completion-client.js';
 import type { CompletionClient } from '../load/completion-client.js';
 import type { Arrival } from './arrivals.js';
 import type { Observation } from './measures.js';
 
-/** What callers are told. */
+/** Input of the callers. */
 export interface CallersRequest {
   /** Routers, by the entry number of an arrival. */
   readonly urls: readonly string[];
@@ -44,7 +44,7 @@
     ...(arrival.giveUpMs === undefined ? {} : { giveUpMs: arrival.giveUpMs }),
     onText: () => tokenTimesMs.push(performance.now() - startedMs),
   });
-  // There and back: the way to the caller counts like the way from it.
+  // The latency applies in both directions.
   const addedMs = callerDelayMs + performance.now() - sentMs - result.totalMs - callerDelayMs;
   return {
     arrival,
@@ -57,14 +57,14 @@
   };
 }
 
-/** Sends all arrivals; resolves once every one has its answer. */
+/** Sends all arrivals; resolves once all have been answered. */
 export async function sendArrivals(request: CallersRequest): Promise<Observation[]> {
   const client = createCompletionClient();
   const startedMs = performance.now();
   const pending: Promise<Observation>[] = [];
   for (const arrival of request.arrivals) {
     const dueInMs = startedMs + arrival.atMs - performance.now();
-    // Open loop: arrivals wait for their moment, never for an answer.
+    // Open loop: arrivals never wait for a response.
     // eslint-disable-next-line no-await-in-loop
     if (dueInMs > 1) await waitMs(dueInMs);
     pending.push(sendArrival(request, client, arrival, startedMs));
--- a/src/bench/measures.ts
+++ b/src/bench/measures.ts
@@ -1,4 +1,4 @@
-/** What the users measure, from what callers saw and engines counted. */
+/** Computes the users' measures from the callers' records and the engines' counters. */
 import type { CompletionResult } from '../load/completion-client.js';
 import type { Arrival } from './arrivals.js';
 import type { Deployment } from './deployments.js';
@@ -41,7 +41,7 @@
   readonly resumed: number;
 }
 
-/** What a run hands over. */
+/** Results of a run. */
 export interface RunRecord {
   readonly deployment: Deployment;
   readonly observations: readonly Observation[];
@@ -64,7 +64,7 @@
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * quantile))] ?? 0;
 }
 
-/** The middle of unsorted numbers. */
+/** The median of unsorted numbers. */
 export function computeMedian(numbers: readonly number[]): number {
   return computeQuantile(numbers, 0.5);
 }
@@ -91,7 +91,7 @@
   return isFirstInTime && isPaced && isTimely(observation, target.deadlineMs);
 }
 
-/** Whether a request asked for what its caller waited for: one that gave up is no miss. */
+/** Whether a request counts; one whose caller gave up is no miss. */
 function isJudged(observation: Observation): boolean {
   return !observation.arrival.isWarmUp && !observation.result.hasGivenUp;
 }
--- a/src/bench/overhead.ts
+++ b/src/bench/overhead.ts
@@ -1,4 +1,4 @@
-/** What one router adds against calling an engine directly, and what a process can carry. */
+/** Measures the latency that a router adds to a direct call of an engine, and the throughput of one process. */
 import { Worker } from 'node:worker_threads';
 import { startEmbeddedFleet } from '../embedded/embedded-fleet.js';
 import { createCompletionClient } from '../load/completion-client.js';
@@ -59,7 +59,7 @@
   });
 }
 
-/** Times to the end of one-token answers, one caller after the other. */
+/** Durations of one-token answers, requested one after the other. */
 async function runCalls(client: CompletionClient, url: string): Promise<number[]> {
   const times: number[] = [];
   for (let sample = 0; sample < SAMPLES; sample += 1) {
@@ -81,7 +81,7 @@
   const client = createCompletionClient();
   const direct = fleet.engines[0]?.url ?? '';
   const routed = fleet.routers[0]?.callersUrl ?? '';
-  // Both paths are warmed before either is timed; then they take turns.
+  // Both paths are warmed up first, then measured alternately.
   await runCalls(client, direct);
   await runCalls(client, routed);
   const directTimes = await runCalls(client, direct);
@@ -147,7 +147,7 @@
   return { rate: tokens / seconds, busyShare };
 }
 
-/** Measures and prints. */
+/** Runs the measurements and prints them. */
 export async function runOverhead(isJson: boolean): Promise<void> {
   const added: Added[] = [];
   for (const size of SIZES) {
--- a/src/bench/policies.ts
+++ b/src/bench/policies.ts
@@ -1,4 +1,4 @@
-/** The policies a bench compares: the product's own, the ways weighed against it, plain baselines. */
+/** The policies that the bench compares: the product's own, its alternatives and simple baselines. */
 import type { AdmissionPolicy } from '../admission/policy.js';
 
 export const POLICIES = {
@@ -18,7 +18,7 @@
 
 export type PolicyName = keyof typeof POLICIES;
 
-/** Policies compared unless one is named. */
+/** Policies that are compared by default. */
 export const COMPARED: readonly PolicyName[] = [
   'hyssoptally',
   'round-robin-fifo',
--- a/src/bench/run-scenario.ts
+++ b/src/bench/run-scenario.ts
@@ -14,14 +14,14 @@
 import { SCENARIOS } from './scenarios.js';
 import type { Scenario } from './scenarios.js';
 
-/** What to run. */
+/** Options of a run. */
 export interface RunRequest {
   readonly deployment: DeploymentName;
   readonly scenario: string;
   readonly policy: PolicyName;
   readonly seed: number;
   readonly seconds: number;
-  /** Leaves a scenario's flood out, to see what the others attain without it. */
+  /** Omits the scenario's flood, to measure the others without it. */
   readonly isWithoutFlood: boolean;
 }
 
--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -1,4 +1,4 @@
-/** What happens on the bench: load over time, and faults. */
+/** Scenarios of the bench: load over time, and faults. */
 import type { EmbeddedFleet } from '../embedded/embedded-fleet.js';
 import type { Deployment } from './deployments.js';
 
@@ -8,7 +8,7 @@
   readonly description: string;
   /** Demand of a class as a share of capacity, at a moment of the measured window (0 to 1). */
   readonly getDemand: (deployment: Deployment, className: string, moment: number) => number;
-  /** Sets faults off while the window runs. */
+  /** Injects faults during the measured window. */
   readonly startFaults?: (fleet: EmbeddedFleet, windowMs: number) => () => void;
   /** Extra demand of one organisation, as a share of capacity. */
   readonly flood?: number;
@@ -27,7 +27,7 @@
 const BURST_TOP_CLASS = 0.55;
 const STRAGGLER_SLOWDOWN = 10;
 const GIVING_UP_SHARE = 0.3;
-/** Half of Kelaniya's slots: what an organisation may well be allowed. */
+/** A plausible limit for one organisation: half of the slots of the first deployment. */
 const FLOOD_CONCURRENCY = 24;
 
 function findShare(deployment: Deployment, className: string): number {
--- a/src/load/completion-client.ts
+++ b/src/load/completion-client.ts
@@ -1,9 +1,9 @@
-/** A caller: sends one completion to a router and measures what comes back, frame by frame. */
+/** Sends completions to a router and measures the frames of the responses. */
 import { createParser } from 'eventsource-parser';
 import { Agent } from 'undici';
 import { z } from 'zod';
 
-/** What to send. */
+/** A completion to send. */
 export interface CompletionCall {
   readonly url: string;
   readonly key: string;
@@ -18,7 +18,7 @@
   readonly onText?: (text: string) => void;
 }
 
-/** What came back, times in milliseconds from sending. */
+/** The response; times are in milliseconds since the request was sent. */
 export interface CompletionResult {
   readonly requestId: string;
   readonly status: number;
@@ -147,7 +147,7 @@
           reading.error = parseError(await response.body.text());
         }
       } catch {
-        // A broken connection or giving up: what was read until then is the result.
+        // After a broken connection or a timeout, the result is what was read until then.
       } finally {
         clearTimeout(giveUp);
       }
--- a/src/load/load-plan.ts
+++ b/src/load/load-plan.ts
@@ -1,7 +1,7 @@
-/** When to send what: an open loop drawn from a seed, which never waits for answers. */
+/** Plans a load from a seed: an open loop that never waits for responses. */
 import { createRandom } from '../utils/random.js';
 
-/** A class's part in the load. */
+/** Share of a class in the load. */
 export interface MixEntry {
   readonly className: string;
   readonly share: number;
@@ -16,7 +16,7 @@
   readonly target: number;
 }
 
-/** What a load is drawn from. */
+/** Options of a load. */
 export interface LoadPlanOptions {
   readonly mix: readonly MixEntry[];
   /** Requests a second. */
@@ -26,7 +26,7 @@
   readonly targets: number;
 }
 
-/** Reads `counter=0.6,history=0.4`; throws naming what is wrong. */
+/** Parses `counter=0.6,history=0.4`; throws an error that names the invalid part. */
 export function parseMix(text: string): MixEntry[] {
   return text.split(',').map((part) => {
     const [className = '', share = ''] = part.split('=');
@@ -40,7 +40,7 @@
   });
 }
 
-/** Draws a load: arrivals of a Poisson process over the whole time. */
+/** Generates the arrivals of a Poisson process over the whole duration. */
 export function buildLoadPlan(options: LoadPlanOptions): PlannedCall[] {
   const random = createRandom(options.seed);
   const total = options.mix.reduce((sum, entry) => sum + entry.share, 0);
--- a/src/load/load-report.ts
+++ b/src/load/load-report.ts
@@ -1,4 +1,4 @@
-/** What callers of a load saw, by class. */
+/** Measures of a load by class, from the callers' records. */
 import { build } from 'hdr-histogram-js';
 import type { CompletionResult } from './completion-client.js';
 
@@ -13,7 +13,7 @@
   readonly className: string;
   readonly requests: number;
   readonly whole: number;
-  /** Share of requests that kept both targets and were whole. */
+  /** Share of requests that were complete and met both targets. */
   readonly attainment: number;
   readonly firstTokenP50Ms: number;
   readonly firstTokenP95Ms: number;
--- a/src/slopes/admission-slopes.ts
+++ b/src/slopes/admission-slopes.ts
@@ -1,4 +1,4 @@
-/** What admission and routing cost, against endpoints, shards and members. */
+/** Measures how the cost of admission and routing grows with endpoints, shards and members. */
 import { buildShards } from '../admission/shard-map.js';
 import { createShardOwner } from '../admission/shard-owner.js';
 import { createTicketClient } from '../admission/ticket-client.js';
@@ -107,7 +107,7 @@
   return { owner, post, release };
 }
 
-/** Microseconds for a ticket's whole way, on a shard with `endpoints` and `waiting` others. */
+/** Microseconds from posting a ticket to releasing its slot, on a shard with `endpoints` and `waiting` other tickets. */
 function computeTicket(endpoints: number, waiting: number): number {
   const shard = createOwner(endpoints);
   if (waiting > 0) {
@@ -126,7 +126,7 @@
   });
 }
 
-/** Microseconds the entry's desk spends on a ticket, with `count` shards of the pool. */
+/** Microseconds that the ticket client spends on a ticket, if the pool has `count` shards. */
 function computeDesk(count: number): number {
   const desk = createTicketClient(createRandom(1));
   const list: ShardRoute[] = Array.from({ length: count }, (_, index) => ({
@@ -170,7 +170,7 @@
   });
 }
 
-/** Microseconds to place all shards anew, which every change of membership asks for. */
+/** Microseconds to reassign the owners of all shards, which each change of membership requires. */
 function computePlacement(runners: number): number {
   const declarations: Declarations = {
     version: 1,
--- a/src/slopes/measure.ts
+++ b/src/slopes/measure.ts
@@ -6,7 +6,7 @@
   readonly value: number;
 }
 
-/** What a cost grows with, and how. */
+/** How a cost grows with a size. */
 export interface Slope {
   readonly role: string;
   /** What is counted, with its unit. */
@@ -21,7 +21,7 @@
 const ROUNDS = 5;
 const MEBIBYTE = 1024 * 1024;
 
-/** Microseconds one call of `run` takes: the best of some rounds of `times` calls. */
+/** Microseconds of one call of `run`: the minimum of several rounds of `times` calls. */
 export function computeMicroseconds(times: number, run: (index: number) => void): number {
   for (let index = 0; index < times; index += 1) run(index);
   let best = Infinity;
@@ -33,7 +33,7 @@
   return best;
 }
 
-/** Mebibytes of heap that what `build` returns takes; needs `--expose-gc`. */
+/** Mebibytes of heap retained by the value that `build` returns; requires `--expose-gc`. */
 export function computeMebibytes(build: () => unknown): number {
   const collect = globalThis.gc;
   if (collect === undefined) throw new Error('start with node --expose-gc to measure memory');
@@ -46,7 +46,7 @@
   return (after - before) / MEBIBYTE;
 }
 
-/** Fits a line through points and names it. */
+/** Fits a line through points by least squares. */
 export function buildSlope(
   role: string,
   cost: string,
--- a/src/slopes/membership-slopes.ts
+++ b/src/slopes/membership-slopes.ts
@@ -1,4 +1,4 @@
-/** What membership costs one node, against the number of members. */
+/** Measures how the cost of membership for one node grows with the number of members. */
 import { toBinary, create } from '@bufbuild/protobuf';
 import { DeliverRequestSchema } from '../gen/peer_pb.js';
 import type { PeerMessage } from '../gen/peer_pb.js';
@@ -14,7 +14,7 @@
 const TICK_MS = 50;
 const SETTLE_MS = 30_000;
 const MEASURED_MS = 20_000;
-/** Restarts and failures of two years' time, spread over a day: one in about five minutes. */
+/** Restarts and failures on a day of the target size, spread evenly: one in about five minutes. */
 const CHANGES_PER_MS = (280 + 16) / 86_400_000;
 
 interface Flight {
@@ -49,7 +49,7 @@
   return toBinary(DeliverRequestSchema, request).length;
 }
 
-/** Runs a fleet in memory; counts the time and bytes of one member in it. */
+/** Runs a fleet in memory and measures the processor time and bytes of one member. */
 function runFleet(size: number): NodeCost {
   const members = Array.from({ length: size }, (_, index) => createMember(index, size));
   const byName = new Map(members.map((member, index) => [`m-${index}`, member]));
@@ -87,7 +87,7 @@
     const changes =
       Math.floor((nowMs + TICK_MS) * CHANGES_PER_MS) - Math.floor(nowMs * CHANGES_PER_MS);
     if (changes > 0 || nowMs === SETTLE_MS) {
-      // A change of configuration's version counts too: every member says its own anew.
+      // A new configuration version counts too, since each member then publishes a new fact.
       for (const name of byName.keys()) {
         runMember(name, (member) =>
           member.handle({ kind: 'configuration', version: nowMs }, nowMs),
--- a/src/slopes/organisation-slopes.ts
+++ b/src/slopes/organisation-slopes.ts
@@ -1,4 +1,4 @@
-/** What organisations cost a node: keys, limits, declarations, changes. */
+/** Measures how the cost of keys, limits, declarations and changes grows with organisations. */
 import { stringify } from 'yaml';
 import { createCompiler } from '../configuration/compile-files.js';
 import { createOrganisationLimiter } from '../limits/organisation-limits.js';
@@ -63,7 +63,7 @@
   readonly memoryMib: number;
 }
 
-/** Milliseconds to take over a change of one file, keys included. */
+/** Milliseconds to apply a change of one file, including its keys. */
 function computeApply(files: Map<string, string>): number {
   const compiler = createCompiler();
   const authenticator = createAuthenticator();
--- a/src/slopes/request-slopes.ts
+++ b/src/slopes/request-slopes.ts
@@ -1,4 +1,4 @@
-/** What a request costs in the cores, against its tokens, and what a claim costs. */
+/** Measures how the cost of a request grows with its tokens, and the cost of a claim. */
 import { createClaim } from '../claims/claim.js';
 import { createInvariants } from '../runtime/invariants.js';
 import { createRequestStateMachine } from '../requests/request-state-machine.js';
--- a/src/slopes/slopes-main.ts
+++ b/src/slopes/slopes-main.ts
@@ -1,4 +1,4 @@
-/** The slopes' command: what each core costs against what it grows with. */
+/** Command that prints how the cost of each part grows with its size. */
 import { EXIT_CODE, createCommandLine, listArguments, runMain } from '../cli/command-line.js';
 import type { ExitCode } from '../cli/command-line.js';
 import { formatTable } from '../cli/format-output.js';
