ORDER: a start that ended is mistrusted for ten seconds of a confirmed view, and only for streams that go on

An endpoint without start times that restarts under its id was left out of all streams for a minute after its crash, new ones too, and bound none of them. New streams may begin there at once; the registry has had time to notice after ten seconds, unless it is out of reach, which stops that time. Found by reading; the new test fails on the code before (a minute).

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -90,8 +90,13 @@
   }
 
   /** Looked at again, since the exchange may have waited for a connection or a peer. */
-  function isSendAllowed({ call }: Run, endpoint: RegisteredEndpoint): boolean {
-    if (isStream(call.route.kind) && !options.streams.isCurrent(endpoint)) return false;
+  function isSendAllowed(
+    { call }: Run,
+    endpoint: RegisteredEndpoint,
+    lastEventId: string | undefined,
+  ): boolean {
+    const isGoingOn = isStream(call.route.kind) && lastEventId !== undefined;
+    if (isGoingOn && !options.streams.isCurrent(endpoint)) return false;
     return options.availability.isAvailable(endpoint) && options.checkSendable(call) === undefined;
   }
 
@@ -168,7 +173,7 @@
           protocol.encode(call, { endpointId: endpoint.id, remainingMs, lastEventId }),
       },
       {
-        isSendAllowed: () => isSendAllowed(run, endpoint),
+        isSendAllowed: () => isSendAllowed(run, endpoint, lastEventId),
         onWithheld: () => reader.readWithheld(),
         onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
         onData: (bytes) => reader.readData(bytes),
--- a/src/stream-versions/stream-versions.test.ts
+++ b/src/stream-versions/stream-versions.test.ts
@@ -29,20 +29,23 @@
 interface Setup {
   readonly streams: StreamVersions;
   readonly sent: BindingMessage[];
+  advanceTo(ms: number, isViewConfirmed?: boolean): void;
   setRegistered(endpoints: readonly RegisteredEndpoint[]): void;
 }
 
 function createSetup(registered: readonly RegisteredEndpoint[], alone = true): Setup {
   const sent: BindingMessage[] = [];
+  let nowMs = 0;
+  let isConfirmed = true;
   let endpoints = registered;
   const names = alone ? ['self'] : ['self', 'other'];
   const streams = createStreamVersions({
     self: 'self',
-    getNow: () => 0,
+    getNow: () => nowMs,
     listAlive: () => names.map((name) => ({ name, dataCentre: 'd' })),
     listRegistered: () => endpoints,
     find: (id) => endpoints.find((endpoint) => endpoint.id === id),
-    isViewConfirmed: () => true,
+    isViewConfirmed: () => isConfirmed,
     getStreamLifeMs: () => 10_000,
     send: (message) => sent.push(message),
     observer: { onResolved: () => undefined, onTold: () => undefined },
@@ -50,6 +53,11 @@
   return {
     streams,
     sent,
+    advanceTo(ms, isViewConfirmed = true) {
+      nowMs = ms;
+      isConfirmed = isViewConfirmed;
+      streams.advance();
+    },
     setRegistered(next) {
       endpoints = next;
     },
@@ -93,6 +101,20 @@
     t.true(streams.isFit(again, hashVersion('v1')));
   });
 
+  // Guards against an endpoint without start times that gets no streams for ever after it came back.
+  it('trust a start again once the registry has had time to notice its end', (t) => {
+    const { streams, advanceTo } = createSetup([old]);
+    streams.recordEnded(hashStartId(old.startId));
+    advanceTo(9_000);
+    t.false(streams.isCurrent(old));
+    advanceTo(30_000, false);
+    t.false(streams.isCurrent(old), 'the registry is out of reach');
+    advanceTo(39_000);
+    t.false(streams.isCurrent(old));
+    advanceTo(41_000);
+    t.true(streams.isCurrent(old));
+  });
+
   // Guards against a choice that was made before the registry named another start or version.
   it('take no start that the registry has replaced', (t) => {
     const { streams, setRegistered } = createSetup([old]);
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -30,8 +30,11 @@
 const OWNERS_TOLD = 3;
 /** More than are told, since two instances may see slightly different fleets. */
 const OWNERS_ASKED = 4;
-/** Time for which a start that has ended is remembered: the registry lists it for less. */
-export const ENDED_KEPT_MS = 60_000;
+/**
+ * Time for which a start that has ended is remembered while the view of the registry is confirmed:
+ * longer than the registry takes to notice an end.
+ */
+export const ENDED_KEPT_MS = 10_000;
 
 /** Where an attempt of a call may go. */
 export type StreamChoice =
@@ -196,6 +199,15 @@
       : { key, answer: BINDING_ANSWER.Only, pool, version: only, ageMs: 0 };
   }
 
+  /** A registry out of reach cannot notice that an endpoint came back with other software. */
+  function removeEnded(nowMs: number): void {
+    const isConfirmed = options.isViewConfirmed();
+    for (const [start, ms] of endedMs) {
+      if (!isConfirmed) endedMs.set(start, nowMs);
+      else if (nowMs - ms > ENDED_KEPT_MS) endedMs.delete(start);
+    }
+  }
+
   return {
     resolve(call) {
       if (!isStream(call.route.kind) || !isResumed(call)) return { kind: 'any' };
@@ -225,7 +237,7 @@
       sendTold();
       queries.removeExpired(nowMs);
       ledger.removeBefore(nowMs - options.getStreamLifeMs());
-      for (const [start, ms] of endedMs) if (nowMs - ms > ENDED_KEPT_MS) endedMs.delete(start);
+      removeEnded(nowMs);
     },
     count: () => ledger.count(),
   };
