ORDER: callers that resume a stream without naming its first call go on where the pool has one version

Cause: an instance concluded a pool's only version after thirty seconds of a view confirmed at every tick, and such calls asked nobody.

Now it concludes after one route timeout, which holds all tries of a caller, a view may be unconfirmed for four seconds without losing what was seen, and such calls ask like any other, so that an instance that started lately hears the others' conclusion.

--- a/src/gateway/call-streams.ts
+++ b/src/gateway/call-streams.ts
@@ -12,8 +12,8 @@
 import type { PeerExchange } from './peer-exchange.js';
 
 const TICK_MS = 100;
-/** A caller's tries and the answer to the last one take at most two timeouts of the route. */
-const TIMEOUTS_PER_STREAM = 2;
+/** An endpoint takes longer to start, begin a stream and leave the registry again. */
+const VIEW_GAP_MAX_MS = 4000;
 /** Lower bound, and the life while there is no configuration. */
 const STREAM_LIFE_MIN_MS = 10_000;
 
@@ -25,8 +25,10 @@
   readonly peers: Pick<PeerExchange, 'listPeers' | 'findAddress'>;
   readonly listRegistered: () => readonly RegisteredEndpoint[];
   readonly findEndpoint: (id: string) => RegisteredEndpoint | undefined;
-  /** Whether the view of the registry was lately confirmed as the newest. */
-  readonly isViewConfirmed: () => boolean;
+  /** Age of a view of the registry that counts as confirmed. */
+  readonly viewAgeMaxMs: number;
+  /** Time since the view of the registry was last confirmed as the newest. */
+  readonly computeViewAge: () => number;
 }
 
 export interface CallStreams extends StreamVersions {
@@ -63,7 +65,8 @@
     listAlive: () => [...peers.listPeers(), self],
     listRegistered: options.listRegistered,
     find: options.findEndpoint,
-    isViewConfirmed: options.isViewConfirmed,
+    isViewConfirmed: () => options.computeViewAge() <= options.viewAgeMaxMs,
+    isViewContinuous: () => options.computeViewAge() <= VIEW_GAP_MAX_MS,
     getStreamLifeMs: () => streamLifeMs,
     send: sendMessage,
     observer: options.observer,
@@ -74,7 +77,8 @@
     ...streams,
     setConfiguration({ routes }) {
       const timeoutMs = Math.max(0, ...routes.map((route) => route.timeoutMs));
-      streamLifeMs = Math.max(STREAM_LIFE_MIN_MS, TIMEOUTS_PER_STREAM * timeoutMs);
+      // All tries of a caller are within the time that it waits.
+      streamLifeMs = Math.max(STREAM_LIFE_MIN_MS, timeoutMs);
     },
     recordCrashes(cases) {
       const starts: EndpointKey[] = cases.flatMap(({ crashes }) =>
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -190,7 +190,8 @@
     peers,
     listRegistered: () => knowledge.directory.listAll(),
     findEndpoint: (id) => knowledge.directory.find(id),
-    isViewConfirmed: () => knowledge.computeAge() <= RECENT_KNOWLEDGE_MAX_MS,
+    viewAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
+    computeViewAge: () => knowledge.computeAge(),
   });
 
   const forwarding = createCallForwarding({
--- a/src/stream-versions/pool-versions.ts
+++ b/src/stream-versions/pool-versions.ts
@@ -7,11 +7,11 @@
 import type { PoolKey, VersionKey } from './stream-binding.js';
 
 export interface PoolVersions {
-  /** Records the registered endpoints; `isConfirmed`: the view was lately confirmed as the newest. */
-  record(endpoints: readonly RegisteredEndpoint[], isConfirmed: boolean, nowMs: number): void;
+  /** Records the registered endpoints; `isContinuous`: no version can have come and gone unseen. */
+  record(endpoints: readonly RegisteredEndpoint[], isContinuous: boolean, nowMs: number): void;
   /**
    * Returns the version that every endpoint of the pool had during the last `lifeMs`; undefined if
-   * there were several, or if the view was not confirmed for that long.
+   * there were several, or if the view has not been continuous for that long.
    */
   findOnly(pool: PoolKey, lifeMs: number, nowMs: number): VersionKey | undefined;
 }
@@ -21,13 +21,12 @@
 
 export function createPoolVersions(): PoolVersions {
   const pools = new Map<PoolKey, LastRegistered>();
-  /** Since when the view has been confirmed without a gap. */
-  let confirmedSinceMs: number | undefined;
+  let continuousSinceMs: number | undefined;
 
   return {
-    record(endpoints, isConfirmed, nowMs) {
-      if (!isConfirmed) confirmedSinceMs = undefined;
-      else confirmedSinceMs ??= nowMs;
+    record(endpoints, isContinuous, nowMs) {
+      if (!isContinuous) continuousSinceMs = undefined;
+      else continuousSinceMs ??= nowMs;
       for (const endpoint of endpoints) {
         const { pool, version } = buildBinding(endpoint);
         const versions: LastRegistered = pools.get(pool) ?? new Map();
@@ -35,7 +34,7 @@
       }
     },
     findOnly(pool, lifeMs, nowMs) {
-      if (confirmedSinceMs === undefined || nowMs - confirmedSinceMs < lifeMs) return undefined;
+      if (continuousSinceMs === undefined || nowMs - continuousSinceMs < lifeMs) return undefined;
       const versions = pools.get(pool) ?? new Map();
       for (const [version, registeredMs] of versions)
         if (nowMs - registeredMs > lifeMs) versions.delete(version);
--- a/src/stream-versions/stream-binding.ts
+++ b/src/stream-versions/stream-binding.ts
@@ -40,12 +40,14 @@
   return lastEventId !== undefined;
 }
 
-/** Key of the stream that a call begins or resumes; undefined if it resumes one without naming it. */
-export function findStreamKey(call: RoutedCall): StreamKey | undefined {
+/**
+ * Key of the stream that a call begins or resumes. Nobody keeps a binding for a call that resumes a
+ * stream without naming it; instances can still conclude its version.
+ */
+export function getStreamKey(call: RoutedCall): StreamKey {
   const { organisation, callId, resumedCallId } = call;
-  if (!isResumed(call)) return computeStreamKey(organisation, callId);
-  if (resumedCallId === undefined || resumedCallId === '') return undefined;
-  return computeStreamKey(organisation, resumedCallId);
+  const isNamed = isResumed(call) && resumedCallId !== undefined && resumedCallId !== '';
+  return computeStreamKey(organisation, isNamed ? resumedCallId : callId);
 }
 
 export function buildBinding({ pool, softwareVersion }: RegisteredEndpoint): StreamBinding {
--- a/src/stream-versions/stream-fleet.test.ts
+++ b/src/stream-versions/stream-fleet.test.ts
@@ -101,6 +101,22 @@
     t.is(fleet.resume({ callId: 'lost', instance: 0, version: 'v2' }).version, undefined);
   });
 
+  // Guards against refusing callers that name no call where the pool has one version only.
+  it('are concluded by others for an instance that cannot, whatever call is named', (t) => {
+    const fleet = startFleet(7, 8);
+    fleet.setVersions(['v1']);
+    fleet.runFor(SETTLED_MS);
+    fleet.setCut(3, true);
+    fleet.runFor(TOLD_MS);
+    fleet.setCut(3, false);
+    fleet.runFor(TOLD_MS);
+    const unnamed = { callId: '', instance: 0, version: 'v1' };
+    t.is(fleet.resumeAt(3, unnamed).version, 'v1');
+    fleet.setVersions(VERSIONS);
+    fleet.runFor(TOLD_MS);
+    t.is(fleet.resumeAt(3, unnamed).version, undefined);
+  });
+
   // Guards against one organisation that names another's call.
   it('are unknown to another organisation', (t) => {
     const fleet = startFleet(7, 6);
--- a/src/stream-versions/stream-versions.test.ts
+++ b/src/stream-versions/stream-versions.test.ts
@@ -46,6 +46,7 @@
     listRegistered: () => endpoints,
     find: (id) => endpoints.find((endpoint) => endpoint.id === id),
     isViewConfirmed: () => isConfirmed,
+    isViewContinuous: () => isConfirmed,
     getStreamLifeMs: () => 10_000,
     send: (message) => sent.push(message),
     observer: { onResolved: () => undefined, onTold: () => undefined },
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -17,7 +17,7 @@
 import { createBindingQueries } from './binding-queries.js';
 import type { QueryRecord, Resolution } from './binding-queries.js';
 import { createPoolVersions } from './pool-versions.js';
-import { UNSURE_VERSION, buildBinding, findStreamKey, isResumed } from './stream-binding.js';
+import { UNSURE_VERSION, buildBinding, getStreamKey, isResumed } from './stream-binding.js';
 import type {
   BindingGroup,
   PoolKey,
@@ -68,6 +68,8 @@
   readonly find: (id: string) => RegisteredEndpoint | undefined;
   /** Whether the view of the registry was lately confirmed as the newest. */
   readonly isViewConfirmed: () => boolean;
+  /** Whether no version can have come and gone unseen since the view was last confirmed. */
+  readonly isViewContinuous: () => boolean;
   /** Longest time from a stream's first event to the last try of its caller. */
   readonly getStreamLifeMs: () => number;
   readonly send: (message: BindingMessage) => void;
@@ -130,8 +132,8 @@
   ): Resolution {
     if (resolution.kind === 'wait' || reported.has(call)) return resolution;
     reported.add(call);
-    const key = findStreamKey(call);
-    const query = key === undefined ? undefined : queries.getRecord(key, getNow());
+    const key = getStreamKey(call);
+    const query = queries.getRecord(key, getNow());
     observer.onResolved({ call, resolution, source, ageMs, query });
     return resolution;
   }
@@ -153,9 +155,8 @@
   }
 
   function resolveResumed(call: RoutedCall): Resolution {
-    const key = findStreamKey(call);
+    const key = getStreamKey(call);
     const pool = hashName(call.pool);
-    if (key === undefined) return recordResolved(call, buildResolution(findOnly(pool)), 'own');
     const known = ledger.find(key);
     if (known !== undefined) {
       const version = known.pool === pool ? known.version : undefined;
@@ -217,9 +218,8 @@
     recordStarted(call, endpoint) {
       if (!isStream(call.route.kind)) return;
       const { pool } = buildBinding(endpoint);
-      const key = findStreamKey(call);
-      if (key !== undefined)
-        ledger.record(key, { pool, version: computeVersion(endpoint) }, getNow());
+      const key = getStreamKey(call);
+      ledger.record(key, { pool, version: computeVersion(endpoint) }, getNow());
     },
     isFit: (endpoint, version) => buildBinding(endpoint).version === version && isCurrent(endpoint),
     isCurrent,
@@ -233,7 +233,7 @@
     handleReply: (reply, from) => queries.handle(reply, from, getNow()),
     advance() {
       const nowMs = getNow();
-      poolVersions.record(options.listRegistered(), options.isViewConfirmed(), nowMs);
+      poolVersions.record(options.listRegistered(), options.isViewContinuous(), nowMs);
       sendTold();
       queries.removeExpired(nowMs);
       ledger.removeBefore(nowMs - options.getStreamLifeMs());
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -208,7 +208,8 @@
     peers: exchange,
     listRegistered: listOpen,
     findEndpoint: (id) => listOpen().find((endpoint) => endpoint.id === id),
-    isViewConfirmed: () => true,
+    viewAgeMaxMs: 0,
+    computeViewAge: () => 0,
   });
   network.addStreams(self.address, streams);
   const runner = createCallRunner({
--- a/src/test/stream-fleet.ts
+++ b/src/test/stream-fleet.ts
@@ -145,6 +145,7 @@
       listRegistered: () => endpoints,
       find: (id) => endpoints.find((endpoint) => endpoint.id === id),
       isViewConfirmed: () => !cut.has(index),
+      isViewContinuous: () => !cut.has(index),
       getStreamLifeMs: () => STREAM_LIFE_MS,
       send: (message) => send(index, message),
       observer: { onResolved: () => undefined, onTold: () => undefined },
