--- a/src/quarantine/sound-parts.ts
+++ b/src/quarantine/sound-parts.ts
@@ -8,10 +8,7 @@
 
 /** Time after the last sound run for which it excuses crashes. */
 const MEMORY_MS = 10 * 60 * 1000;
-/**
- * Crashes excused since the last sound run: more than one rack takes down at once, few enough that
- * a part which has begun to crash endpoints is soon suspected.
- */
+/** Crashes excused since the last sound run; a part that has begun to crash endpoints is suspected from the next. */
 const EXCUSED_MAX = 3;
 /** About 2 MB of memory; the parts without a recent run give way. */
 const PARTS_MAX = 8192;
