--- a/review/3/main.mjs
+++ b/review/3/main.mjs
@@ -1,111 +1,127 @@
-/** A client reads its answer slowly while its machine is stopped with SIGTERM. */
+/** Requests wait for a runner while their machine is stopped with SIGTERM. */
 /* eslint-disable no-await-in-loop, import-x/extensions -- steps are sequential; Node needs the written extension. */
 import {
-  KEY,
   buildConfiguration,
   buildRoute,
   buildRunnerRow,
   getHost,
   hasTrouble,
-  openSocket,
   runCase,
+  sendRequest,
   startRouters,
   waitMs,
 } from '../lib/deployment.mjs';
 import { startRunner, startStore } from '../lib/standins.mjs';
 
-const MEBIBYTE = 1024 * 1024;
-/** The client has read the answer 6.7 s after it was sent: within its time limit and `grace_s`. */
-const ANSWER_BYTES = 12 * MEBIBYTE;
-const READ_BYTES_PER_S = 1.8 * MEBIBYTE;
-const READ_PERIOD_MS = 20;
-const SIGTERM_AFTER_MS = 300;
-/** `contact_ms` of the settings, and some time for the routers to find each other. */
+const SLOTS = 8;
+const EVENT_MS = 200;
+/** Drafts that keep the runner busy for 12 s. */
+const LONG_DRAFTS = 8;
+const LONG_EVENTS = 60;
+const SHORT_DRAFTS = 3;
+const SHORT_EVENTS = 5;
+/** The platform gives a machine no new connections after two misses of its readiness, 2 s at most. */
+const SENT_AFTER_MS = 1600;
+const SENT_GAP_MS = 100;
 const CALM_MS = 4000;
+/** `loss_slack_ms` of the settings. */
+const LOSS_SLACK_MS = 200;
 
-const HEAD_END = '\r\n\r\n';
-
-/** Reads at the client's pace until the answer is whole or the connection ends. */
-async function readSlowly(socket) {
-  const chunks = [];
-  let bytes = 0;
-  let expectedBytes = Infinity;
-  let isEnded = false;
-  let error = 'closed';
-  const recordEnd = () => {
-    isEnded = true;
-  };
-  socket.on('end', recordEnd);
-  socket.on('close', recordEnd);
-  socket.on('error', ({ code }) => {
-    error = code;
-  });
-  socket.pause();
-  const startedMs = performance.now();
-  while (!isEnded && bytes < expectedBytes) {
-    const dueBytes =
-      Math.floor(((performance.now() - startedMs) / 1000) * READ_BYTES_PER_S) - bytes;
-    const readableBytes = Math.min(Math.max(0, dueBytes), socket.readableLength);
-    const chunk = readableBytes > 0 ? socket.read(readableBytes) : socket.read(0);
-    if (chunk !== null) {
-      bytes += chunk.length;
-      if (chunks.length === 0) {
-        const at = chunk.indexOf(HEAD_END);
-        const [, length] = /content-length: (\d+)/i.exec(chunk.subarray(0, at).toString('latin1'));
-        expectedBytes = at + HEAD_END.length + Number(length);
-      }
-      chunks.push(chunk);
-    }
-    await waitMs(READ_PERIOD_MS);
-  }
-  return { bytes, expectedBytes, status: chunks[0]?.toString('latin1').slice(0, 15), error };
+function sendStream({ response, body }, headers) {
+  const events = Number(body.toString());
+  response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
+  let next = 1;
+  const timer = setInterval(() => {
+    response.write(`id: ${next}\ndata: piece ${next}\n\n`);
+    next += 1;
+    if (next <= events) return;
+    clearInterval(timer);
+    response.end();
+  }, EVENT_MS);
+  response.on('close', () => clearInterval(timer));
 }
 
 async function run(record) {
   const store = await startStore(getHost(1));
   const runner = await startRunner(
-    { host: getHost(2), id: 'i-1', slots: 6 },
-    ({ response }, headers) => {
-      const answer = Buffer.alloc(ANSWER_BYTES, 'x');
-      response.on('finish', () => record('runner: its answer is whole'));
-      response.writeHead(200, { ...headers, 'Content-Length': answer.length });
-      response.end(answer);
-    },
+    { host: getHost(2), id: 'i-1', slots: SLOTS, queue: 16 },
+    sendStream,
   );
-  const routes = [buildRoute('order', 'non_idempotent', 'app')];
-  store.set('op', 'config', buildConfiguration(1, routes, [{ name: 'app', max_connections: 100 }]));
-  store.set('servers', runner.id, buildRunnerRow('app', runner.address, 6));
+  const routes = [
+    buildRoute('plan', 'streaming', 'llm', {
+      priority: 2,
+      target_latency_ms: 2000,
+      gap_target_ms: 1000,
+    }),
+    buildRoute('tag', 'streaming', 'llm', {
+      priority: 1,
+      target_latency_ms: 500,
+      gap_target_ms: 400,
+    }),
+    buildRoute('clause', 'streaming', 'llm', {
+      priority: 0,
+      target_latency_ms: 300,
+      gap_target_ms: 250,
+    }),
+  ];
+  const service = {
+    name: 'llm',
+    max_connections: 360,
+    session_affinity: true,
+    engine: { slots: SLOTS, kv_capacity_tokens: 600_000 },
+  };
+  store.set('op', 'config', buildConfiguration(1, routes, [service]));
+  store.set('servers', runner.id, buildRunnerRow('llm', runner.address, SLOTS));
   const { routers } = await startRouters(1, store.address);
   const [router] = routers;
   router.child.on('exit', (code, signal) => record(`router: ended with ${code ?? signal}`));
   await waitMs(CALM_MS);
 
-  const socket = await openSocket(router);
-  const body = 'order 1';
-  const head = [
-    'POST /order/1 HTTP/1.1',
-    'Host: h.example',
-    'X-Attempt-Id: order-1',
-    'X-Deadline-Ms: 15000',
-    `Authorization: Bearer ${KEY}`,
-    `Content-Length: ${body.length}`,
-  ];
-  socket.write(`${head.join('\r\n')}${HEAD_END}${body}`);
-  const sentMs = performance.now();
-  record('client: sent order-1');
+  async function sendDraft(id, events) {
+    record(`client: sends ${id}`);
+    const answer = await sendRequest(router, {
+      method: 'POST',
+      path: '/plan/1',
+      id,
+      body: String(events),
+      headers: {
+        'x-model': 'm',
+        'x-token-count': '1000,400',
+        'x-prompt-prefix': `5c1e07a2:500,${Buffer.from(id).toString('hex')}:500`,
+      },
+    });
+    const result = answer.isComplete ? 'a whole answer' : `no whole answer (${answer.error})`;
+    const status = answer.status === 0 ? 'no status' : answer.status;
+    record(`client: ${id} has ${status}, ${result}, after ${Math.round(answer.tookMs)} ms`);
+    return answer;
+  }
+
+  const longDrafts = [];
+  for (let number = 1; number <= LONG_DRAFTS; number += 1) {
+    longDrafts.push(sendDraft(`long-${number}`, LONG_EVENTS));
+    await waitMs(30);
+  }
+  await waitMs(1000);
+  record(`runner: ${runner.countActive()} of ${SLOTS} slots are taken`);
   if (hasTrouble) {
-    setTimeout(() => {
-      record('platform: SIGTERM');
-      router.child.kill('SIGTERM');
-    }, SIGTERM_AFTER_MS);
+    record('platform: SIGTERM');
+    router.child.kill('SIGTERM');
   }
-  const { bytes, expectedBytes, status, error } = await readSlowly(socket);
-  const tookMs = Math.round(performance.now() - sentMs);
-  record(`runner: ran ${runner.runs.map(({ id }) => id).join(', ')}`);
-  record(`client: ${status}, read ${bytes} of ${expectedBytes} bytes after ${tookMs} ms`);
-  if (bytes === expectedBytes) return false;
-  record(`client: the connection ended before the answer was whole (${error})`);
-  return true;
+  await waitMs(SENT_AFTER_MS);
+  const shortDrafts = [];
+  for (let number = 1; number <= SHORT_DRAFTS; number += 1) {
+    shortDrafts.push(sendDraft(`short-${number}`, SHORT_EVENTS));
+    await waitMs(SENT_GAP_MS);
+  }
+  const answers = await Promise.all(shortDrafts);
+  await Promise.all(longDrafts);
+  const ran = new Set(runner.runs.map(({ id }) => id));
+  // None of these was at a runner, so the excuse of a runner still at work does not apply to them.
+  const lost = answers.filter(
+    ({ id, status, tookMs }) => status === 0 && tookMs > LOSS_SLACK_MS && !ran.has(id),
+  );
+  record(`read whole, never passed on, ended without an answer: ${lost.map(({ id }) => id)}`);
+  return lost.length > 0;
 }
 
 runCase(import.meta.url, run);
