--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -12,6 +12,7 @@
 const READY_WAIT_MS = 15_000;
 const CASE_TIMEOUT_MS = 110_000;
 export const ZONE = 'hall-1';
+const REGION = 'region-1';
 export const KEY = 'key-of-the-depots';
 
 export const waitMs = (ms) =>
@@ -130,14 +131,14 @@
   };
 }
 
-function buildSettings({ name, host, ports, seeds, storeAddress, extra }) {
+function buildSettings({ name, host, zone, zones, ports, seeds, storeAddress }) {
   return `node = "${name}"
 role = "router"
 machine_class = "front"
 serves = ["front", "control"]
 ip = "${host}"
-zone = "${ZONE}"
-region = "region-1"
+zone = "${zone}"
+region = "${REGION}"
 internal_ports = [${ports.internal}, ${ports.internal + 15}]
 seed_nodes = ${JSON.stringify(seeds)}
 bootstrap = true
@@ -147,7 +148,7 @@
 heartbeat_ms = 1200
 contracts = ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"]
 [zones]
-${ZONE} = "region-1"
+${zones.map((each) => `${each} = "${REGION}"`).join('\n')}
 [bind]
 front = "${host}:${ports.front}"
 ready = "${host}:${ports.ready}"
@@ -196,7 +197,7 @@
 blob_bytes = 8388608
 blob_ms = 25.0
 blob_mb_s = 80.0
-${extra}`;
+`;
 }
 
 function isReady(host, port) {
@@ -214,8 +215,8 @@
   });
 }
 
-/** Starts `count` routers and waits until all are ready. */
-export async function startRouters(count, storeAddress, { extra = '' } = {}) {
+/** Starts `count` routers, in the zones by turns, and waits until all are ready. */
+export async function startRouters(count, storeAddress, zones = [ZONE]) {
   const folder = mkdtempSync(join(tmpdir(), 'hyssoptally-review-'));
   const hosts = Array.from({ length: count }, (_, index) => getHost(10 + index));
   const ports = {};
@@ -225,7 +226,18 @@
   const routers = hosts.map((host, index) => {
     const name = `front-${index + 1}`;
     const path = join(folder, `${name}.toml`);
-    writeFileSync(path, buildSettings({ name, host, ports, seeds, storeAddress, extra }));
+    writeFileSync(
+      path,
+      buildSettings({
+        name,
+        host,
+        zone: zones[index % zones.length],
+        zones,
+        ports,
+        seeds,
+        storeAddress,
+      }),
+    );
     const logs = [];
     const start = () => {
       const child = spawn('node', ['--max-old-space-size=160', 'target/hyssoptally-router.cjs'], {
--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -18,6 +18,7 @@
   const watches = new Set();
   const startedMs = performance.now();
   let revision = 1;
+  let onUnchanged = () => undefined;
 
   const buildKey = ({ table, part = '', key }) => `${table}|${part}|${key}`;
 
@@ -42,7 +43,9 @@
   function sendWatch(watch) {
     watches.delete(watch);
     clearTimeout(watch.timer);
-    sendJson(watch.response, 200, { rows: encodeRows(listChanged(watch.table, watch.since)) });
+    const changed = listChanged(watch.table, watch.since);
+    sendJson(watch.response, 200, { rows: encodeRows(changed) });
+    if (changed.length === 0) onUnchanged(watch.table);
   }
 
   function applyChanges(writes, removes) {
@@ -107,6 +110,13 @@
       applyChanges([{ table, key, value: text }], []);
     },
     remove: (table, key) => applyChanges([], [{ table, key }]),
+    /** Resolves when a watch of the table is next answered without a change. */
+    waitForUnchanged: (watched) =>
+      new Promise((resolve) => {
+        onUnchanged = (table) => {
+          if (table === watched) resolve();
+        };
+      }),
     stop() {
       server.closeAllConnections();
       server.close();
