--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -40,9 +40,12 @@
 
 /** Processes that this case started. */
 const children = new Set();
+/** Temporary folders of this case. */
+const folders = new Set();
 
 function stopChildren() {
   for (const child of children) child.kill('SIGKILL');
+  for (const folder of folders) rmSync(folder, { recursive: true, force: true });
 }
 
 /** Appends lines with the time since the start to a file of the case. */
@@ -218,6 +221,7 @@
 /** Starts `count` routers, in the zones by turns, and waits until all are ready. */
 export async function startRouters(count, storeAddress, zones = [ZONE]) {
   const folder = mkdtempSync(join(tmpdir(), 'hyssoptally-review-'));
+  folders.add(folder);
   const hosts = Array.from({ length: count }, (_, index) => getHost(10 + index));
   const ports = {};
   for (const name of ['front', 'ready', 'control', 'internal'])
