Calls that an instance still holds when its drain ends get an answer

Cause: the drain knew only the number of calls in flight, and the process exited with whatever it held. Placement did not know that its own process has an end, so a call waited up to four tenths of its time limit, beyond the drain.

Change, for the class of work that the process holds: a leaving instance starts a call only if the usual time of its route's answers fits what is left of the drain, and refuses it (not run, Retry-After 0.05 s) as soon as it does not; what is left shortly before the kill is ended with an answer, 503 if it was never sent and 502 otherwise; requests whose body comes in and responses that are not written out count as work; the times of a drain are computed from the grace period, so that a short one no longer ends while requests are accepted. The same in src/node.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -105,10 +105,12 @@
     }
   | { readonly kind: 'ended'; readonly attempt: number; readonly end: AttemptEnd }
   | { readonly kind: 'caller_left' }
+  /** This instance stops before the call can end; `failure` is for a call that has not run. */
+  | { readonly kind: 'instance_stops'; readonly failure: RequestFailure }
   | { readonly kind: 'tick' };
 
 /** Why an attempt is cancelled. */
-export type CancelReason = 'deadline' | 'stalled' | 'caller left';
+export type CancelReason = 'deadline' | 'stalled' | 'caller left' | 'instance stops';
 
 /** Output of the call state machine. */
 export type CallCommand =
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -8,6 +8,7 @@
 import { createActiveTimer } from '../runtime/active-timer.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { FEATURE } from '../types/features.js';
+import type { RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
 import {
   computeStreamIdleTimeoutMs,
@@ -48,6 +49,16 @@
   run(call: RoutedCall, sink: CallSink): RunningCall;
   /** Number of calls that have not ended. */
   count(): number;
+  /** Ends all calls with an answer; those that have not run get the failure. */
+  closeAll(failure: RequestFailure): ClosedCalls;
+}
+
+/** Calls that were ended before their answer. */
+export interface ClosedCalls {
+  /** They waited at this instance. */
+  readonly waiting: number;
+  /** They were at an endpoint. */
+  readonly sent: number;
 }
 
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
@@ -317,5 +328,11 @@
       return { close: () => advanceRun(run, { kind: 'caller_left' }) };
     },
     count: () => runs.size,
+    closeAll(failure) {
+      const waiting = waitingAttempts.size;
+      const sent = runs.size - waiting;
+      for (const run of [...runs]) advanceRun(run, { kind: 'instance_stops', failure });
+      return { waiting, sent };
+    },
   };
 }
--- a/src/calls/call-state-machine.test.ts
+++ b/src/calls/call-state-machine.test.ts
@@ -2,7 +2,8 @@
 import { describe } from '../test/describe.js';
 import { CALL_KIND } from '../types/traffic.js';
 import type { CallKind } from '../types/traffic.js';
-import { OUTCOME } from '../types/outcomes.js';
+import { FAILURE, OUTCOME } from '../types/outcomes.js';
+import type { RequestFailure } from '../types/outcomes.js';
 import { createCallStateMachine } from './call-state-machine.js';
 import type { CallStateMachine } from './call-state-machine.js';
 import type { ResponseHead, AttemptEnd, CallCommand, CallMessage } from './call-messages.js';
@@ -53,6 +54,12 @@
   return commands.find((command) => command.kind === 'fail')?.failure;
 }
 
+const INSTANCE_STOPS: RequestFailure = {
+  type: FAILURE.NotReady,
+  message: 'stops',
+  outcome: OUTCOME.NotRun,
+  retryAfterMs: 50,
+};
 const BROKEN: AttemptEnd = { kind: 'broken', reason: 'reset' };
 const REJECTED: AttemptEnd = { kind: 'rejected', reason: 'full' };
 
@@ -181,6 +188,22 @@
     });
   });
 
+  block('a call whose instance stops', ({ it }) => {
+    // Guards against a call that the end of the process leaves without an answer.
+    it('is refused as not run only if it was never sent', (t) => {
+      const waiting = createHarness(CALL_KIND.NonIdempotent, 2, 10, true);
+      waiting.send({ kind: 'start' });
+      const refused = waiting.send({ kind: 'instance_stops', failure: INSTANCE_STOPS });
+      t.deepEqual(findFailure(refused), INSTANCE_STOPS);
+      const sent = createHarness(CALL_KIND.NonIdempotent);
+      sent.send({ kind: 'start' });
+      const ended = sent.send({ kind: 'instance_stops', failure: INSTANCE_STOPS });
+      t.like(ended[0], { kind: 'cancel', attempt: 1 });
+      t.is(findFailure(ended)?.type, FAILURE.EndpointFailed);
+      t.is(findFailure(ended)?.outcome, OUTCOME.MayHaveRun);
+    });
+  });
+
   block('for any order of messages', ({ it }) => {
     const ends: AttemptEnd[] = [
       { kind: 'unsent' },
@@ -196,6 +219,10 @@
       fc.record({ kind: fc.constant('stream_started' as const), head: fc.constant(HEAD) }),
       fc.record({ kind: fc.constant('tick' as const) }),
       fc.record({ kind: fc.constant('caller_left' as const) }),
+      fc.record({
+        kind: fc.constant('instance_stops' as const),
+        failure: fc.constant(INSTANCE_STOPS),
+      }),
     );
 
     it('a call ends once, and a non-idempotent one is retried only if it did not run', (t) => {
--- a/src/calls/call-state-machine.ts
+++ b/src/calls/call-state-machine.ts
@@ -208,6 +208,17 @@
     }
   }
 
+  function handleInstanceStop({ type, message, retryAfterMs }: RequestFailure): void {
+    if (isAttemptPending && isDispatched) mayHaveRun = true;
+    cancelAttempt('instance stops');
+    if (mayHaveRun) {
+      closeWithFailure(
+        FAILURE.EndpointFailed,
+        'this instance stops before the answer is whole; the endpoint may have run the call',
+      );
+    } else closeWithFailure(type, message, retryAfterMs);
+  }
+
   /** Guards against lost responses and connections that fail without being closed. */
   function checkStall(nowMs: number): void {
     const timeoutMs = hasResponseStarted
@@ -265,6 +276,9 @@
       case 'caller_left':
         handleCallerDisconnect();
         break;
+      case 'instance_stops':
+        handleInstanceStop(message.failure);
+        break;
       case 'tick':
         if (nowMs >= deadlineMs) handleDeadline();
         else checkStall(nowMs);
--- a/src/gateway/gateway-api.ts
+++ b/src/gateway/gateway-api.ts
@@ -17,6 +17,7 @@
 import type { ForwardLinks } from '../forwarding/forward-messages.js';
 import type { KnownPath } from '../forwarding/path-ledger.js';
 import type { FeedReader } from '../knowledge/feed.js';
+import type { DrainTimes } from '../lifecycle/drain.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { EnabledFeatures } from '../types/features.js';
 import type { DecisionLog } from '../observability/decision-log.js';
@@ -83,10 +84,11 @@
   readonly duties: DutyOptions | undefined;
   /** Maximum age of the knowledge of keys when a call is sent. */
   readonly keyAgeMaxMs: number;
-  /** Maximum wait for running calls when leaving. */
-  readonly drainTimeoutMs: number;
-  /** Time for which new calls are still accepted after this instance starts to leave. */
-  readonly drainNoticeMs: number;
+  readonly drainTimes: DrainTimes;
+  /** Responses to callers that are not written out. */
+  readonly countOpenResponses: () => number;
+  /** Refuses the requests that have not come in whole; returns their number. */
+  readonly refuseUnread: (failure: RequestFailure) => number;
   readonly onConfiguration: (configuration: TrafficConfiguration) => void;
   readonly onStopAccepting: () => void;
   readonly onDrained: () => void;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
  * Composes a router from the source's tables, the running calls, the exchange with other instances and
  * the lifecycle. The servers and the protocols of a deployment are supplied by the caller.
  */
+import type { RoutedCall } from '../calls/call-messages.js';
 import { createCallRunner } from '../calls/call-runner.js';
 import type { CallRunner } from '../calls/call-runner.js';
 import { createFleetTime } from '../duties/fleet-time.js';
@@ -18,6 +19,7 @@
 import type { RouteTable } from '../routes/route-table.js';
 import { createSlotShares } from '../slot-shares/slot-shares.js';
 import { FEATURE } from '../types/features.js';
+import type { RequestFailure } from '../types/outcomes.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
 import { Err } from '../utils/result.js';
@@ -49,7 +51,7 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { timers, log, random } = options;
   const loads = createEndpointLoads();
-  const drain = createDrain(options.drainTimeoutMs, options.drainNoticeMs);
+  const drain = createDrain(options.drainTimes);
   const time = createFleetTime();
   let table: RouteTable | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
@@ -260,11 +262,7 @@
     streams,
     listRegistered: (pool) => knowledge.directory.listOpen(pool),
     onStarted: (call, startedMs) => duties?.recordStarted(call, startedMs),
-    checkSendable(call) {
-      // Checked right before each send, since the key may have been revoked while the call waited.
-      if (!call.isAuthenticated || areKeysValid()) return undefined;
-      return createNotReadyFailure('this instance cannot tell whether the key is still valid');
-    },
+    checkSendable,
   });
 
   function isKeyAgeValid(ageMs: number): boolean {
@@ -275,6 +273,26 @@
     return isKeyAgeValid(knowledge.computeAge());
   }
 
+  /** Guards against starting an answer that the end of this process would cut off. */
+  function hasTimeFor(call: RoutedCall): boolean {
+    const leftMs = drain.computeLeftMs(getNow());
+    return leftMs === Infinity || leftMs >= placer.predictRunMs(call);
+  }
+
+  /** Checked right before each send, since keys and the stage may change while a call waits. */
+  function checkSendable(call: RoutedCall): RequestFailure | undefined {
+    if (!hasTimeFor(call)) return createLeavingFailure();
+    if (!call.isAuthenticated || areKeysValid()) return undefined;
+    return createNotReadyFailure('this instance cannot tell whether the key is still valid');
+  }
+
+  /** Guards against calls that the end of this process would leave without an answer. */
+  function closeWork(): void {
+    const failure = createLeavingFailure();
+    const { waiting, sent } = runner.closeAll(failure);
+    log.write({ event: 'drain_cut', waiting, sent, unread: options.refuseUnread(failure) });
+  }
+
   function listTimings(): KnownTiming[] {
     if (!options.features.has(FEATURE.Timing)) return [];
     const nowMs = getNow();
@@ -302,6 +320,9 @@
       case 'stop_accepting':
         options.onStopAccepting();
         break;
+      case 'end_work':
+        closeWork();
+        break;
       case 'announce_left':
         peers.announceLeft();
         break;
@@ -323,7 +344,10 @@
     availability.advance();
     shares.advance();
     pace.advance();
-    runDrain({ kind: 'tick', inFlight: runner.count() + forwarding.countCarried() });
+    runDrain({
+      kind: 'tick',
+      inFlight: runner.count() + forwarding.countCarried() + options.countOpenResponses(),
+    });
   });
 
   return {
--- a/src/node/request-runner.ts
+++ b/src/node/request-runner.ts
@@ -62,6 +62,8 @@
   run(request: RoutedRequest, sink: AnswerSink): RunningRequest;
   /** Number of requests without a final answer. */
   count(): number;
+  /** Ends all requests with an answer, since this instance stops. */
+  closeAll(): void;
 }
 
 interface Run {
@@ -87,6 +89,14 @@
   retryAfterMs: 1000,
 };
 
+/** The instance stops, and the request was sent to no endpoint. */
+const INSTANCE_STOPS: RequestFailure = {
+  type: FAILURE.NotReady,
+  message: 'this instance stops; send the request again, on a new connection',
+  outcome: OUTCOME.NotRun,
+  retryAfterMs: 1000,
+};
+
 export function createRequestRunner(options: RequestRunnerOptions): RequestRunner {
   const { broker, endpoints, claims, notices, timers, invariants, metrics, events } = options;
   const runs = new Map<string, Run>();
@@ -456,5 +466,9 @@
       };
     },
     count: () => runs.size,
+    closeAll() {
+      for (const run of [...runs.values()])
+        handleMessage(run, { kind: 'instance_stops', failure: INSTANCE_STOPS });
+    },
   };
 }
--- a/src/node/router-core.ts
+++ b/src/node/router-core.ts
@@ -8,7 +8,7 @@
 import type { AttemptVerdict } from '../claims/claim.js';
 import type { ConfigurationStore } from '../configuration/store.js';
 import type { Fact, FetchConfigurationResponse, PeerMessage } from '../gen/peer_pb.js';
-import { createDrain, STAGE } from '../lifecycle/drain.js';
+import { computeDrainTimes, createDrain, STAGE } from '../lifecycle/drain.js';
 import type { DrainCommand, Stage } from '../lifecycle/drain.js';
 import { createOrganisationLimiter } from '../limits/organisation-limits.js';
 import type { OrganisationLimiter, PeerDemand } from '../limits/organisation-limits.js';
@@ -50,7 +50,10 @@
   readonly incarnation: number;
   readonly seeds: readonly string[];
   readonly claimWritesPerSecond: number;
+  /** Time from the order to leave to the end of the instance. */
   readonly drainTimeoutMs: number;
+  /** Responses to callers that are not written out. */
+  readonly countOpenResponses: () => number;
   readonly policy?: AdmissionPolicy;
   readonly random: Random;
   readonly timers: TimerService;
@@ -92,7 +95,7 @@
   const policy = options.policy ?? DEFAULT_POLICY;
   const authenticator = createAuthenticator();
   const limiter = createOrganisationLimiter();
-  const drain = createDrain(options.drainTimeoutMs);
+  const drain = createDrain(computeDrainTimes(options.drainTimeoutMs));
   let declarations: Declarations | undefined;
 
   const fleet = createFleetView({
@@ -255,6 +258,10 @@
       case 'stop_accepting':
         options.onStopAccepting();
         break;
+      case 'end_work':
+        logger.warn('the drain timeout ends requests in flight', { inFlight: runner.count() });
+        runner.closeAll();
+        break;
       case 'announce_left':
         fleet.announceLeft();
         break;
@@ -273,7 +280,9 @@
     }
   }
 
-  timers.subscribe(DRAIN_TICK_MS, () => runDrain({ kind: 'tick', inFlight: runner.count() }));
+  timers.subscribe(DRAIN_TICK_MS, () =>
+    runDrain({ kind: 'tick', inFlight: runner.count() + options.countOpenResponses() }),
+  );
   timers.subscribe(DEMAND_PERIOD_MS, () => {
     const shares = limiter.takeReport(timers.clock.monotonicMs());
     if (shares !== undefined) fleet.setDemand(shares);
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -7,6 +7,7 @@
 import { FetchKnowledgeResponseSchema } from '../gen/peer_pb.js';
 import { createConfigurationStore } from '../configuration/store.js';
 import { STAGE } from '../lifecycle/drain.js';
+import { createOpenResponses } from '../lifecycle/open-responses.js';
 import { createPeerOutbox } from '../peers/peer-outbox.js';
 import { startPeerServer } from '../peers/peer-server.js';
 import { createInstanceListClient } from '../storage/instance-list-client.js';
@@ -158,6 +159,7 @@
     seeds: config.seeds,
     claimWritesPerSecond: config.claimWritesPerSecond,
     drainTimeoutMs: config.drainTimeoutMs,
+    countOpenResponses: () => openResponses.count(),
     random,
     timers,
     invariants,
@@ -193,6 +195,7 @@
       getPeerDemand: () => core.getPeerDemand(),
     }),
   );
+  const openResponses = createOpenResponses(callersServer);
   callersServer.headersTimeout = HEADERS_TIMEOUT_MS;
   callersServer.requestTimeout = REQUEST_TIMEOUT_MS;
   callersServer.maxConnections = CONNECTIONS_MAX;
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -5,6 +5,15 @@
   | { readonly event: 'started'; readonly callers: string; readonly peers: string }
   | { readonly event: 'stopped'; readonly reason: string }
   | { readonly event: 'leaving'; readonly inFlight: number }
+  | {
+      /** The drain ran out of time with work left, which was ended with an answer. */
+      readonly event: 'drain_cut';
+      /** Calls that waited at this instance, and calls at an endpoint. */
+      readonly waiting: number;
+      readonly sent: number;
+      /** Requests that had not come in whole. */
+      readonly unread: number;
+    }
   | { readonly event: 'settings_reloaded'; readonly outcome: string }
   | {
       readonly event: 'source_lost';
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -69,12 +69,17 @@
    * Predicted time from sending the call to an idle engine to its first event; 0 while unknown.
    */
   predictAnswerMs(call: RoutedCall): number;
+  /** Upper estimate of the time from sending the call to the end of its answer. */
+  predictRunMs(call: RoutedCall): number;
   /** Expected mean pause of streams at an engine if one more call runs there; undefined while unknown. */
   predictPauseMs(endpoint: RegisteredEndpoint, nowMs: number): number | undefined;
   /** Records that the call is sent. */
   start(call: RoutedCall, placement: Placement, nowMs: number): LoadTicket;
 }
 
+/** Factor on the mean run time of a route, so that most of its calls end within it. */
+const RUN_TIME_FACTOR = 1.5;
+
 function countTokens({ prompt }: RoutedCall): number {
   return (prompt?.parts ?? []).reduce((sum, { tokens }) => sum + tokens, 0);
 }
@@ -205,20 +210,26 @@
       const { fixedMs = 0 } = loads.getPoolTiming(pool).prefillSpeed ?? {};
       return fixedMs + computeReadMs(pool, sizes.getMeanTokens(route, pool));
     },
+    predictRunMs({ route, pool }) {
+      return Math.max(route.targetMs, sizes.getMeanRunMs(route, pool) * RUN_TIME_FACTOR);
+    },
     start(call, placement, nowMs) {
       const { route, pool, prompt } = call;
       const { endpoint } = placement;
       const readTokens = computeReadTokens(call, placement);
       const isMostUrgent = isUrgent(call);
       const ticket = loads.start(endpoint, readTokens, nowMs, isMostUrgent);
-      if (prompt === undefined) return ticket;
-      reserves.recordPrompt(pool, isMostUrgent, readTokens);
-      sizes.recordTokens(route, pool, readTokens);
+      if (prompt !== undefined) {
+        reserves.recordPrompt(pool, isMostUrgent, readTokens);
+        sizes.recordTokens(route, pool, readTokens);
+      }
       return {
         ...ticket,
         recordEnd(verdict, endedMs) {
-          if (verdict === ENDPOINT_VERDICT.Good)
-            recordStream(call, endpoint.id, ticket.getStream());
+          if (verdict === ENDPOINT_VERDICT.Good) {
+            sizes.recordRun(route, pool, endedMs - nowMs);
+            if (prompt !== undefined) recordStream(call, endpoint.id, ticket.getStream());
+          }
           ticket.recordEnd(verdict, endedMs);
         },
       };
--- a/src/requests/request-messages.ts
+++ b/src/requests/request-messages.ts
@@ -54,6 +54,8 @@
   | { readonly kind: 'attempt_ended'; readonly attemptId: string; readonly ending: AttemptEnding }
   | { readonly kind: 'preempted'; readonly ticketId: string }
   | { readonly kind: 'caller_left' }
+  /** This instance stops before the request can end; `failure` is for one that has not run. */
+  | { readonly kind: 'instance_stops'; readonly failure: RequestFailure }
   /** `lateMs`: delay of this tick because the process did not run. */
   | { readonly kind: 'tick'; readonly lateMs: number };
 
--- a/src/requests/request-state-machine.test.ts
+++ b/src/requests/request-state-machine.test.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check';
 import { createInvariants } from '../runtime/invariants.js';
 import { describe } from '../test/describe.js';
-import { OUTCOME } from '../types/outcomes.js';
+import { FAILURE, OUTCOME } from '../types/outcomes.js';
+import type { RequestFailure } from '../types/outcomes.js';
 import { createRequestStateMachine } from './request-state-machine.js';
 import { REPEATABILITY } from './request-messages.js';
 import type {
@@ -13,6 +14,12 @@
 
 const FRAMES = 6;
 const DEADLINE_MS = 10_000;
+const INSTANCE_STOPS: RequestFailure = {
+  type: FAILURE.NotReady,
+  message: 'stops',
+  outcome: OUTCOME.NotRun,
+  retryAfterMs: 50,
+};
 
 interface Setup {
   readonly repeatability?: Repeatability;
@@ -97,6 +104,7 @@
   fc.constant({ kind: 'claimed' as const }),
   fc.constant({ kind: 'replayed' as const }),
   fc.constant({ kind: 'caller_left' as const }),
+  fc.constant({ kind: 'instance_stops' as const, failure: INSTANCE_STOPS }),
   fc.constant({ kind: 'tick' as const, lateMs: 0 }),
 );
 
@@ -244,4 +252,17 @@
     t.deepEqual(lifecycle.handle({ kind: 'replayed' }, 1), [{ kind: 'replay' }]);
     t.deepEqual(lifecycle.handle({ kind: 'caller_left' }, 2), []);
   });
+
+  // Guards against a request that the end of the process leaves without an answer.
+  it('is refused as not run when its instance stops, unless it was sent', (t) => {
+    const queued = createLifecycle();
+    queued.handle({ kind: 'start' }, 0);
+    const refused = queued.handle({ kind: 'instance_stops', failure: INSTANCE_STOPS }, 1);
+    t.truthy(findCommand(refused, 'withdraw'));
+    t.deepEqual(findCommand(refused, 'fail')?.failure, INSTANCE_STOPS);
+    const sent = startLifecycle();
+    const ended = sent.handle({ kind: 'instance_stops', failure: INSTANCE_STOPS }, 2);
+    t.truthy(findCommand(ended, 'cancel_attempt'));
+    t.is(findCommand(ended, 'fail')?.failure.outcome, OUTCOME.MayHaveRun);
+  });
 });
--- a/src/requests/request-state-machine.ts
+++ b/src/requests/request-state-machine.ts
@@ -6,7 +6,7 @@
 import { SlotEnding } from '../gen/peer_pb.js';
 import type { Invariants } from '../runtime/invariants.js';
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
-import type { Failure, Outcome } from '../types/outcomes.js';
+import type { Failure, Outcome, RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
 import { REPEATABILITY } from './request-messages.js';
 import type {
@@ -346,6 +346,13 @@
     closeFailed(FAILURE.CallerLeft, 'the caller closed the connection; nothing more is sent');
   }
 
+  function handleInstanceStop({ type, message, retryAfterMs }: RequestFailure): void {
+    if (phase === 'queued') commands.push({ kind: 'withdraw', ticketId });
+    releaseAttempt(SlotEnding.CANCELLED, true);
+    if (getOutcome() === OUTCOME.NotRun) closeFailed(type, message, retryAfterMs);
+    else closeFailed(FAILURE.EndpointFailed, 'this instance stops before the answer is whole');
+  }
+
   function applyMessage(message: RequestMessage, nowMs: number): void {
     switch (message.kind) {
       case 'start':
@@ -391,6 +398,9 @@
       case 'caller_left':
         handleCallerLeft();
         break;
+      case 'instance_stops':
+        handleInstanceStop(message.failure);
+        break;
       case 'tick':
         handleTick(message.lateMs, nowMs);
         break;
--- a/src/soak/soak-entry.ts
+++ b/src/soak/soak-entry.ts
@@ -40,9 +40,14 @@
 
 const SKEW_MS = 400;
 const CLAIM_WRITES = 100;
-const DRAIN_TIMEOUT_MS = 60_000;
+/** Long enough for any request, and too short for those that wait. */
+const DRAIN_TIMEOUTS_MS = [60_000, 1500];
 const logger = createLogger('silent', {});
 
+function chooseDrainTimeout(name: string): number {
+  return DRAIN_TIMEOUTS_MS[hashName(name) % DRAIN_TIMEOUTS_MS.length] ?? Infinity;
+}
+
 /** Starts an entry at the present moment. */
 export function createSoakEntry(options: SoakEntryOptions): SoakEntry {
   const { name, dataCentre, time, network } = options;
@@ -60,7 +65,8 @@
     incarnation: timers.clock.wallMs(),
     seeds: options.seeds.filter((seed) => seed !== address),
     claimWritesPerSecond: CLAIM_WRITES,
-    drainTimeoutMs: DRAIN_TIMEOUT_MS,
+    drainTimeoutMs: chooseDrainTimeout(`${options.seed}|${name}`),
+    countOpenResponses: () => 0,
     random,
     timers,
     invariants,
