Bound every number from outside, and no task's error ends the process

Cause: the number became the unread tokens of an endpoint in the load update, a uint32 that nothing bounds. The encoder threw in a timer, and an uncaught error ended the process.

--- a/src/calls/call-runner-options.ts
+++ b/src/calls/call-runner-options.ts
@@ -47,6 +47,8 @@
   readonly listRegistered: (pool: string) => readonly RegisteredEndpoint[];
   /** An endpoint started the call, at a time of the monotonic clock; called once for each call. */
   readonly onStarted: (call: RoutedCall, startedMs: number) => void;
+  /** Receives an error thrown while a call was handled; the call is ended, the others go on. */
+  readonly onError: (error: unknown) => void;
   /** Returns a failure if the call must not be sent now. */
   readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
 }
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -8,6 +8,7 @@
 import { createActiveTimer } from '../runtime/active-timer.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { FEATURE } from '../types/features.js';
+import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
 import {
@@ -40,6 +41,13 @@
 /** Interval at which placement of waiting calls is retried. */
 const PLACEMENT_INTERVAL_MS = 25;
 
+/** The state of the call is unknown, so that nothing can be promised of it. */
+const HANDLING_FAILED: RequestFailure = {
+  type: FAILURE.EndpointFailed,
+  message: 'this instance failed to handle the call; it may have run',
+  outcome: OUTCOME.MayHaveRun,
+};
+
 export interface RunningCall {
   /** Called when the caller disconnects. */
   close(): void;
@@ -230,7 +238,9 @@
       .map(([run, command]) => ({ run, command, order: buildWaitingCall(run) }))
       .sort((a, b) => compareWaiting(a.order, b.order, nowMs));
     for (const { run, command } of ordered) {
-      if (sendAttempt(run, command)) waitingAttempts.delete(run);
+      runSafely(run, () => {
+        if (sendAttempt(run, command)) waitingAttempts.delete(run);
+      });
     }
   }
 
@@ -293,12 +303,28 @@
     });
   }
 
+  /** Guards against an error in the handling of one call that keeps all others from being handled. */
+  function runSafely(run: Run, step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      options.onError(error);
+      runs.delete(run);
+      waitingAttempts.delete(run);
+      run.closeExchange?.();
+      run.slot?.release(true);
+      run.watch?.recordCancelled();
+      run.ticket?.recordEnd(ENDPOINT_VERDICT.None, getNow());
+      run.sink.onFailure(HANDLING_FAILED);
+    }
+  }
+
   const placementTimer = createActiveTimer(timers, PLACEMENT_INTERVAL_MS, () => {
     advanceWaitingCalls();
     return waitingAttempts.size > 0;
   });
   const tickTimer = createActiveTimer(timers, TICK_MS, () => {
-    for (const run of [...runs]) advanceRun(run, { kind: 'tick' });
+    for (const run of [...runs]) runSafely(run, () => advanceRun(run, { kind: 'tick' }));
     return runs.size > 0;
   });
 
@@ -331,7 +357,8 @@
     closeAll(failure) {
       const waiting = waitingAttempts.size;
       const sent = runs.size - waiting;
-      for (const run of [...runs]) advanceRun(run, { kind: 'instance_stops', failure });
+      for (const run of [...runs])
+        runSafely(run, () => advanceRun(run, { kind: 'instance_stops', failure }));
       return { waiting, sent };
     },
   };
--- a/src/gateway/gateway-api.ts
+++ b/src/gateway/gateway-api.ts
@@ -77,6 +77,8 @@
   readonly shareObserver: SlotSharesObserver;
   readonly paceObserver: EndpointPaceObserver;
   readonly streamObserver: StreamObserver;
+  /** Receives an error thrown while a call was handled; the call is ended, the others go on. */
+  readonly onCallError: (error: unknown) => void;
   /** Persistent store of condemned contents. */
   readonly caseStore: CaseStore;
   readonly retryBounds: RetryBounds;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -263,6 +263,7 @@
     listRegistered: (pool) => knowledge.directory.listOpen(pool),
     onStarted: (call, startedMs) => duties?.recordStarted(call, startedMs),
     checkSendable,
+    onError: options.onCallError,
   });
 
   function isKeyAgeValid(ageMs: number): boolean {
--- a/src/gateway/resolve-call.ts
+++ b/src/gateway/resolve-call.ts
@@ -1,10 +1,12 @@
 /** Validates a request against the current configuration and resolves it to a routed call. */
 import { createContentIdGetter } from '../calls/content-id.js';
 import type { CallPayload, PromptShape, RoutedCall } from '../calls/call-messages.js';
+import { computePromptTokens } from '../placement/prompt-cost.js';
 import { choosePool } from '../routes/route-table.js';
 import type { RouteTable } from '../routes/route-table.js';
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { Failure, RequestFailure } from '../types/outcomes.js';
+import type { TrafficPool } from '../types/traffic.js';
 import { Err, Ok } from '../utils/result.js';
 import type { Result } from '../utils/result.js';
 
@@ -61,6 +63,24 @@
   );
 }
 
+/**
+ * Refuses a prompt that no engine of the pool has memory for. Guards against calls that every engine
+ * rejects as if it were full, which would count as failures of sound engines.
+ */
+function checkPromptSize(
+  prompt: PromptShape | undefined,
+  pool: TrafficPool | undefined,
+): RequestFailure | undefined {
+  const cacheTokens = pool?.engine?.cacheTokens ?? 0;
+  if (prompt === undefined || cacheTokens <= 0) return undefined;
+  const tokens = computePromptTokens(prompt);
+  if (tokens <= cacheTokens) return undefined;
+  return createNotRunFailure(
+    FAILURE.TooLarge,
+    `the prompt has ${tokens} tokens and an engine has memory for ${cacheTokens}; send a shorter one`,
+  );
+}
+
 export function resolveCall(
   request: CallerRequest,
   context: AdmissionContext,
@@ -111,6 +131,8 @@
   if (pool === undefined) {
     return Err(createNotReadyFailure('the route has no pool yet; come back'));
   }
+  const failure = checkPromptSize(request.prompt, table.findPool(pool));
+  if (failure !== undefined) return Err(failure);
   const timeoutMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
   const { method, target, body } = request.payload;
   const getContentId = createContentIdGetter({
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -18,6 +18,7 @@
 import { createInvariants } from '../runtime/invariants.js';
 import { createLogger } from '../runtime/logger.js';
 import { createMetrics, METRIC } from '../runtime/metrics.js';
+import { createTaskFailures } from '../runtime/task-failures.js';
 import { createTimerService } from '../runtime/timer-service.js';
 import { FAILURE, HTTP_STATUS_BY_FAILURE } from '../types/outcomes.js';
 import type { RouterEvents } from '../types/router-events.js';
@@ -104,10 +105,15 @@
   const { name, dataCentre } = config;
   const clock = createSystemClock();
   const incarnation = clock.wallMs();
-  const timers = createTimerService(clock);
+  const timers = createTimerService(clock, (error) => recordTaskFailure(error));
   const events = new Emittery<RouterEvents>();
   const logger = createLogger(config.logLevel, { instance: name, dataCentre });
   const metrics = createMetrics(config.statsdHost, config.statsdPort);
+  const recordTaskFailure = createTaskFailures({
+    getNow: clock.monotonicMs,
+    onCount: () => metrics.count(METRIC.TaskFailures),
+    onLog: (reason) => logger.error('a task failed; report this', { reason }),
+  });
   const random = createRandom(hashName(`${name}|${incarnation}`));
   const invariants = createInvariants((breach) => {
     metrics.count(METRIC.InvariantBreaches, 1, { name: breach.name });
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -81,6 +81,8 @@
   recordCarried(result: string): void;
   /** Records a request refused before routing. */
   recordRefusal(failure: string): void;
+  /** Records an error that a task of this process threw. */
+  recordTaskFailure(): void;
   /** Records a value of a newer release. */
   recordUnknown(place: string): void;
   /** Records a call to the platform made on behalf of the fleet. */
@@ -175,6 +177,11 @@
     labelNames: ['result'],
     registers,
   });
+  const taskFailures = new Counter({
+    name: 'hyssoptally_task_failures_total',
+    help: 'Errors that tasks of this process threw; each is a fault of the router',
+    registers,
+  });
   const unknownValues = new Counter({
     name: 'hyssoptally_unknown_values_total',
     help: 'Words of a newer release that this one does not know, by where they were read',
@@ -339,6 +346,7 @@
     recordForward: (result) => forwards.inc({ result }),
     recordCarried: (result) => carriedCalls.inc({ result }),
     recordRefusal: (failure) => refusals.inc({ failure }),
+    recordTaskFailure: () => taskFailures.inc(),
     recordUnknown: (place) => unknownValues.inc({ place }),
     recordDuty: (duty, outcome) => dutyCalls.inc({ duty, outcome }),
     format: () => registry.metrics(),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -14,6 +14,8 @@
       /** Requests that had not come in whole. */
       readonly unread: number;
     }
+  /** A timer's task threw; `reason` has the error and its place. The other tasks go on. */
+  | { readonly event: 'task_failed'; readonly reason: string }
   | { readonly event: 'settings_reloaded'; readonly outcome: string }
   | {
       readonly event: 'source_lost';
--- a/src/peers/encode-cases.ts
+++ b/src/peers/encode-cases.ts
@@ -3,25 +3,19 @@
 import { CrashCaseSchema, TellCasesSchema } from '../gen/peer_pb.js';
 import type { CrashCase, TellCases } from '../gen/peer_pb.js';
 import type { CaseReport } from '../quarantine/case-ledger.js';
-
-/** Largest value of a `uint32` field; about 49 days. */
-const UINT32_MAX = 2 ** 32 - 1;
-
-function encodeMs(ms: number): number {
-  return Math.min(UINT32_MAX, Math.max(0, Math.round(ms)));
-}
+import { encodeUint32 } from './encode-uint32.js';
 
 function encodeCase({ content, organisation, crashes, cleared, trial }: CaseReport): CrashCase {
   return create(CrashCaseSchema, {
     content,
     organisation,
     starts: crashes.map(({ start }) => start),
-    sentAgoMs: crashes.map(({ sentAgoMs }) => encodeMs(sentAgoMs)),
-    crashedAgoMs: crashes.map(({ crashedAgoMs }) => encodeMs(crashedAgoMs)),
+    sentAgoMs: crashes.map(({ sentAgoMs }) => encodeUint32(sentAgoMs)),
+    crashedAgoMs: crashes.map(({ crashedAgoMs }) => encodeUint32(crashedAgoMs)),
     cleared: [...cleared],
     ...(trial === undefined
       ? {}
-      : { trialStart: trial.start, trialLeftMs: encodeMs(trial.remainingMs) }),
+      : { trialStart: trial.start, trialLeftMs: encodeUint32(trial.remainingMs) }),
   });
 }
 
--- a/src/peers/encode-limits.ts
+++ b/src/peers/encode-limits.ts
@@ -43,7 +43,7 @@
     requests: requests.map(({ id, urgency, organisation, waitLeftMs, endpoints }) =>
       create(PermitRequestSchema, {
         id,
-        urgency,
+        urgency: encodeUint32(urgency),
         organisation,
         waitLeftMs: encodeUint32(waitLeftMs),
         endpoints: [...endpoints],
--- a/src/peers/encode-load-update.ts
+++ b/src/peers/encode-load-update.ts
@@ -9,6 +9,7 @@
 import type { LoadScope as Scope, LoadUpdate } from '../load-sharing/load-update.js';
 import type { EndpointLoadShare } from '../placement/remote-loads.js';
 import type { PeerTime } from '../duties/fleet-time.js';
+import { encodeUint32 } from './encode-uint32.js';
 import type { KnowledgeSummary } from './peer-links.js';
 import type { PeerStatus } from './peer-status.js';
 
@@ -86,21 +87,17 @@
       ...(confirmedAtMs === undefined ? {} : { confirmedAtMs }),
       ...(time === undefined ? {} : { trueNow: encodeTime(time) }),
       endpoints: partShares.map(({ endpoint }) => endpoint),
-      running: partShares.map(({ running }) => Math.max(0, Math.round(running))),
-      urgent: partShares.map(({ urgent }) => Math.max(0, Math.round(urgent))),
+      running: partShares.map(({ running }) => encodeUint32(running)),
+      urgent: partShares.map(({ urgent }) => encodeUint32(urgent)),
       unreadTokens: partShares.map(({ unreadTokens }) =>
-        Math.max(0, Math.ceil(unreadTokens / UNREAD_UNIT_TOKENS)),
+        encodeUint32(Math.ceil(unreadTokens / UNREAD_UNIT_TOKENS)),
       ),
-      answers: partShares.map(({ answers }) => Math.max(0, Math.round(answers * COUNTS_PER_CALL))),
-      failures: partShares.map(({ failures }) =>
-        Math.max(0, Math.round(failures * COUNTS_PER_CALL)),
-      ),
-      readTokens: partShares.map(({ readTokens }) =>
-        Math.max(0, Math.round(readTokens / READ_UNIT_TOKENS)),
-      ),
-      readMs: partShares.map(({ readMs }) => Math.max(0, Math.round(readMs / READ_UNIT_MS))),
-      pauses: partShares.map(({ pauses }) => Math.max(0, Math.round(pauses * COUNTS_PER_CALL))),
-      pauseMs: partShares.map(({ pauseMs }) => Math.max(0, Math.round(pauseMs / READ_UNIT_MS))),
+      answers: partShares.map(({ answers }) => encodeUint32(answers * COUNTS_PER_CALL)),
+      failures: partShares.map(({ failures }) => encodeUint32(failures * COUNTS_PER_CALL)),
+      readTokens: partShares.map(({ readTokens }) => encodeUint32(readTokens / READ_UNIT_TOKENS)),
+      readMs: partShares.map(({ readMs }) => encodeUint32(readMs / READ_UNIT_MS)),
+      pauses: partShares.map(({ pauses }) => encodeUint32(pauses * COUNTS_PER_CALL)),
+      pauseMs: partShares.map(({ pauseMs }) => encodeUint32(pauseMs / READ_UNIT_MS)),
     });
   });
 }
--- a/src/peers/encode-usage.ts
+++ b/src/peers/encode-usage.ts
@@ -4,6 +4,7 @@
 import type { UsageUpdate } from '../duties/usage-meter.js';
 import { TellUsageSchema } from '../gen/peer_pb.js';
 import type { TellUsage } from '../gen/peer_pb.js';
+import { encodeUint32 } from './encode-uint32.js';
 
 /** Fits an Ethernet frame at about 12 bytes per count. */
 const COUNTS_PER_DATAGRAM_MAX = 90;
@@ -48,7 +49,7 @@
       windows: part.map(({ window, counts }) => ({
         window,
         organisations: counts.map(({ organisation }) => organisation),
-        counts: counts.map(({ count }) => count),
+        counts: counts.map(({ count }) => encodeUint32(count)),
       })),
     }),
   );
--- a/src/peers/forward-links.ts
+++ b/src/peers/forward-links.ts
@@ -18,6 +18,8 @@
 import { PEER_SECRET_HEADER, PING_INTERVAL_MS } from './peer-outbox.js';
 
 const IDLE_TIMEOUT_MS = 15_000;
+/** Range of the timers of the runtime. */
+const TIMEOUT_MAX_MS = 2 ** 31 - 1;
 
 export interface ForwardLinksOptions {
   readonly secret: string;
@@ -65,7 +67,7 @@
     try {
       for await (const encoded of getClient(address).forward(requests, {
         signal,
-        timeoutMs: Math.ceil(timeoutMs),
+        timeoutMs: Math.min(TIMEOUT_MAX_MS, Math.ceil(timeoutMs)),
       })) {
         if (signal.aborted) return;
         const response = decodeForwardResponse(encoded);
--- a/src/placement/prompt-cost.ts
+++ b/src/placement/prompt-cost.ts
@@ -18,15 +18,20 @@
   readonly ownTokens: number;
 }
 
+/** Tokens of a whole prompt, by its size or by its parts, whichever says more. */
+export function computePromptTokens({ inputTokens, parts }: PromptShape): number {
+  return Math.max(
+    inputTokens,
+    parts.reduce((sum, { tokens }) => sum + tokens, 0),
+  );
+}
+
 /** All parts but the last form the shared prefix; a single part is shared as a whole. */
 export function computePromptCost(prompt: PromptShape): PromptCost {
   const shared: readonly PromptPart[] =
     prompt.parts.length > 1 ? prompt.parts.slice(0, -1) : prompt.parts;
   const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
-  const total = Math.max(
-    prompt.inputTokens,
-    prompt.parts.reduce((sum, { tokens }) => sum + tokens, 0),
-  );
+  const total = computePromptTokens(prompt);
   return {
     sharedPrefix: `${prompt.model}|${shared.at(-1)?.id ?? ''}`,
     sharedTokens,
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -25,6 +25,8 @@
   OrdersSent: 'orders.sent',
   RestsAsked: 'endpoints.rests_asked',
   InvariantBreaches: 'invariants.breaches',
+  /** Errors that tasks of the process threw. */
+  TaskFailures: 'tasks.failed',
 } as const;
 export type Metric = (typeof METRIC)[keyof typeof METRIC];
 
--- a/src/runtime/timer-service.test.ts
+++ b/src/runtime/timer-service.test.ts
@@ -90,4 +90,35 @@
     timers.stop();
     t.deepEqual(periods, [100, 25]);
   });
+
+  // Guards against an error of one task that ends the process or keeps the other tasks from running.
+  it('reports what a task throws and runs the others', async (t) => {
+    const errors: unknown[] = [];
+    const timers = createTimerService(createSystemClock(), (error) => errors.push(error));
+    let calls = 0;
+    const runFailingTask = (): never => {
+      throw new Error('out of range');
+    };
+    timers.subscribe(100, runFailingTask);
+    timers.subscribe(100, () => {
+      calls += 1;
+    });
+    timers.subscribeOnce(10, runFailingTask);
+    await waitMs(350);
+    timers.stop();
+    t.true(calls >= 2, `${calls} calls`);
+    t.true(errors.length >= 3, `${errors.length} errors`);
+  });
+
+  // Guards against a delay beyond the range of system timers, which would end at once.
+  it('does not end a very long delay at once', async (t) => {
+    const timers = createTimerService(createSystemClock());
+    let isOver = false;
+    timers.subscribeOnce(2 ** 40, () => {
+      isOver = true;
+    });
+    await waitMs(30);
+    timers.stop();
+    t.false(isOver);
+  });
 });
--- a/src/runtime/timer-service.ts
+++ b/src/runtime/timer-service.ts
@@ -45,19 +45,40 @@
   return periodMs % SHARED_TIMER_MS === 0 ? SHARED_TIMER_MS : periodMs;
 }
 
-/** Shares system timers between subscriptions, so that an idle process wakes less often. */
-export function createTimerService(clock: Clock): TimerService {
+/** Longest delay of a system timer; a longer one would end at once. */
+const DELAY_MAX_MS = 2 ** 31 - 1;
+
+/**
+ * Shares system timers between subscriptions, so that an idle process wakes less often. `onError`
+ * receives what a handler throws; the other handlers are called all the same.
+ * @default onError throws it
+ */
+export function createTimerService(
+  clock: Clock,
+  onError: (error: unknown) => void = (error) => {
+    throw error;
+  },
+): TimerService {
   const events = new Emittery<TimerEvents>();
   const active = new Set<NodeJS.Timeout>();
   const intervals = new Map<number, Interval>();
 
+  /** Guards against an error of one task that keeps the process from all others. */
+  function runHandler(handler: () => void): void {
+    try {
+      handler();
+    } catch (error) {
+      onError(error);
+    }
+  }
+
   function runDue(subscription: Subscription, timerMs: number): void {
     const nowMs = clock.monotonicMs();
     const { periodMs, dueMs, handler } = subscription;
     // Slower subscriptions are called at the tick nearest to when they are due.
     if (periodMs > timerMs && nowMs < dueMs - timerMs / 2) return;
     subscription.dueMs = nowMs + periodMs;
-    handler();
+    runHandler(handler);
   }
 
   function startInterval(timerMs: number): Interval {
@@ -88,10 +109,13 @@
   }
 
   function subscribeOnce(delayMs: number, handler: () => void): Unsubscribe {
-    const timer = setTimeout(() => {
-      active.delete(timer);
-      handler();
-    }, delayMs);
+    const timer = setTimeout(
+      () => {
+        active.delete(timer);
+        runHandler(handler);
+      },
+      Math.min(delayMs, DELAY_MAX_MS),
+    );
     active.add(timer);
     return () => {
       clearTimeout(timer);
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -251,6 +251,9 @@
     streams,
     listRegistered: listOpen,
     onStarted: () => undefined,
+    onError(error) {
+      throw error;
+    },
     checkSendable: () => undefined,
   });
   return { runner, exchange, quarantine, limits, availability, shares, forwarding, streams };
