An empty list of organisations closes the routes instead of opening them

Cause: whether keys are needed was derived from the list of organisations having an entry, and a missing list was made an empty one.

Change: `requiresKeys` is a field of the configuration, set if there is a list, whatever is in it, or if the settings name the feature. The same class: a pool without weight gets no call, a peer with a newer version carries no call without an organisation, and hyssoptally-ctl check names a configuration in which nobody may send anything.

--- a/src/configuration/check/check.test.ts
+++ b/src/configuration/check/check.test.ts
@@ -45,6 +45,15 @@
 }
 
 describe('configuration check', ({ it, describe: describeInner }) => {
+  // Guards against a change that closes everything unnoticed, as the last organisation is taken away.
+  it('names a configuration in which nobody may send anything', (t) => {
+    const closing = checkFiles({ '30.yaml': 'organisations: {}\n' });
+    t.true(
+      closing.some((line) => line.startsWith('no_organisations')),
+      closing.join('\n'),
+    );
+  });
+
   it('reports nothing for a sound configuration', (t) => {
     t.deepEqual(checkFiles({}), []);
   });
--- a/src/configuration/check/findings.ts
+++ b/src/configuration/check/findings.ts
@@ -29,6 +29,8 @@
 export const FINDING = {
   /** The configuration does not compile. */
   Invalid: 'invalid',
+  /** No organisation is declared, so that every request is refused. */
+  NoOrganisations: 'no_organisations',
   /** No organisation may use the class. */
   UnusedClass: 'unused_class',
   /** No organisation may use the pool. */
@@ -81,6 +83,7 @@
       readonly problem: string;
       readonly remedy: string;
     }
+  | { readonly kind: typeof FINDING.NoOrganisations; readonly place: Place }
   | {
       readonly kind:
         | typeof FINDING.UnusedClass
--- a/src/forwarding/offer-decision.ts
+++ b/src/forwarding/offer-decision.ts
@@ -24,7 +24,8 @@
 function isCurrent(offer: ForwardOffer, table: RouteTable): boolean {
   const route = table.findRoute(offer.host, offer.path);
   if (route === undefined || choosePool(route, offer.callId) !== offer.pool) return false;
-  return offer.organisation === undefined || table.hasOrganisation(offer.organisation);
+  if (offer.organisation === undefined) return !table.requiresKey(route);
+  return table.hasOrganisation(offer.organisation);
 }
 
 /** Returns why the offer is refused, or undefined if it is accepted. */
--- a/src/gateway/resolve-call.test.ts
+++ b/src/gateway/resolve-call.test.ts
@@ -32,6 +32,7 @@
       scaling: undefined,
     },
   ],
+  requiresKeys: false,
   organisations: [],
   limits: { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
--- a/src/gateway/resolve-call.ts
+++ b/src/gateway/resolve-call.ts
@@ -107,7 +107,7 @@
       createNotRunFailure(FAILURE.UnknownPath, 'no route has this host and path; correct them'),
     );
   }
-  const requiresKey = table.hasOrganisations && !route.isPublic;
+  const requiresKey = table.requiresKey(route);
   const organisation =
     request.key === undefined || !requiresKey ? undefined : table.findOrganisation(request.key);
   if (requiresKey && !context.areKeysValid) {
--- a/src/routes/route-table.test.ts
+++ b/src/routes/route-table.test.ts
@@ -23,6 +23,7 @@
   version: 3,
   routes: [buildRoute('/a/'), buildRoute('/a/b/')],
   pools: [],
+  requiresKeys: true,
   organisations: [{ name: 'depots', keys: ['k1', 'k2'], priority: undefined }],
   limits: { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
@@ -52,4 +53,25 @@
     t.true(share > 0.07 && share < 0.13, String(share));
     t.is(choosePool(route, 'call-1'), choosePool(route, 'call-1'));
   });
+
+  // Guards against a pool that gets calls although its share of the route is zero.
+  it('never chooses a pool without weight', (t) => {
+    const pools = [
+      { pool: 'new', weight: 10 },
+      { pool: 'old', weight: 0 },
+    ];
+    const ids = Array.from({ length: 500 }, (_, index) => `call-${index}`);
+    t.true(ids.every((id) => choosePool(buildRoute('/a/', pools), id) === 'new'));
+    t.is(choosePool(buildRoute('/a/', pools.slice(1)), 'call-1'), undefined);
+    t.is(choosePool(buildRoute('/a/'), 'call-1'), undefined);
+  });
+
+  // Guards against routes that open because the last organisation or its last key is gone.
+  it('asks for keys whatever organisations are left', (t) => {
+    for (const organisations of [[], [{ name: 'depots', keys: [], priority: undefined }]]) {
+      const table = createRouteTable({ ...CONFIGURATION, organisations });
+      t.true(table.requiresKey(buildRoute('/a/')));
+      t.false(table.requiresKey({ ...buildRoute('/a/'), isPublic: true }));
+    }
+  });
 });
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -13,8 +13,8 @@
 /** Index of one version of the configuration. */
 export interface RouteTable {
   readonly version: number;
-  /** Whether callers must identify their organisation. */
-  readonly hasOrganisations: boolean;
+  /** Whether callers of the route need the key of an organisation. */
+  requiresKey(route: Route): boolean;
   /** The route with the longest matching path prefix. */
   findRoute(host: string, path: string): Route | undefined;
   findOrganisation(key: string): CallingOrganisation | undefined;
@@ -46,7 +46,7 @@
   const ranks = createRouteRanks(configuration.routes);
   return {
     version: configuration.version,
-    hasOrganisations: configuration.organisations.length > 0,
+    requiresKey: ({ isPublic }) => configuration.requiresKeys && !isPublic,
     findRoute: (host, path) =>
       routesOfHost.get(host)?.find((route) => path.startsWith(route.pathPrefix)),
     findOrganisation: (key) => organisationOfKey.get(key),
@@ -57,13 +57,17 @@
   };
 }
 
-/** Chooses a pool by weight; the same call id always maps to the same pool. */
+/**
+ * Chooses a pool by weight; the same call id always maps to the same pool. Undefined if no pool has a
+ * weight: one without gets no call.
+ */
 export function choosePool(route: Route, callId: string): string | undefined {
-  const total = route.pools.reduce((sum, { weight }) => sum + weight, 0);
+  const weighted = route.pools.filter(({ weight }) => weight > 0);
+  const total = weighted.reduce((sum, { weight }) => sum + weight, 0);
   let offset = (hashName(`${route.name}|${callId}`) / 2 ** 32) * total;
-  for (const { pool, weight } of route.pools) {
+  for (const { pool, weight } of weighted) {
     offset -= weight;
     if (offset < 0) return pool;
   }
-  return route.pools.at(-1)?.pool;
+  return weighted.at(-1)?.pool;
 }
--- a/src/routes/urgency.test.ts
+++ b/src/routes/urgency.test.ts
@@ -31,6 +31,7 @@
     version: 1,
     routes: routes.map(buildRoute),
     pools: [],
+    requiresKeys: true,
     organisations: organisations.map(buildOrganisation),
     limits: { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
--- a/src/types/traffic.ts
+++ b/src/types/traffic.ts
@@ -92,6 +92,11 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly pools: readonly TrafficPool[];
+  /**
+   * Whether callers of routes that are not public need the key of an organisation. Not derived from
+   * the organisations: with none left, nobody has a key.
+   */
+  readonly requiresKeys: boolean;
   readonly organisations: readonly CallingOrganisation[];
   readonly limits: CallerLimits;
 }
