Streams go on after an end of all instances, at their own version only

Reported from a system like ours: after all instances ended at once, streams that callers took up were joined from two software versions. Seen here: 12 of 12 streams of a caller that waits longer than the routes' timeout were joined (ORDER); and of streams taken up 0, 1 and 4 s after the end none went on, in pools of two versions and of one (LOST).

Cause: an instance concludes the only version of a pool from what it watched for a stream's life, and the life was the longest timeout of the routes in force, shorter than a caller may wait, and shorter at once when a configuration has shorter timeouts. The watch counted before the first list of the registry, and `only` of a peer did not say which life it covers. Bindings lived in memories alone.

The life counts callers' limits and outlasts a change of configuration.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -53,6 +53,8 @@
   readonly lastEventId: string | undefined;
   /** Call that brought the first event of the stream that this call resumes, as the caller says. */
   readonly resumedCallId: string | undefined;
+  /** Time for which the caller waits, as it says; the route's timeout may be shorter. */
+  readonly callerTimeoutMs?: number | undefined;
   readonly receivedMs: number;
   /** Monotonic time at which the timeout of the caller or the route ends. */
   readonly deadlineMs: number;
--- a/src/gateway/call-streams.ts
+++ b/src/gateway/call-streams.ts
@@ -5,17 +5,22 @@
 import type { CaseReport } from '../quarantine/case-ledger.js';
 import type { TimerService } from '../runtime/timer-service.js';
 import type { BindingMessage } from '../stream-versions/binding-messages.js';
+import { createStoredStreams } from '../stream-versions/stored-streams.js';
+import { createStreamLife } from '../stream-versions/stream-life.js';
+import type { StreamStore, VersionClaim } from '../stream-versions/stream-row.js';
+import { createStreamRowWriter } from '../stream-versions/stream-row-writer.js';
 import { ENDED_KEPT_MS, createStreamVersions } from '../stream-versions/stream-versions.js';
 import type { StreamObserver, StreamVersions } from '../stream-versions/stream-versions.js';
 import type { RegisteredEndpoint, TrafficConfiguration } from '../types/traffic.js';
+import { hashName } from '../utils/hash.js';
 import { assertNever } from '../utils/assert-never.js';
 import type { PeerExchange } from './peer-exchange.js';
 
 const TICK_MS = 100;
 /** An endpoint takes longer to start, begin a stream and leave the registry again. */
 const VIEW_GAP_MAX_MS = 4000;
-/** Lower bound, and the life while there is no configuration. */
-const STREAM_LIFE_MIN_MS = 10_000;
+/** Endpoints named in a claim, so that it fits a row. */
+const CLAIMED_ENDPOINTS_MAX = 4000;
 
 export interface CallStreamsOptions {
   readonly self: Contact;
@@ -29,17 +34,32 @@
   readonly viewAgeMaxMs: number;
   /** Time since the view of the registry was last confirmed as the newest. */
   readonly computeViewAge: () => number;
+  /** Revision of the registry up to which all changes are known; 0 before its first list. */
+  readonly getRegistryRevision: () => number;
+  /** Names the rows of this start of the instance. */
+  readonly rowKey: string;
+  readonly store: StreamStore;
+  /** The store's clock; undefined while unknown. */
+  readonly getSourceNow: () => number | undefined;
 }
 
 export interface CallStreams extends StreamVersions {
   setConfiguration(configuration: TrafficConfiguration): void;
+  /** Sets whether this instance leads the watch of the registry. */
+  setLeading(isLeading: boolean): void;
   /** Records the starts that ended lately, as crash cases name them. */
   recordCrashes(cases: readonly CaseReport[]): void;
 }
 
 export function createCallStreams(options: CallStreamsOptions): CallStreams {
-  const { self, timers, datagrams, peers } = options;
-  let streamLifeMs = STREAM_LIFE_MIN_MS;
+  const { self, timers, datagrams, peers, store } = options;
+  const getNow = (): number => timers.clock.monotonicMs();
+  const life = createStreamLife(getNow);
+  let isLeading = false;
+
+  function isViewConfirmed(): boolean {
+    return options.computeViewAge() <= options.viewAgeMaxMs && options.getRegistryRevision() > 0;
+  }
 
   function sendMessage(message: BindingMessage): void {
     const address = peers.findAddress(message.to);
@@ -61,24 +81,67 @@
 
   const streams = createStreamVersions({
     self: self.name,
-    getNow: () => timers.clock.monotonicMs(),
+    getNow,
     listAlive: () => [...peers.listPeers(), self],
     listRegistered: options.listRegistered,
     find: options.findEndpoint,
-    isViewConfirmed: () => options.computeViewAge() <= options.viewAgeMaxMs,
-    isViewContinuous: () => options.computeViewAge() <= VIEW_GAP_MAX_MS,
-    getStreamLifeMs: () => streamLifeMs,
+    isViewConfirmed,
+    isViewContinuous: () =>
+      options.computeViewAge() <= VIEW_GAP_MAX_MS && options.getRegistryRevision() > 0,
+    getStreamLifeMs: () => life.get(),
+    resolveStored: (key, pool) => stored.resolve(key, pool),
+    onLimit: (limitMs) => life.recordLimit(limitMs),
     send: sendMessage,
     observer: options.observer,
   });
-  timers.subscribe(TICK_MS, () => streams.advance());
+
+  const stored = createStoredStreams({
+    store,
+    getNow,
+    isViewReady: isViewConfirmed,
+    getLifeMs: () => life.get(),
+    onLife: (lifeMs) => life.recordStored(lifeMs),
+    onClaim(claim) {
+      streams.recordClaim(claim);
+      options.observer.onClaim(claim.pools.length);
+    },
+    onRead: (read) => options.observer.onStoredRead(read),
+  });
+
+  function buildClaim(): VersionClaim | undefined {
+    if (!isLeading || !isViewConfirmed()) return undefined;
+    const pools = streams.listOnly();
+    const endpoints = options.listRegistered().map(({ id }) => hashName(id));
+    if (pools.length === 0 || endpoints.length > CLAIMED_ENDPOINTS_MAX) return undefined;
+    return { revision: options.getRegistryRevision(), pools, endpoints };
+  }
+
+  const writer = createStreamRowWriter({
+    key: options.rowKey,
+    store,
+    getNow,
+    getSourceNow: options.getSourceNow,
+    countInstances: () => peers.listPeers().length + 1,
+    getLifeMs: () => life.get(),
+    listStreams: () => streams.listUnconcluded(),
+    getClaim: buildClaim,
+    isLeading: () => isLeading,
+  });
+
+  timers.subscribe(TICK_MS, () => {
+    streams.advance();
+    stored.advance();
+    writer.advance();
+  });
 
   return {
     ...streams,
     setConfiguration({ routes }) {
-      const timeoutMs = Math.max(0, ...routes.map((route) => route.timeoutMs));
       // All tries of a caller are within the time that it waits.
-      streamLifeMs = Math.max(STREAM_LIFE_MIN_MS, timeoutMs);
+      life.recordRoutes(Math.max(0, ...routes.map((route) => route.timeoutMs)));
+    },
+    setLeading(next) {
+      isLeading = next;
     },
     recordCrashes(cases) {
       const starts: EndpointKey[] = cases.flatMap(({ crashes }) =>
--- a/src/gateway/gateway-api.ts
+++ b/src/gateway/gateway-api.ts
@@ -36,6 +36,7 @@
 import type { BrittleReport, KnownBrittle } from '../slot-shares/brittle-ledger.js';
 import type { BindingQuery, BindingReply } from '../stream-versions/binding-messages.js';
 import type { BindingGroup } from '../stream-versions/stream-binding.js';
+import type { StreamStore } from '../stream-versions/stream-row.js';
 import type { StreamObserver } from '../stream-versions/stream-versions.js';
 import type { SlotSharesObserver } from '../slot-shares/slot-shares.js';
 import type { RequestFailure } from '../types/outcomes.js';
@@ -81,6 +82,8 @@
   readonly onCallError: (error: unknown) => void;
   /** Persistent store of condemned contents. */
   readonly caseStore: CaseStore;
+  /** Persistent store of streams and the versions that began them. */
+  readonly streamStore: StreamStore;
   readonly retryBounds: RetryBounds;
   /** Duties that one instance performs for the fleet; undefined if the deployment has none. */
   readonly duties: DutyOptions | undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -135,6 +135,7 @@
       setRole(role) {
         knowledge.setRole(role);
         quarantineControl.setReading(role.kind === 'watch');
+        streams.setLeading(role.kind === 'watch' && role.isLeading);
       },
     },
     knowledgeAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
@@ -208,6 +209,10 @@
     findEndpoint: (id) => knowledge.directory.find(id),
     viewAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
     computeViewAge: () => knowledge.computeAge(),
+    getRegistryRevision: () => knowledge.getEndpointsRevision(),
+    rowKey: `${options.self.name}/${options.incarnation}`,
+    store: options.streamStore,
+    getSourceNow: () => knowledge.computeSourceNow(),
   });
 
   const forwarding = createCallForwarding({
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -56,6 +56,10 @@
   /** Returns the time since the current configuration was last confirmed as the newest. */
   computeAge(): number;
   getSummary(): KnowledgeSummary;
+  /** All changes of the endpoint table up to this revision are known; 0 before its first list. */
+  getEndpointsRevision(): number;
+  /** Latest possible value of the source's clock; undefined if unknown. */
+  computeSourceNow(): number | undefined;
   /** Upper bound of the time since a time of the source's clock; infinite if unknown. */
   computeAgeOf(sourceMs: number): number;
   /** Applies a peer's summary; returns whether this instance should fetch knowledge from it. */
@@ -295,6 +299,11 @@
         confirmedAtMs: Number.isFinite(knownAtMs) ? knownAtMs : undefined,
       };
     },
+    getEndpointsRevision: () => endpoints.getRevision(),
+    computeSourceNow() {
+      checkSuspension();
+      return sourceClock.computeSourceNow(getNow());
+    },
     applySummary(summary) {
       const { configurationRevision: version, endpointsRevision, confirmedAtMs } = summary;
       const isNewer = version > knowledge.getVersion();
--- a/src/gateway/resolve-call.ts
+++ b/src/gateway/resolve-call.ts
@@ -156,6 +156,7 @@
     payload: request.payload,
     lastEventId: request.lastEventId,
     resumedCallId: request.resumedCallId,
+    callerTimeoutMs: request.callerTimeoutMs,
     receivedMs: request.receivedMs,
     deadlineMs: request.receivedMs + timeoutMs,
   });
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -23,6 +23,18 @@
       readonly reason: string;
       readonly knowledgeAgeMs: number;
     }
+  | {
+      /** The rows that instances store of their streams were read. */
+      readonly event: 'stored_streams_read';
+      readonly rows: number;
+      /** Streams whose version the rows tell. */
+      readonly streams: number;
+      /** Time for which streams are remembered. */
+      readonly lifeMs: number;
+      readonly tookMs: number;
+    }
+  /** A stored claim that pools had one version only holds until now for this many. */
+  | { readonly event: 'version_claim_held'; readonly pools: number }
   | { readonly event: 'source_back'; readonly feed: string }
   /** Whether this instance watches the source itself or queries peers that do. */
   | { readonly event: 'watching_changed'; readonly isWatching: boolean }
--- a/src/observability/stream-observer.ts
+++ b/src/observability/stream-observer.ts
@@ -60,5 +60,10 @@
       });
     },
     onTold: (streams) => metrics.recordToldStreams(streams),
+    onStoredRead({ rows, streams, lifeMs, tookMs }) {
+      const roundedMs = { lifeMs: Math.round(lifeMs), tookMs: Math.round(tookMs) };
+      log.write({ event: 'stored_streams_read', rows, streams, ...roundedMs });
+    },
+    onClaim: (pools) => log.write({ event: 'version_claim_held', pools }),
   };
 }
--- a/src/peers/encode-streams.ts
+++ b/src/peers/encode-streams.ts
@@ -71,13 +71,14 @@
 }
 
 export function encodeStreamReply(reply: BindingReply): StreamReply {
-  const { key, answer, pool, version, ageMs } = reply;
+  const { key, answer, pool, version, ageMs, coveredMs } = reply;
   return create(StreamReplySchema, {
     key: encodeKeys([key]),
     answer: WIRE_ANSWER[answer],
     pool,
     version,
     agoMs: encodeUint32(ageMs),
+    coveredMs: encodeUint32(coveredMs),
   });
 }
 
@@ -87,6 +88,7 @@
   pool,
   version,
   agoMs,
+  coveredMs,
 }: StreamReply): BindingReply {
   return {
     key: decodeKeys(key)[0] ?? '',
@@ -94,5 +96,6 @@
     pool,
     version,
     ageMs: agoMs,
+    coveredMs,
   };
 }
--- a/src/peers/hostile-numbers.test.ts
+++ b/src/peers/hostile-numbers.test.ts
@@ -100,6 +100,7 @@
           pool: 3,
           version: 4,
           ageMs: first,
+          coveredMs: second,
         });
         const [usage] = encodeUsage({
           source: { instance: 'a', incarnation: 1 },
--- a/src/stream-versions/binding-ledger.ts
+++ b/src/stream-versions/binding-ledger.ts
@@ -9,6 +9,10 @@
 const BINDINGS_MAX = 16_384;
 /** Number of times that an own binding is told, since datagrams are lost. */
 const TOLD_COPIES = 2;
+/** Own bindings listed at once: those of a row stay under half of its size. */
+const LISTED_MAX = 1500;
+/** Source of own bindings. */
+const OWN = 'own';
 
 export interface KnownBinding extends StreamBinding {
   readonly recordedMs: number;
@@ -29,6 +33,8 @@
   find(key: StreamKey): KnownBinding | undefined;
   /** Returns the own bindings to tell now, each as often as it is to be told. */
   takeUntold(isTold: (binding: StreamBinding) => boolean): UntoldBinding[];
+  /** Returns the newest own bindings that are to be told, by pool and version. */
+  listOwn(isTold: (binding: StreamBinding) => boolean): BindingGroup[];
   count(): number;
   /** Drops bindings that were recorded before a time. */
   removeBefore(beforeMs: number): void;
@@ -60,7 +66,7 @@
 
   return {
     record(key, { pool, version }, nowMs) {
-      setBinding(key, { pool, version, recordedMs: nowMs, source: 'own' });
+      setBinding(key, { pool, version, recordedMs: nowMs, source: OWN });
       copiesLeft.set(key, TOLD_COPIES);
     },
     merge(groups, source, nowMs) {
@@ -80,6 +86,17 @@
       }
       return untold;
     },
+    listOwn(isTold) {
+      const groups = new Map<string, StreamBinding & { readonly keys: StreamKey[] }>();
+      const own = [...bindings].filter(([, known]) => known.source === OWN && isTold(known));
+      for (const [key, { pool, version }] of own.slice(-LISTED_MAX)) {
+        const name = `${pool}|${version}`;
+        const group = groups.get(name) ?? { pool, version, keys: [] };
+        group.keys.push(key);
+        groups.set(name, group);
+      }
+      return [...groups.values()];
+    },
     count: () => bindings.size,
     removeBefore(beforeMs) {
       for (const [key, { recordedMs }] of bindings) {
--- a/src/stream-versions/binding-messages.ts
+++ b/src/stream-versions/binding-messages.ts
@@ -23,6 +23,8 @@
   readonly version: VersionKey;
   /** Time since the binding was recorded; 0 if there is none. */
   readonly ageMs: number;
+  /** Life of streams that `only` covers; 0 from releases that do not say so. */
+  readonly coveredMs: number;
 }
 
 /** A message to another instance, by name. */
--- a/src/stream-versions/binding-queries.ts
+++ b/src/stream-versions/binding-queries.ts
@@ -18,6 +18,13 @@
   /** Nobody can tell which version began it. */
   | { readonly kind: 'unknown' };
 
+/** What this instance concludes by itself. */
+export interface OwnConclusion {
+  /** The only version that the pool can have had; undefined if there may have been several. */
+  readonly version: VersionKey | undefined;
+  readonly lifeMs: number;
+}
+
 export interface ReceivedReply extends BindingReply {
   readonly from: string;
 }
@@ -35,8 +42,8 @@
   /** Starts a query; false if too many are under way. */
   start(key: StreamKey, pool: PoolKey, asked: readonly string[], nowMs: number): boolean;
   handle(reply: BindingReply, from: string, nowMs: number): void;
-  /** `own` is the version that this instance concludes by itself, if it does. */
-  resolve(key: StreamKey, own: VersionKey | undefined, nowMs: number): Resolution;
+  /** Replies of peers that count with a shorter life than `own` conclude nothing. */
+  resolve(key: StreamKey, own: OwnConclusion, nowMs: number): Resolution;
   getRecord(key: StreamKey, nowMs: number): QueryRecord | undefined;
   removeExpired(nowMs: number): void;
 }
@@ -57,15 +64,15 @@
 export function createBindingQueries(): BindingQueries {
   const queries = new Map<StreamKey, Query>();
 
-  function resolveReplies(
-    { pool, replies }: Query,
-    own: VersionKey | undefined,
-  ): VersionKey | undefined {
+  function resolveReplies({ pool, replies }: Query, own: OwnConclusion): VersionKey | undefined {
     const ofPool = [...replies.values()].filter((reply) => reply.pool === pool);
     const bound = ofPool.filter(({ answer }) => answer === BINDING_ANSWER.Bound);
     if (bound.length > 0) return findAgreed(bound.map(({ version }) => version));
-    const only = ofPool.filter(({ answer }) => answer === BINDING_ANSWER.Only);
-    return findAgreed([...only.map(({ version }) => version), ...(own === undefined ? [] : [own])]);
+    const only = ofPool.filter(
+      ({ answer, coveredMs }) => answer === BINDING_ANSWER.Only && coveredMs >= own.lifeMs,
+    );
+    const concluded = own.version === undefined ? [] : [own.version];
+    return findAgreed([...only.map(({ version }) => version), ...concluded]);
   }
 
   function isDecided({ asked, startedMs, replies }: Query, nowMs: number): boolean {
--- a/src/stream-versions/stream-versions.test.ts
+++ b/src/stream-versions/stream-versions.test.ts
@@ -1,3 +1,4 @@
+import { SILENT_STREAM_OBSERVER } from '../test/simulated-stream-store.js';
 import type { RoutedCall } from '../calls/call-messages.js';
 import { hashStartId } from '../placement/remote-loads.js';
 import { describe } from '../test/describe.js';
@@ -48,8 +49,10 @@
     isViewConfirmed: () => isConfirmed,
     isViewContinuous: () => isConfirmed,
     getStreamLifeMs: () => 10_000,
+    resolveStored: () => ({ kind: 'unknown' }),
+    onLimit: () => undefined,
     send: (message) => sent.push(message),
-    observer: { onResolved: () => undefined, onTold: () => undefined },
+    observer: SILENT_STREAM_OBSERVER,
   });
   return {
     streams,
@@ -143,7 +146,7 @@
     if (query?.kind !== 'query') return;
     const { key, pool } = query.query;
     const version = hashVersion('v1');
-    const reply = { key, answer: 'bound', pool, version, ageMs: 0 } as const;
+    const reply = { key, answer: 'bound', pool, version, ageMs: 0, coveredMs: 0 } as const;
     streams.handleReply(reply, 'stranger');
     t.is(streams.resolve(NEXT).kind, 'wait');
     streams.handleReply(reply, 'other');
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -25,6 +25,7 @@
   StreamKey,
   VersionKey,
 } from './stream-binding.js';
+import type { HeldClaim, StoredRead } from './stored-streams.js';
 import { buildToldMessages } from './told-messages.js';
 
 const OWNERS_TOLD = 3;
@@ -56,6 +57,10 @@
   /** Called once for each call that resumes a stream. */
   onResolved(stream: ResolvedStream): void;
   onTold(keys: number): void;
+  /** The rows of streams were read. */
+  onStoredRead(read: StoredRead): void;
+  /** A stored claim holds for this many pools. */
+  onClaim(pools: number): void;
 }
 
 export interface StreamVersionsOptions {
@@ -72,6 +77,10 @@
   readonly isViewContinuous: () => boolean;
   /** Longest time from a stream's first event to the last try of its caller. */
   readonly getStreamLifeMs: () => number;
+  /** Resolves a stream that no instance knows by what was stored. */
+  readonly resolveStored: (key: StreamKey, pool: PoolKey) => Resolution;
+  /** Receives the time limit of a caller whose stream began. */
+  readonly onLimit: (limitMs: number) => void;
   readonly send: (message: BindingMessage) => void;
   readonly observer: StreamObserver;
 }
@@ -92,6 +101,11 @@
   handleTold(groups: readonly BindingGroup[], from: string): void;
   handleQuery(query: BindingQuery, from: string): void;
   handleReply(reply: BindingReply, from: string): void;
+  /** Own streams whose version nobody could conclude. */
+  listUnconcluded(): BindingGroup[];
+  /** Pools that can only have had one version. */
+  listOnly(): StreamBinding[];
+  recordClaim(claim: HeldClaim): void;
   /** Sends what is due. */
   advance(): void;
   /** Number of bindings that are kept. */
@@ -164,7 +178,10 @@
       return recordResolved(call, buildResolution(version), known.source, ageMs);
     }
     if (!queries.has(key)) startQuery(key, pool);
-    return recordResolved(call, queries.resolve(key, findOnly(pool), getNow()), 'asked');
+    const own = { version: findOnly(pool), lifeMs: options.getStreamLifeMs() };
+    const asked = queries.resolve(key, own, getNow());
+    if (asked.kind !== 'unknown') return recordResolved(call, asked, 'asked');
+    return recordResolved(call, options.resolveStored(key, pool), 'stored');
   }
 
   /** Whether instances must be told of a stream: nobody could conclude its version without. */
@@ -192,12 +209,16 @@
     const known = ledger.find(key);
     if (known !== undefined) {
       const ageMs = getNow() - known.recordedMs;
-      return { key, answer: BINDING_ANSWER.Bound, pool: known.pool, version: known.version, ageMs };
+      const { version } = known;
+      return { key, answer: BINDING_ANSWER.Bound, pool: known.pool, version, ageMs, coveredMs: 0 };
     }
     const only = findOnly(pool);
-    return only === undefined
-      ? { key, answer: BINDING_ANSWER.Unknown, pool, version: UNSURE_VERSION, ageMs: 0 }
-      : { key, answer: BINDING_ANSWER.Only, pool, version: only, ageMs: 0 };
+    if (only === undefined) {
+      const version = UNSURE_VERSION;
+      return { key, answer: BINDING_ANSWER.Unknown, pool, version, ageMs: 0, coveredMs: 0 };
+    }
+    const coveredMs = options.getStreamLifeMs();
+    return { key, answer: BINDING_ANSWER.Only, pool, version: only, ageMs: 0, coveredMs };
   }
 
   /** A registry out of reach cannot notice that an endpoint came back with other software. */
@@ -217,6 +238,7 @@
     computeVersion,
     recordStarted(call, endpoint) {
       if (!isStream(call.route.kind)) return;
+      if (call.callerTimeoutMs !== undefined) options.onLimit(call.callerTimeoutMs);
       const { pool } = buildBinding(endpoint);
       const key = getStreamKey(call);
       ledger.record(key, { pool, version: computeVersion(endpoint) }, getNow());
@@ -231,6 +253,17 @@
       options.send({ kind: 'reply', to: from, reply: buildReply(query) });
     },
     handleReply: (reply, from) => queries.handle(reply, from, getNow()),
+    listUnconcluded: () => ledger.listOwn(createToldCheck()),
+    listOnly() {
+      const pools = new Set(options.listRegistered().map(({ pool }) => hashName(pool)));
+      return [...pools].flatMap((pool) => {
+        const version = findOnly(pool);
+        return version === undefined ? [] : [{ pool, version }];
+      });
+    },
+    recordClaim({ pools, sinceMs, checkedMs }) {
+      for (const binding of pools) poolVersions.recordEarlier(binding, sinceMs, checkedMs);
+    },
     advance() {
       const nowMs = getNow();
       poolVersions.record(options.listRegistered(), options.isViewContinuous(), nowMs);
--- a/src/test/knowledge-harness.ts
+++ b/src/test/knowledge-harness.ts
@@ -29,7 +29,14 @@
   decodeConfiguration(row): TrafficConfiguration | undefined {
     if (row.value === undefined) return undefined;
     const limits = { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    return { version: Number(row.value), routes: [], pools: [], requiresKeys: false, organisations: [], limits };
+    return {
+      version: Number(row.value),
+      routes: [],
+      pools: [],
+      requiresKeys: false,
+      organisations: [],
+      limits,
+    };
   },
   decodeEndpoint(row): RegisteredEndpoint | undefined {
     if (row.value === undefined || row.value === 'unreadable') return undefined;
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -31,6 +31,7 @@
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { Random } from '../utils/random.js';
 import { Ok } from '../utils/result.js';
+import { SILENT_STREAM_OBSERVER, createSimulatedStreamStore } from './simulated-stream-store.js';
 import type { SimulatedNetwork } from './simulated-network.js';
 import { parseBrittle } from '../slot-shares/brittle-reading.js';
 import { createSlotShares } from '../slot-shares/slot-shares.js';
@@ -210,13 +211,17 @@
   const streams = createCallStreams({
     self,
     timers,
-    observer: { onResolved: () => undefined, onTold: () => undefined },
+    observer: SILENT_STREAM_OBSERVER,
     datagrams: network.createDatagrams(self),
     peers: exchange,
     listRegistered: listOpen,
     findEndpoint: (id) => listOpen().find((endpoint) => endpoint.id === id),
     viewAgeMaxMs: 0,
     computeViewAge: () => 0,
+    getRegistryRevision: () => 1,
+    rowKey: self.name,
+    store: createSimulatedStreamStore(timers.clock.monotonicMs),
+    getSourceNow: () => undefined,
   });
   network.addStreams(self.address, streams);
   const runner = createCallRunner({
--- a/src/test/stream-fleet.ts
+++ b/src/test/stream-fleet.ts
@@ -1,5 +1,6 @@
 /** Simulates the stream bindings of a fleet alone: instances, datagrams that are late or lost, two versions of endpoints. */
 import { toBinary } from '@bufbuild/protobuf';
+import { SILENT_STREAM_OBSERVER } from './simulated-stream-store.js';
 import { QueryStreamSchema, StreamReplySchema, TellStreamsSchema } from '../gen/peer_pb.js';
 import { encodeStreamQuery, encodeStreamReply, encodeStreams } from '../peers/encode-streams.js';
 import type { BindingMessage } from '../stream-versions/binding-messages.js';
@@ -147,8 +148,10 @@
       isViewConfirmed: () => !cut.has(index),
       isViewContinuous: () => !cut.has(index),
       getStreamLifeMs: () => STREAM_LIFE_MS,
+      resolveStored: () => ({ kind: 'unknown' }),
+      onLimit: () => undefined,
       send: (message) => send(index, message),
-      observer: { onResolved: () => undefined, onTold: () => undefined },
+      observer: SILENT_STREAM_OBSERVER,
     }),
   );
 
