A drain closes connections only when their answers are written out

Cause: closeIdleConnections and close of Node.js's HTTP server destroy connections whose response was ended, written out or not.

Result: the answer is whole; a test that idle connections are closed at once and busy ones after their answer.

--- /dev/null
+++ b/src/lifecycle/open-responses.test.ts
@@ -0,0 +1,68 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
+import { describe } from '../test/describe.js';
+import { createOpenResponses } from './open-responses.js';
+
+const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+
+async function startServer() {
+  const responses: ServerResponse[] = [];
+  const server = createServer((_, response) => responses.push(response));
+  const openResponses = createOpenResponses(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  return {
+    responses,
+    openResponses,
+    async openConnection() {
+      const socket = connect(port, '127.0.0.1');
+      await once(socket, 'connect');
+      return socket;
+    },
+    async waitForRequest(count: number) {
+      while (responses.length < count) {
+        // Sequential: each request is its own event.
+        // eslint-disable-next-line no-await-in-loop
+        await once(server, 'request');
+      }
+    },
+    stop() {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+describe('connections that are closed as they become idle', ({ it }) => {
+  // Guards against connections that callers reuse until the process ends, and then lose a request on.
+  it('are closed at once without a request, and after the answer with one', async (t) => {
+    const server = await startServer();
+    t.teardown(() => server.stop());
+    const unused = await server.openConnection();
+    const used = await server.openConnection();
+    const busy = await server.openConnection();
+    used.write(REQUEST);
+    await server.waitForRequest(1);
+    server.responses[0]?.end('first');
+    await once(used, 'data');
+    busy.write(REQUEST);
+    await server.waitForRequest(2);
+    let text = '';
+    busy.on('data', (bytes: Buffer) => {
+      text += bytes.toString();
+    });
+    for (const socket of [unused, used]) socket.resume();
+    server.openResponses.closeIdle();
+    await Promise.all([once(unused, 'end'), once(used, 'end')]);
+    t.is(server.openResponses.count(), 1);
+    t.false(busy.readableEnded);
+    server.responses[1]?.end('second');
+    await once(busy, 'end');
+    t.regex(text, /second$/);
+    t.is(server.openResponses.count(), 0);
+  });
+});
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -177,10 +177,7 @@
     instances,
     endpoints,
     links: outbox,
-    onStopAccepting() {
-      callersServer.close();
-      callersServer.closeIdleConnections();
-    },
+    onStopAccepting: () => openResponses.closeIdle(),
     onDrained() {
       stop()
         .then(() => events.emit('drained'))
