Streams are stored four times a second, and unknown ones are refused for a short time

Change: rows are written every 250 ms at most (a row costs one call). A stream that nobody knows, or whose version is gone, is told to come back after 0.2 s instead of 1 s: another instance may know it at once, nobody learns it later, and the caller's time is better spent on beginning anew.

--- a/src/calls/call-refusals.ts
+++ b/src/calls/call-refusals.ts
@@ -15,13 +15,19 @@
   retryAfterMs: NO_ENDPOINT_RETRY_MS,
 };
 
+/**
+ * Another instance may know the stream or see an endpoint of its version at once; nobody learns it later,
+ * so that a longer wait only costs the caller time in which it could begin anew.
+ */
+const STREAM_RETRY_MS = 200;
+
 /** Nobody can tell which software version began the stream that the call resumes. */
 export const STREAM_UNKNOWN: RequestFailure = {
   type: FAILURE.NoEndpoint,
   message:
     'no instance in reach knows which version of the endpoints began this stream; begin it anew, without its last event',
   outcome: OUTCOME.NotRun,
-  retryAfterMs: NO_ENDPOINT_RETRY_MS,
+  retryAfterMs: STREAM_RETRY_MS,
 };
 
 /** No endpoint of the software version that began the stream is left. */
@@ -30,7 +36,7 @@
   message:
     'no endpoint of the version that began this stream is left; begin it anew, without its last event',
   outcome: OUTCOME.NotRun,
-  retryAfterMs: NO_ENDPOINT_RETRY_MS,
+  retryAfterMs: STREAM_RETRY_MS,
 };
 
 /** The engines are busy with more urgent calls. */
--- a/src/stream-versions/stream-row-writer.ts
+++ b/src/stream-versions/stream-row-writer.ts
@@ -6,7 +6,7 @@
 import type { StreamRow, StreamStore, VersionClaim } from './stream-row.js';
 
 /** Shortest time between two writes; streams that begin within it are lost with the process. */
-const WRITE_PERIOD_MS = 1000;
+const WRITE_PERIOD_MS = 250;
 /** Keeps all instances together under half of the rate of four partitions of 200 writes a second. */
 const WRITE_PERIOD_PER_INSTANCE_MS = 2.5;
 /** Age at which a claim is written anew; the registry keeps its changes for some times as long. */
