--- a/src/gateway/gateway-api.ts
+++ b/src/gateway/gateway-api.ts
@@ -107,6 +107,8 @@
 export interface Gateway {
   resolve(request: CallerRequest): Result<RoutedCall, RequestFailure>;
   run(call: RoutedCall, sink: CallSink): RunningCall;
+  /** Name of the organisation that holds a key. */
+  findOrganisation(key: string | undefined): string | undefined;
   isReady(): boolean;
   isLeaving(): boolean;
   leave(): void;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -369,6 +369,7 @@
       });
     },
     run: (call, sink) => runner.run(call, sink),
+    findOrganisation: (key) => (key === undefined ? undefined : table?.findOrganisation(key)?.name),
     isReady: () =>
       drain.getStage() === STAGE.Ready &&
       knowledge.computeAge() <= options.keyAgeMaxMs * READY_KEY_AGE_FRACTION,
