--- a/src/configuration/check/compare-declarations.ts
+++ b/src/configuration/check/compare-declarations.ts
@@ -165,9 +165,16 @@
   return differences;
 }
 
+/** Guards against a change that closes everything and looks like one removed entry. */
+function listClosed(before: Declarations, after: Declarations): Difference[] {
+  const isClosed = before.organisations.size > 0 && after.organisations.size === 0;
+  return isClosed ? [{ kind: FINDING.AllClosed, entry: 'organisations' }] : [];
+}
+
 /** Lists what differs; the version numbers are not compared. */
 export function compareDeclarations(before: Declarations, after: Declarations): Difference[] {
   return [
+    ...listClosed(before, after),
     ...compareEntries('classes', before.classes, after.classes, listClassFields),
     ...compareEntries('pools', before.pools, after.pools, listPoolFields),
     ...compareEndpoints(before, after),
--- a/src/configuration/check/format-differences.ts
+++ b/src/configuration/check/format-differences.ts
@@ -80,6 +80,8 @@
 /** Formats a difference as one line, which begins with `+`, `-` or `~`. */
 export function formatDifference(difference: Difference): string {
   switch (difference.kind) {
+    case FINDING.AllClosed:
+      return `! ${difference.entry}: none is left, so every request will be refused`;
     case FINDING.Added:
       return `+ ${difference.entry}`;
     case FINDING.Removed:
