One failure for calls that are lost track of; a begun stream is reset then

Found while reading the diff: an error in the handling of a call whose stream had begun left the response open, as a failure cannot be sent after its head; the same failure stood in two files.

--- a/src/calls/call-refusals.ts
+++ b/src/calls/call-refusals.ts
@@ -1,4 +1,4 @@
-/** Failures reported to callers whose call is not sent. */
+/** Failures reported to callers whose call is not sent, or is lost track of. */
 import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { RequestFailure } from '../types/outcomes.js';
 
@@ -46,3 +46,10 @@
   outcome: OUTCOME.NotRun,
   retryAfterMs: NO_CAPACITY_RETRY_MS,
 };
+
+/** An error was thrown while the call was handled; how far it came is unknown, so nothing is promised. */
+export const HANDLING_FAILED: RequestFailure = {
+  type: FAILURE.EndpointFailed,
+  message: 'this instance failed to handle the call; it may have run',
+  outcome: OUTCOME.MayHaveRun,
+};
--- a/src/calls/call-run.ts
+++ b/src/calls/call-run.ts
@@ -21,6 +21,8 @@
   /** When the current attempt was sent. */
   sentMs: number;
   isStarted: boolean;
+  /** The head of a stream was delivered, so that only its end can still be told. */
+  isHeadDelivered: boolean;
 }
 
 export function createRun(call: RoutedCall, sink: CallSink, stateMachine: CallStateMachine): Run {
@@ -37,5 +39,6 @@
     version: undefined,
     sentMs: 0,
     isStarted: false,
+    isHeadDelivered: false,
   };
 }
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -8,7 +8,6 @@
 import { createActiveTimer } from '../runtime/active-timer.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { FEATURE } from '../types/features.js';
-import { FAILURE, OUTCOME } from '../types/outcomes.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
 import {
@@ -33,6 +32,7 @@
 } from './call-messages.js';
 import type { AttemptRecord } from './call-records.js';
 import { REJECTION } from './call-messages.js';
+import { HANDLING_FAILED } from './call-refusals.js';
 import { createSendDecider } from './send-decision.js';
 import type { AttemptCommand } from './send-decision.js';
 
@@ -41,13 +41,6 @@
 /** Interval at which placement of waiting calls is retried. */
 const PLACEMENT_INTERVAL_MS = 25;
 
-/** The state of the call is unknown, so that nothing can be promised of it. */
-const HANDLING_FAILED: RequestFailure = {
-  type: FAILURE.EndpointFailed,
-  message: 'this instance failed to handle the call; it may have run',
-  outcome: OUTCOME.MayHaveRun,
-};
-
 export interface RunningCall {
   /** Called when the caller disconnects. */
   close(): void;
@@ -263,6 +256,7 @@
         cancelAttempt(run, command.reason);
         break;
       case 'deliver_head':
+        run.isHeadDelivered = true;
         run.sink.onHead(command.head);
         break;
       case 'deliver_event':
@@ -315,7 +309,8 @@
       run.slot?.release(true);
       run.watch?.recordCancelled();
       run.ticket?.recordEnd(ENDPOINT_VERDICT.None, getNow());
-      run.sink.onFailure(HANDLING_FAILED);
+      if (run.isHeadDelivered) run.sink.onBroken();
+      else run.sink.onFailure(HANDLING_FAILED);
     }
   }
 
