A connection that its endpoint closes carries no further call

What callers saw: a call that may run once failed with 502 "may have run", though no endpoint was ever sent it, when it was started at the moment in which an answer ended whose endpoint closed the connection (`Connection: close`, or an answer that ends with its connection).

Cause: the connection became idle with the end of the answer and was given to the next exchange while it was being closed. The exchange failed with "The client is destroyed", and counted as sent, since the connection had been established once.

Change: the head of an answer tells whether its connection can carry another exchange (src/calls/response-framing.ts); a connection that cannot leaves the pool at the end of the answer. An exchange counts as sent only from the moment at which its request is written.

Result: twenty exchanges, each started at the end of the one before, are all whole, and each is one request at the endpoint.

--- a/src/calls/endpoint-connections.test.ts
+++ b/src/calls/endpoint-connections.test.ts
@@ -119,6 +119,31 @@
     server.close();
   });
 
+  // Guards against a call that is given a connection about to close and counts as sent, though it never was.
+  it('do not reuse a connection that the endpoint closes after its answer', async (t) => {
+    const answers = [
+      'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole',
+      'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole',
+    ];
+    let requests = 0;
+    const server = await startEndpoint((socket, count) => {
+      requests = count;
+      socket.end(answers[count % answers.length] ?? '');
+    });
+    const connections = createEndpointConnections();
+    t.teardown(async () => {
+      await connections.close();
+      server.close();
+    });
+    for (let count = 1; count <= 20; count += 1) {
+      // Each exchange starts at the end of the one before.
+      // eslint-disable-next-line no-await-in-loop
+      const outcome = await runExchange(connections, getAddress(server));
+      t.deepEqual(outcome, { end: 'whole', body: 'whole' }, `exchange ${count}`);
+      t.is(requests, count);
+    }
+  });
+
   it('reuse an idle connection', async (t) => {
     const server = await startEndpoint((socket) => {
       socket.write('HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok');
--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -6,6 +6,8 @@
 import { Client, buildConnector } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { HeaderField } from './call-messages.js';
+import { readFraming } from './response-framing.js';
+import type { ResponseFraming } from './response-framing.js';
 
 /** Shorter than the retransmission timeout of a lost SYN: another endpoint is tried instead. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -117,10 +119,15 @@
   const connector = buildConnector({ timeout: CONNECTOR_TIMEOUT_MS });
   let openedCount = 0;
 
-  function removeConnection(connection: Connection): void {
+  /** Guards against an exchange that is given a connection which is about to be closed. */
+  function removeFromPool(connection: Connection): void {
     const connections = connectionsByAddress.get(connection.address);
     connections?.delete(connection);
     if (connections?.size === 0) connectionsByAddress.delete(connection.address);
+  }
+
+  function removeConnection(connection: Connection): void {
+    removeFromPool(connection);
     connection.client.destroy().catch(() => undefined);
   }
 
@@ -185,8 +192,10 @@
     listener: ExchangeListener,
     flow: ExchangeFlow | undefined,
   ): () => void {
+    /** Undefined until the request is written. */
     let requestController: Dispatcher.DispatchController | undefined;
     let isFinished = false;
+    let framing: ResponseFraming | undefined;
     connection.isBusy = true;
 
     function close(): void {
@@ -219,7 +228,9 @@
         },
         onResponseStart(controller, status) {
           if (isFinished || status <= INFORMATIONAL_STATUS_MAX) return;
-          if (!listener.onHead(status, parseRawHeaders(controller.rawHeaders))) close();
+          const headers = parseRawHeaders(controller.rawHeaders);
+          framing = readFraming(request.method, status, headers);
+          if (!listener.onHead(status, headers)) close();
         },
         onResponseData(_, bytes) {
           if (isFinished) return;
@@ -229,6 +240,7 @@
           if (isFinished) return;
           isFinished = true;
           connection.isBusy = false;
+          if (framing?.closesConnection === true) removeFromPool(connection);
           if (connection.wasReset) listener.onError(true, 'connection reset by the endpoint');
           else listener.onEnd();
         },
@@ -237,7 +249,7 @@
           isFinished = true;
           const { wasConnected } = connection;
           removeConnection(connection);
-          listener.onError(wasConnected, error.message, !wasConnected);
+          listener.onError(requestController !== undefined, error.message, !wasConnected);
         },
       },
     );
