A success that shows no more than the end of its connection is broken off

Cause: an answer without a length ends with its connection, and no byte of a body was asked for. A head that is cut at any other byte was broken off before, too: each cut of seven heads, by close and by reset, before and after informational heads (src/calls/cut-heads.test).

So a close-delimited answer with a body is still passed on as whole: nothing tells a cut one from the rest, and failing all of them would fail sound endpoints. An empty success is different: an endpoint that has nothing to say says so with a length of 0 or with 204, and the end of a process looks just like it. It is now broken off (may have run), and repeated where the call may be. Failures, 204, 304 and HEAD are left as they were.

--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -6,7 +6,7 @@
 import { Client, buildConnector } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { HeaderField } from './call-messages.js';
-import { readFraming } from './response-framing.js';
+import { isUnproven, readFraming } from './response-framing.js';
 import type { ResponseFraming } from './response-framing.js';
 
 /** Shorter than the retransmission timeout of a lost SYN: another endpoint is tried instead. */
@@ -195,7 +195,9 @@
     /** Undefined until the request is written. */
     let requestController: Dispatcher.DispatchController | undefined;
     let isFinished = false;
+    let status = 0;
     let framing: ResponseFraming | undefined;
+    let bodyBytes = 0;
     connection.isBusy = true;
 
     function close(): void {
@@ -226,14 +228,16 @@
             queueMicrotask(() => listener.onWithheld());
           }
         },
-        onResponseStart(controller, status) {
-          if (isFinished || status <= INFORMATIONAL_STATUS_MAX) return;
+        onResponseStart(controller, responseStatus) {
+          if (isFinished || responseStatus <= INFORMATIONAL_STATUS_MAX) return;
           const headers = parseRawHeaders(controller.rawHeaders);
+          status = responseStatus;
           framing = readFraming(request.method, status, headers);
           if (!listener.onHead(status, headers)) close();
         },
         onResponseData(_, bytes) {
           if (isFinished) return;
+          bodyBytes += bytes.length;
           if (!listener.onData(bytes)) close();
         },
         onResponseEnd() {
@@ -242,6 +246,8 @@
           connection.isBusy = false;
           if (framing?.closesConnection === true) removeFromPool(connection);
           if (connection.wasReset) listener.onError(true, 'connection reset by the endpoint');
+          else if (framing !== undefined && isUnproven(framing, status, bodyBytes))
+            listener.onError(true, 'connection closed by the endpoint before the body');
           else listener.onEnd();
         },
         onResponseError(_, error) {
--- a/src/calls/response-framing.ts
+++ b/src/calls/response-framing.ts
@@ -1,6 +1,8 @@
 /** How the body of a response ends, and whether its connection can carry another exchange. */
 import type { HeaderField } from './call-messages.js';
 
+const STATUS_SUCCESS_MIN = 200;
+const STATUS_SUCCESS_MAX = 299;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
@@ -37,3 +39,12 @@
   const endsWithConnection = !isFramed && !isBodiless(method, status);
   return { endsWithConnection, closesConnection: endsWithConnection || isClosing(headers) };
 }
+
+/**
+ * Whether a response of which `bytes` of a body came shows no more than that its connection was closed.
+ * Guards against an endpoint that ends after the head of a success and seems to have answered in whole.
+ */
+export function isUnproven(framing: ResponseFraming, status: number, bytes: number): boolean {
+  const isSuccess = status >= STATUS_SUCCESS_MIN && status <= STATUS_SUCCESS_MAX;
+  return framing.endsWithConnection && isSuccess && bytes === 0;
+}
