A leaving instance knows the calls of the others, which know its own

Cause: the exchange of loads reached live instances alone. One that is leaving goes on for the whole drain (7.3 s here), but nobody told it the loads any more: it knew its own calls only, at once where it had aggregated, else after a second.

Ruled out: late datagrams (all instances that stay agree within 200 ms), and the drain's look at what is left of its time, which concerns long calls only.

Change: instances that leave are told loads, and report theirs, but aggregate for no others.

--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -10,7 +10,7 @@
 import type { SendLimits } from '../endpoint-limits/send-limits.js';
 import type { AddressedLoadUpdate } from '../load-sharing/load-update.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
-import type { PeerMessage } from '../gen/peer_pb.js';
+import type { Fact, PeerMessage } from '../gen/peer_pb.js';
 import { FactState } from '../membership/facts.js';
 import { createReachability } from '../membership/reachability.js';
 import type { Contact } from '../membership/membership-messages.js';
@@ -77,6 +77,8 @@
   handleCases(from: string, cases: readonly CaseReport[]): void;
   handleMessages(from: string, bodies: readonly PeerMessage['body'][]): void;
   recordUnreachable(address: string): void;
+  /** Whether the loads that other instances put on the endpoints are known. */
+  knowsFleetLoad(): boolean;
   /** Fetches knowledge from peers, whatever the age of this instance's knowledge. */
   startKnowledgeFetches(): void;
   isDataCentreUnreachable(dataCentre: string): boolean;
@@ -99,6 +101,10 @@
   announceLeft(): void;
 }
 
+function buildContact({ subject, address, dataCentre }: Fact): Contact {
+  return { name: subject, address, dataCentre };
+}
+
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
   const { self, timers, random, log, links, loads, knowledge, seeds } = options;
   const getNow = (): number => timers.clock.monotonicMs();
@@ -137,15 +143,14 @@
     },
   });
 
-  function listAlive(): Contact[] {
-    return fleet.listAlive().map(({ subject, address, dataCentre }) => ({
-      name: subject,
-      address,
-      dataCentre,
-    }));
-  }
+  const listAlive = (): Contact[] => fleet.listAlive().map(buildContact);
 
-  const loadExchange = createLoadExchange({ self, loads, listFleet: listAlive });
+  const loadExchange = createLoadExchange({
+    self,
+    loads,
+    listFleet: listAlive,
+    listLeaving: () => fleet.listLeaving().map(buildContact),
+  });
   const knowledgeFetcher = createKnowledgeFetcher({
     timers,
     log,
@@ -270,6 +275,7 @@
       }
     },
     recordUnreachable: (address) => fleet.recordUnreachable(address),
+    knowsFleetLoad: () => loadExchange.isInformed(getNow()),
     startKnowledgeFetches,
     isDutyCandidate: () => isCandidate,
     listDutyCandidates: () => otherCandidates.map(({ name }) => name),
--- a/src/load-sharing/load-exchange.test.ts
+++ b/src/load-sharing/load-exchange.test.ts
@@ -121,6 +121,26 @@
     );
   });
 
+  // Guards against calls to engines that look idle because nobody has told an instance their loads.
+  it('tells that loads are unknown until they come, for a bounded time', (t) => {
+    const cluster = createFleet(2, 2);
+    const [first] = cluster.fleet as [Instance];
+    t.true(first.exchange.isInformed(0), 'no peer is known');
+    cluster.disconnected.add('i-1');
+    cluster.runPeriods(1);
+    t.false(first.exchange.isInformed(cluster.getNow()));
+    cluster.disconnected.clear();
+    cluster.runPeriods(4);
+    t.true(first.exchange.isInformed(cluster.getNow()));
+
+    const cutOff = createFleet(2, 2);
+    cutOff.disconnected.add('i-1');
+    cutOff.runPeriods(9);
+    t.false(cutOff.fleet[0]?.exchange.isInformed(cutOff.getNow()));
+    cutOff.runPeriods(3);
+    t.true(cutOff.fleet[0]?.exchange.isInformed(cutOff.getNow()));
+  });
+
   // Guards against outdated loads until membership detects the failure of an aggregator.
   it('replaces a silent aggregator in less than two seconds', (t) => {
     const cluster = createFleet(70, 3);
--- a/src/load-sharing/load-exchange.ts
+++ b/src/load-sharing/load-exchange.ts
@@ -26,14 +26,22 @@
 const AGGREGATOR_BACKOFF_MS = 3000;
 /** Time for which a data centre counts as heard after its last update: a heartbeat and one lost datagram. */
 const DATA_CENTRE_TIMEOUT_MS = 400;
+/** Time after a start or a change of the role after which this instance relies on what it knows. */
+const INFORMATION_WAIT_MAX_MS = 1000;
 /** Periods between refreshes of the list of instances. */
 const FLEET_REFRESH_PERIODS = 5;
 
 export interface LoadExchangeOptions {
   readonly self: LoadMember;
   readonly loads: EndpointLoads;
-  /** All live instances, including this one. */
+  /** All live instances that are not leaving, including this one. */
   readonly listFleet: () => readonly LoadMember[];
+  /**
+   * Instances that are leaving. They still send calls, so they report loads and are told those of the others,
+   * but they do not aggregate.
+   * @default none
+   */
+  readonly listLeaving?: () => readonly LoadMember[];
 }
 
 interface Reporter {
@@ -45,6 +53,11 @@
   /** Advances by one period and returns the updates to send. */
   advance(nowMs: number): AddressedLoadUpdate[];
   handle(update: ReceivedLoadUpdate, nowMs: number): void;
+  /**
+   * Whether the loads of other instances are known, or there is none to ask. False for a short time after a
+   * start and after a change of the role, in which the engines look idle.
+   */
+  isInformed(nowMs: number): boolean;
 }
 
 /** Formats the values whose changes are sent at once; other values wait for a heartbeat. */
@@ -54,7 +67,8 @@
     .join(' ');
 }
 
-export function createLoadExchange({ self, loads, listFleet }: LoadExchangeOptions): LoadExchange {
+export function createLoadExchange(options: LoadExchangeOptions): LoadExchange {
+  const { self, loads, listFleet } = options;
   const { remote } = loads;
   /** Loads of the instances that report to this one, which are also part of `remote`. */
   const groupLoads = createRemoteLoads();
@@ -70,6 +84,10 @@
   let localAggregators: string[] = [];
   let periods = 0;
   let isAggregator = true;
+  let hasPeers = false;
+  let isInformed = false;
+  /** When the instance started or changed its role. */
+  let uninformedSinceMs: number | undefined;
   let aggregator: { readonly name: string; readonly sinceMs: number } | undefined;
   let aggregatorHeardMs = -Infinity;
   /** The aggregator that sent the loads in `remote`. */
@@ -79,7 +97,9 @@
 
   function updateFleet(): void {
     const fleet = listFleet();
-    addresses = new Map(fleet.map(({ name, address }) => [name, address]));
+    const members = [...fleet, ...(options.listLeaving?.() ?? [])];
+    addresses = new Map(members.map(({ name, address }) => [name, address]));
+    hasPeers = members.some(({ name }) => name !== self.name);
     aggregators = chooseAggregators(fleet);
     const localNames = new Set(
       fleet.filter(({ dataCentre }) => dataCentre === self.dataCentre).map(({ name }) => name),
@@ -102,7 +122,7 @@
   /**
    * Loads received in the previous role are removed, as they would be counted twice in the new one.
    */
-  function updateRole(): void {
+  function updateRole(nowMs: number): void {
     const wasAggregator = isAggregator;
     isAggregator =
       aggregators.includes(self.name) || localAggregators.length === 0 || reporters.size > 0;
@@ -111,6 +131,8 @@
     groupLoads.clear();
     aggregator = undefined;
     remoteLoadsSender = undefined;
+    isInformed = false;
+    uninformedSinceMs = nowMs;
   }
 
   /**
@@ -212,7 +234,8 @@
     const source = `${instance}/${part}`;
     const sources = new Set([...(reporters.get(instance)?.sources ?? []), source]);
     reporters.set(instance, { heardMs: nowMs, sources });
-    updateRole();
+    updateRole(nowMs);
+    isInformed = true;
     remote.set(source, shares, true, nowMs);
     groupLoads.set(source, shares, true, nowMs);
   }
@@ -223,6 +246,7 @@
   ): void {
     aggregatorsHeardMs.set(instance, nowMs);
     if (!isAggregator) return;
+    isInformed = true;
     remote.set(`${instance}/${part}`, shares, dataCentre === self.dataCentre, nowMs);
   }
 
@@ -233,18 +257,24 @@
     // Loads from the previous aggregator are used until the new one sends its own.
     if (remoteLoadsSender !== instance) remote.clear();
     remoteLoadsSender = instance;
+    isInformed = true;
     for (const heard of heardDataCentres) dataCentresHeardMs.set(heard, nowMs);
     remote.set(`${instance}/${part}`, shares, true, nowMs);
   }
 
   return {
+    isInformed(nowMs) {
+      const sinceMs = nowMs - (uninformedSinceMs ?? nowMs);
+      return isInformed || !hasPeers || sinceMs >= INFORMATION_WAIT_MAX_MS;
+    },
     advance(nowMs) {
       if (periods % FLEET_REFRESH_PERIODS === 0) updateFleet();
       periods += 1;
       remote.removeExpired(nowMs, REMOTE_LOAD_AGE_MAX_MS);
       groupLoads.removeExpired(nowMs, REMOTE_LOAD_AGE_MAX_MS);
       removeExpired(nowMs);
-      updateRole();
+      uninformedSinceMs ??= nowMs;
+      updateRole(nowMs);
       if (!isAggregator) updateAggregator(nowMs);
       return buildUpdates(nowMs);
     },
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -56,6 +56,8 @@
   announceLeft(): void;
   /** Members that may own shards; excludes suspected ones. */
   listAlive(): Fact[];
+  /** Members that are leaving. */
+  listLeaving(): Fact[];
   /** Members that are not leaving and have not left, including dead ones. */
   listNotLeaving(): Fact[];
   listStatus(): MemberStatus[];
@@ -153,6 +155,8 @@
     // Suspected members are excluded, so that requests do not wait for an owner that may be dead.
     // A wrong suspicion can briefly cause duplicate grants.
     listAlive: () => membership.listMembers().filter((fact) => fact.state === FactState.ALIVE),
+    listLeaving: () =>
+      membership.listMembers().filter((fact) => fact.state === FactState.LEAVING),
     listNotLeaving: () =>
       membership
         .listMembers()
