Calls that an engine preempts keep no more urgent call out

Cause: admission counted every running call against a call of a middle rank, also those of the lowest rank, which an engine preempts for it; and it held the middle rank back for slow streams, though the streams were slow because the engine was reading the plans' prompts, which it reads after a tag's.

Ruled out: calls of the most urgent rank went to the same engine all the while and began within 40 to 400 ms.

A slot of such a call is free for a more urgent one, within twice the slots, and pauses keep no call out while such prompts are read. A datagram takes 64 shares in place of 70, for the two columns.

--- a/src/load-sharing/load-exchange.test.ts
+++ b/src/load-sharing/load-exchange.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { ENDPOINT_VERDICT, createEndpointLoads } from '../placement/endpoint-loads.js';
+import { ENDPOINT_VERDICT, LOAD_CLASS, createEndpointLoads } from '../placement/endpoint-loads.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import { describe } from '../test/describe.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
@@ -104,7 +104,12 @@
           for (let step = 0; step < 40; step += 1) {
             const { loads } = cluster.fleet[random.nextIndex(size)] as Instance;
             if (random.next() < 0.6) {
-              const ticket = loads.start(ENGINE, 100, cluster.getNow(), random.next() < 0.5);
+              const ticket = loads.start(
+                ENGINE,
+                100,
+                cluster.getNow(),
+                random.next() < 0.5 ? LOAD_CLASS.Urgent : LOAD_CLASS.Normal,
+              );
               running += 1;
               ends.push(() => ticket.recordEnd(ENDPOINT_VERDICT.Good, cluster.getNow()));
             } else if (ends.length > 0) {
--- a/src/load-sharing/load-exchange.ts
+++ b/src/load-sharing/load-exchange.ts
@@ -185,6 +185,11 @@
         endpoint: share.endpoint,
         running: share.running - ownShare.running,
         urgent: share.urgent - ownShare.urgent,
+        preemptible: Math.max(0, share.preemptible - ownShare.preemptible),
+        preemptibleUnreadTokens: Math.max(
+          0,
+          share.preemptibleUnreadTokens - ownShare.preemptibleUnreadTokens,
+        ),
         unreadTokens: share.unreadTokens - ownShare.unreadTokens,
         answers: Math.max(0, share.answers - ownShare.answers),
         failures: Math.max(0, share.failures - ownShare.failures),
--- a/src/peers/encode-load-update.ts
+++ b/src/peers/encode-load-update.ts
@@ -13,12 +13,13 @@
 import type { KnowledgeSummary } from './peer-links.js';
 import type { PeerStatus } from './peer-status.js';
 
-/** Fits an Ethernet frame at up to 19 bytes per share. */
-const SHARES_PER_DATAGRAM_MAX = 70;
+/** Fits an Ethernet frame at up to 21 bytes per share. */
+const SHARES_PER_DATAGRAM_MAX = 64;
 /** Endpoint keys are 32-bit hashes. */
 const HASH_RANGE = 2 ** 32;
 /** Wire units, coarse enough that most values take one or two bytes. */
 const UNREAD_UNIT_TOKENS = 64;
+const PREEMPTIBLE_UNREAD_UNIT_TOKENS = 1024;
 const COUNTS_PER_CALL = 8;
 const READ_UNIT_TOKENS = 256;
 const READ_UNIT_MS = 4;
@@ -66,6 +67,11 @@
   return shares.filter(({ endpoint }) => Math.floor((endpoint / HASH_RANGE) * parts) === part);
 }
 
+/** Rounds up, so that few tokens do not look like none. */
+function encodeTokens(tokens: number, unitTokens: number): number {
+  return encodeUint32(Math.ceil(tokens / unitTokens));
+}
+
 /** Returns one message per datagram. */
 export function encodeLoadUpdate(
   { scope, shares, heardDataCentres }: LoadUpdate,
@@ -89,8 +95,12 @@
       endpoints: partShares.map(({ endpoint }) => endpoint),
       running: partShares.map(({ running }) => encodeUint32(running)),
       urgent: partShares.map(({ urgent }) => encodeUint32(urgent)),
+      preemptible: partShares.map(({ preemptible }) => encodeUint32(preemptible)),
       unreadTokens: partShares.map(({ unreadTokens }) =>
-        encodeUint32(Math.ceil(unreadTokens / UNREAD_UNIT_TOKENS)),
+        encodeTokens(unreadTokens, UNREAD_UNIT_TOKENS),
+      ),
+      preemptibleUnreadTokens: partShares.map(({ preemptibleUnreadTokens }) =>
+        encodeTokens(preemptibleUnreadTokens, PREEMPTIBLE_UNREAD_UNIT_TOKENS),
       ),
       answers: partShares.map(({ answers }) => encodeUint32(answers * COUNTS_PER_CALL)),
       failures: partShares.map(({ failures }) => encodeUint32(failures * COUNTS_PER_CALL)),
@@ -122,6 +132,9 @@
       endpoint,
       running: load.running[index] ?? 0,
       urgent: load.urgent[index] ?? 0,
+      preemptible: load.preemptible[index] ?? 0,
+      preemptibleUnreadTokens:
+        (load.preemptibleUnreadTokens[index] ?? 0) * PREEMPTIBLE_UNREAD_UNIT_TOKENS,
       unreadTokens: (load.unreadTokens[index] ?? 0) * UNREAD_UNIT_TOKENS,
       answers: (load.answers[index] ?? 0) / COUNTS_PER_CALL,
       failures: (load.failures[index] ?? 0) / COUNTS_PER_CALL,
--- a/src/peers/hostile-numbers.test.ts
+++ b/src/peers/hostile-numbers.test.ts
@@ -27,6 +27,8 @@
   endpoint: 5,
   running: 3,
   urgent: 1,
+  preemptible: 1,
+  preemptibleUnreadTokens: 1024,
   unreadTokens: 640,
   answers: 2,
   failures: 1,
--- a/src/placement/admission-decision.test.ts
+++ b/src/placement/admission-decision.test.ts
@@ -7,6 +7,8 @@
   ranks: 3,
   running: 4,
   slots: 16,
+  preemptible: 0,
+  readsLessUrgent: false,
   isIsolated: false,
   pauseMs: 40,
   urgentPauseMs: 200,
@@ -79,6 +81,23 @@
       t.is(chooseAdmission({ ...CALL, rank: 2, running: 14 }), ADMISSION.Wait);
     });
 
+    // Guards against refusing calls for slots that the engine would take from less urgent ones.
+    it('counts slots that the engine takes from less urgent calls as free', (t) => {
+      const full: AdmissionInput = { ...CALL, rank: 1, running: 16 };
+      t.is(chooseAdmission({ ...full, preemptible: 1 }), ADMISSION.Send);
+      t.is(chooseAdmission({ ...full, running: 24, preemptible: 9 }), ADMISSION.Send);
+      t.is(chooseAdmission({ ...full, running: 24, preemptible: 8 }), ADMISSION.Wait);
+      t.is(chooseAdmission({ ...full, running: 32, preemptible: 30 }), ADMISSION.Wait);
+    });
+
+    // Guards against refusing calls for pauses that come from reading less urgent prompts.
+    it('ignores slow streams while the engine reads less urgent prompts', (t) => {
+      const slow: AdmissionInput = { ...CALL, rank: 1, pauseMs: 190, readsLessUrgent: true };
+      t.is(chooseAdmission(slow), ADMISSION.Send);
+      t.is(chooseAdmission({ ...slow, readsLessUrgent: false }), ADMISSION.Wait);
+      t.is(chooseAdmission({ ...slow, running: 16 }), ADMISSION.Wait);
+    });
+
     it('applies the full slot limit and the lowest pause limit with two ranks', (t) => {
       const only: AdmissionInput = { ...CALL, rank: 1, ranks: 2, running: 15 };
       t.is(chooseAdmission(only), ADMISSION.Send);
--- a/src/placement/admission-decision.ts
+++ b/src/placement/admission-decision.ts
@@ -52,6 +52,10 @@
   /** Calls running at the engine, and the number it can run at once. */
   readonly running: number;
   readonly slots: number;
+  /** Those of the running calls that the engine preempts for this one. */
+  readonly preemptible: number;
+  /** Whether the engine still has to read less urgent prompts. */
+  readonly readsLessUrgent: boolean;
   /** Whether the most urgent streams have reserved engines and none of them runs at this one. */
   readonly isIsolated: boolean;
   /** Mean pause of streams predicted if the call is sent; undefined while unknown. */
@@ -74,20 +78,28 @@
   return (ranks - 1 - rank) / Math.max(1, ranks - 2);
 }
 
-/** Whether sending the call would slow down more urgent streams too much. */
+/**
+ * Whether sending the call would slow down more urgent streams too much. An engine reads a part of some
+ * prompt between any two tokens, that of a more urgent call first: while it has less urgent prompts to read,
+ * one more call makes no pause longer.
+ */
 function isPauseLimited(input: AdmissionInput): boolean {
-  const { running, slots, isIsolated, pauseMs, urgentPauseMs } = input;
-  if (pauseMs === undefined) return false;
+  const { running, slots, isIsolated, pauseMs, urgentPauseMs, readsLessUrgent } = input;
+  if (pauseMs === undefined || readsLessUrgent) return false;
   const factor = 1 + (PAUSE_FACTOR_SECOND_RANK - 1) * computePrecedence(input);
   const share = (isIsolated ? PAUSE_SHARE_ISOLATED : PAUSE_SHARE_LOWEST_RANK) * factor;
   return running >= slots * SLOT_SHARE_MIN && pauseMs > urgentPauseMs * share;
 }
 
-/** Whether the engine has a free slot that is not left to more urgent calls. */
+/**
+ * Whether the engine has a slot for the call that is not left to more urgent ones. A slot that the engine
+ * takes from a less urgent call counts as free.
+ */
 function hasSlot(input: AdmissionInput, overflow: number): boolean {
-  const { rank, ranks, running, slots } = input;
+  const { rank, ranks, running, preemptible, slots } = input;
   const reserve = (SLOT_RESERVE_LOWEST_RANK * (rank - 1)) / Math.max(1, ranks - 2);
-  return running < slots * (1 - reserve) * overflow;
+  const isQueueShort = running < slots * URGENT_QUEUE_FACTOR;
+  return isQueueShort && running - preemptible < slots * (1 - reserve) * overflow;
 }
 
 /** Time that a call may still wait at this instance; negative once it must be sent or refused. */
@@ -109,8 +121,8 @@
     const isWaiting = !isWaitExhausted && running >= slots * URGENT_QUEUE_FACTOR;
     return isWaiting ? ADMISSION.Wait : ADMISSION.Send;
   }
-  const hasRoom = hasSlot(input, isWaitExhausted ? OVERFLOW_FACTOR : 1) && !isPauseLimited(input);
-  if (hasRoom) return ADMISSION.Send;
+  const isFree = hasSlot(input, isWaitExhausted ? OVERFLOW_FACTOR : 1);
+  if (isFree && !isPauseLimited(input)) return ADMISSION.Send;
   return isWaitExhausted ? ADMISSION.Refuse : ADMISSION.Wait;
 }
 
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -49,6 +49,16 @@
 } as const;
 export type EndpointVerdict = (typeof ENDPOINT_VERDICT)[keyof typeof ENDPOINT_VERDICT];
 
+/** What a call counts as in the load of an engine, besides a running call. */
+export const LOAD_CLASS = {
+  /** Of the most urgent of several priorities in its pool. */
+  Urgent: 'urgent',
+  Normal: 'normal',
+  /** Of the least urgent of several priorities in its pool. */
+  Preemptible: 'preemptible',
+} as const;
+export type LoadClass = (typeof LOAD_CLASS)[keyof typeof LOAD_CLASS];
+
 /** Records the progress of one call at an endpoint. */
 export interface LoadTicket {
   /** Records an event of the answer, or the whole answer. */
@@ -107,13 +117,14 @@
   isSuspect(id: string, nowMs: number): boolean;
   /**
    * Records that a call is sent to an endpoint that is expected to read `unreadTokens` of its
-   * prompt. `isUrgent` is set for the most urgent of several priorities in a pool.
+   * prompt.
+   * @default loadClass LOAD_CLASS.Normal
    */
   start(
     endpoint: RegisteredEndpoint,
     unreadTokens: number,
     nowMs: number,
-    isUrgent?: boolean,
+    loadClass?: LoadClass,
   ): LoadTicket;
   remove(id: string): void;
 }
@@ -127,6 +138,8 @@
 interface LoadState {
   running: number;
   urgent: number;
+  preemptible: number;
+  preemptibleUnreadTokens: number;
   unreadTokens: number;
   failuresInRow: number;
   lastFailureMs: number;
@@ -169,7 +182,7 @@
   }
 
   function buildShare(id: string, state: LoadState, nowMs: number): EndpointLoadShare | undefined {
-    const { running, urgent, unreadTokens } = state;
+    const { running, urgent, preemptible, preemptibleUnreadTokens, unreadTokens } = state;
     const { answers, failures } = state.failures.read(nowMs);
     const { readTokens, readMs } = state.prefill.read(nowMs);
     const { pauses, pauseMs } = state.pauses.read(nowMs);
@@ -180,6 +193,8 @@
       endpoint,
       running,
       urgent,
+      preemptible,
+      preemptibleUnreadTokens,
       unreadTokens,
       answers,
       failures,
@@ -196,6 +211,8 @@
     const state: LoadState = {
       running: 0,
       urgent: 0,
+      preemptible: 0,
+      preemptibleUnreadTokens: 0,
       unreadTokens: 0,
       failuresInRow: 0,
       lastFailureMs: -Infinity,
@@ -248,6 +265,8 @@
     return {
       running: (own?.running ?? 0) + other.running,
       urgent: (own?.urgent ?? 0) + other.urgent,
+      preemptible: (own?.preemptible ?? 0) + other.preemptible,
+      preemptibleUnreadTokens: (own?.preemptibleUnreadTokens ?? 0) + other.preemptibleUnreadTokens,
       unreadTokens: (own?.unreadTokens ?? 0) + other.unreadTokens,
     };
   }
@@ -256,7 +275,7 @@
     endpoint: RegisteredEndpoint,
     unreadTokens: number,
     startedMs: number,
-    isUrgent = false,
+    loadClass: LoadClass = LOAD_CLASS.Normal,
   ): LoadTicket {
     const { startId, slots } = endpoint;
     const state = getState(startId);
@@ -270,13 +289,17 @@
     const stream = createStreamTimes();
     let loadAtLast = before;
     let isEnded = false;
-    const urgent = isUrgent ? 1 : 0;
+    const urgent = loadClass === LOAD_CLASS.Urgent ? 1 : 0;
+    const preemptible = loadClass === LOAD_CLASS.Preemptible ? 1 : 0;
     state.running += 1;
     state.urgent += urgent;
+    state.preemptible += preemptible;
     state.unreadTokens += unread;
+    state.preemptibleUnreadTokens += unread * preemptible;
 
     function releaseUnread(): void {
       state.unreadTokens -= unread;
+      state.preemptibleUnreadTokens -= unread * preemptible;
       unread = 0;
     }
 
@@ -307,6 +330,7 @@
         releaseUnread();
         state.running -= 1;
         state.urgent -= urgent;
+        state.preemptible -= preemptible;
         recordVerdict(state, verdict, nowMs);
         if (verdict === ENDPOINT_VERDICT.None || verdict === ENDPOINT_VERDICT.Resting) return;
         if (verdict === ENDPOINT_VERDICT.Good) pool.runMs.add(nowMs - startedMs);
--- a/src/placement/placer.test.ts
+++ b/src/placement/placer.test.ts
@@ -54,6 +54,35 @@
     t.is(placer.chooseAdmission(CALL, placement, true, 3000), ADMISSION.Send);
   });
 
+  // Guards against refusing a call while less urgent ones hold the slots that it would get from the engine.
+  it('sends a call to an engine that is full of less urgent ones', (t) => {
+    const ranks = { draft: 1, plan: 2 };
+    const loads = createEndpointLoads();
+    const placer = createPlacer({
+      loads,
+      random: createRandom(1),
+      features: ALL_FEATURES,
+      listOpen: () => [ENGINE],
+      getRouteRank: ({ name }) => ({
+        rank: ranks[name as keyof typeof ranks],
+        ranks: 3,
+        nextPauseMs: Infinity,
+        urgentPauseMs: 250,
+      }),
+      isDataCentreUnreachable: () => false,
+      isAvoided: () => false,
+    });
+    const placement = { endpoint: ENGINE, readTokens: 10 };
+    const plan: RoutedCall = { ...CALL, route: buildSimulatedRoute('plan', { priority: 2 }) };
+    for (let count = 0; count < ENGINE.slots; count += 1) placer.start(plan, placement, 0);
+    t.is(placer.chooseAdmission(plan, placement, false, 100), ADMISSION.Wait);
+    t.is(placer.chooseAdmission(CALL, placement, false, 100), ADMISSION.Send);
+    for (let count = 0; count < ENGINE.slots * 0.75; count += 1) placer.start(CALL, placement, 0);
+    t.is(placer.chooseAdmission(CALL, placement, false, 100), ADMISSION.Send);
+    for (let count = 0; count < ENGINE.slots * 0.25; count += 1) placer.start(CALL, placement, 0);
+    t.is(placer.chooseAdmission(CALL, placement, false, 100), ADMISSION.Wait);
+  });
+
   // Guards against taking an engine for slow that has to read a prefix which it would have cached.
   it('counts a shared prefix among the tokens that an engine with a cold cache reads', (t) => {
     const loads = createEndpointLoads();
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -11,8 +11,8 @@
 import { chooseEndpoint } from './choose-endpoint.js';
 import type { Placement } from './choose-endpoint.js';
 import { computePromptCost } from './prompt-cost.js';
-import { ENDPOINT_VERDICT } from './endpoint-loads.js';
-import type { EndpointLoads, LoadTicket } from './endpoint-loads.js';
+import { ENDPOINT_VERDICT, LOAD_CLASS } from './endpoint-loads.js';
+import type { EndpointLoads, LoadClass, LoadTicket } from './endpoint-loads.js';
 import { ADMISSION, chooseAdmission } from './admission-decision.js';
 import type { Admission } from './admission-decision.js';
 import { createEngineReserves } from './engine-reserve.js';
@@ -99,6 +99,13 @@
     return rank === 0 && ranks > 1;
   }
 
+  function getLoadClass({ route, pool }: RoutedCall): LoadClass {
+    const { rank, ranks } = options.getRouteRank(route, pool);
+    if (ranks <= 1) return LOAD_CLASS.Normal;
+    if (rank === 0) return LOAD_CLASS.Urgent;
+    return rank === ranks - 1 ? LOAD_CLASS.Preemptible : LOAD_CLASS.Normal;
+  }
+
   /**
    * Pause declared by the most urgent streams of the call's pool; infinite if the pool has only one
    * priority.
@@ -189,8 +196,10 @@
     chooseAdmission(call, { endpoint }, isBegun, nowMs) {
       const { route, pool } = call;
       if (call.prompt === undefined) return ADMISSION.Send;
-      const { running, urgent } = loads.get(endpoint.startId);
+      const load = loads.get(endpoint.startId);
+      const { running, urgent } = load;
       const { slots } = endpoint;
+      const isPreemptible = getLoadClass(call) === LOAD_CLASS.Preemptible;
       const { rank, ranks, urgentPauseMs, nextPauseMs } = options.getRouteRank(route, pool);
       const isIsolated = urgent === 0 && chooseReserved(call, nowMs).size > 0;
       return chooseAdmission({
@@ -198,6 +207,8 @@
         ranks,
         running,
         slots,
+        preemptible: isPreemptible ? 0 : load.preemptible,
+        readsLessUrgent: !isPreemptible && load.preemptibleUnreadTokens > 0,
         isIsolated,
         pauseMs: predictPauseMs(endpoint, nowMs),
         urgentPauseMs: isIsolated ? nextPauseMs : urgentPauseMs,
@@ -217,10 +228,9 @@
       const { route, pool, prompt } = call;
       const { endpoint } = placement;
       const readTokens = computeReadTokens(call, placement);
-      const isMostUrgent = isUrgent(call);
-      const ticket = loads.start(endpoint, readTokens, nowMs, isMostUrgent);
+      const ticket = loads.start(endpoint, readTokens, nowMs, getLoadClass(call));
       if (prompt !== undefined) {
-        reserves.recordPrompt(pool, isMostUrgent, readTokens);
+        reserves.recordPrompt(pool, isUrgent(call), readTokens);
         sizes.recordTokens(route, pool, readTokens);
       }
       return {
--- a/src/placement/prefill-slowdown.test.ts
+++ b/src/placement/prefill-slowdown.test.ts
@@ -113,7 +113,13 @@
       loads.remote.removeExpired(nowMs + 5000, 1000);
       const slowdown = loads.getSlowdown(buildEndpoint('c'), nowMs + 5000);
       t.is(slowdown, loads.getSlowdown(buildEndpoint('other'), nowMs + 5000));
-      t.deepEqual(loads.get('c'), { running: 0, urgent: 0, unreadTokens: 0 });
+      t.deepEqual(loads.get('c'), {
+        running: 0,
+        urgent: 0,
+        preemptible: 0,
+        preemptibleUnreadTokens: 0,
+        unreadTokens: 0,
+      });
     });
   });
 });
--- a/src/placement/remote-loads.ts
+++ b/src/placement/remote-loads.ts
@@ -17,6 +17,10 @@
 export interface FleetLoad extends EndpointLoad {
   /** Running calls of the most urgent routes. */
   readonly urgent: number;
+  /** Running calls of the least urgent routes, which an engine preempts for others. */
+  readonly preemptible: number;
+  /** Unread prompt tokens of these calls. */
+  readonly preemptibleUnreadTokens: number;
 }
 
 /** Identifies one start of an endpoint in messages between instances: a hash of its start id. */
@@ -66,6 +70,8 @@
 const NO_LOAD: LoadSums = {
   running: 0,
   urgent: 0,
+  preemptible: 0,
+  preemptibleUnreadTokens: 0,
   unreadTokens: 0,
   answers: 0,
   failures: 0,
@@ -83,6 +89,8 @@
 function addLoad(sums: Entry['sums'], load: LoadSums, sign: 1 | -1): void {
   sums.running += sign * load.running;
   sums.urgent += sign * load.urgent;
+  sums.preemptible += sign * load.preemptible;
+  sums.preemptibleUnreadTokens += sign * load.preemptibleUnreadTokens;
   sums.unreadTokens += sign * load.unreadTokens;
   sums.answers += sign * load.answers;
   sums.failures += sign * load.failures;
--- a/src/slopes/placement-slopes.ts
+++ b/src/slopes/placement-slopes.ts
@@ -1,6 +1,6 @@
 /** Measures how the cost of an endpoint choice grows with the endpoints of the pool. */
 import type { RoutedCall } from '../calls/call-messages.js';
-import { createEndpointLoads } from '../placement/endpoint-loads.js';
+import { LOAD_CLASS, createEndpointLoads } from '../placement/endpoint-loads.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import { createPlacer } from '../placement/placer.js';
 import { CALL_KIND } from '../types/traffic.js';
@@ -95,7 +95,7 @@
       endpoints[index] as RegisteredEndpoint,
       PROMPT_TOKENS * (1 + (call % 3)),
       0,
-      call % 4 === 0,
+      call % 4 === 0 ? LOAD_CLASS.Urgent : LOAD_CLASS.Normal,
     );
     for (let event = 1; event <= EVENTS_PER_CALL; event += 1) {
       ticket.recordEvent(event * EVENT_MS * (1 + (index % 3)));
--- a/src/test/load-shares.ts
+++ b/src/test/load-shares.ts
@@ -13,6 +13,8 @@
     endpoint: hashStartId(endpoint),
     running: 0,
     urgent: 0,
+    preemptible: 0,
+    preemptibleUnreadTokens: 0,
     unreadTokens: 0,
     answers: 0,
     failures: 0,
