One absurd entry draws no work away from sound endpoints

What callers saw here: an entry with 9,007,199,254,740,991 slots seemed idle whatever it ran and got all calls of its pool (0 of 60 at the two others). With 20 entries of addresses where nothing answers, 5 of 60 calls were refused, "no endpoint could be reached", though three sound endpoints were free.

Cause: the share of slots in use was taken at its word, and each attempt of a call chose among all endpoints that were not known to be down, so that four attempts in a row could meet four dead addresses.

Change: an endpoint counts for at most four times the usual (median) slots of its pool. After a failed attempt a call goes to an endpoint that answered this instance before, if there is one. An endpoint that never answered is tried again after 1, 2, 4 and then every 8 s; one that did, after a second, as before.

Open: a router that starts beside 20 dead entries, before any sound endpoint has answered, can still refuse its first five calls (not run, with Retry-After).

--- a/src/directory/endpoint-directory.ts
+++ b/src/directory/endpoint-directory.ts
@@ -57,6 +57,24 @@
   isLapsed: boolean;
 }
 
+/**
+ * Multiple of the usual slots of a pool that one endpoint is taken to have at most. Guards against one entry
+ * with an absurd number, whose endpoint would seem idle whatever it runs and get all calls.
+ */
+const SLOTS_FACTOR_MAX = 4;
+
+function computeMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+}
+
+function computeUsable(endpoints: readonly RegisteredEndpoint[]): RegisteredEndpoint[] {
+  const slotsMax = computeMedian(endpoints.map(({ slots }) => slots)) * SLOTS_FACTOR_MAX;
+  return endpoints.map((endpoint) =>
+    endpoint.slots > slotsMax ? { ...endpoint, slots: slotsMax } : endpoint,
+  );
+}
+
 function addToPool(pools: Map<string, RegisteredEndpoint[]>, endpoint: RegisteredEndpoint): void {
   const endpoints = pools.get(endpoint.pool) ?? [];
   endpoints.push(endpoint);
@@ -161,10 +179,15 @@
   function updateOpen(): void {
     servingByPool = new Map();
     startKeys = new Set([...entries.values()].map(({ endpoint }) => hashStartId(endpoint.startId)));
+    for (const { endpoint } of entries.values()) addToPool(servingByPool, endpoint);
     openByPool = new Map();
-    for (const { endpoint } of entries.values()) {
-      addToPool(servingByPool, endpoint);
-      if (!endpoint.isLeaving) addToPool(openByPool, endpoint);
+    for (const [pool, endpoints] of servingByPool) {
+      const usable = computeUsable(endpoints);
+      servingByPool.set(pool, usable);
+      openByPool.set(
+        pool,
+        usable.filter(({ isLeaving }) => !isLeaving),
+      );
     }
   }
 
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -97,8 +97,8 @@
 }
 
 /**
- * Filters out endpoints that were tried, unreachable, suspect or to be avoided. If none is left,
- * the last of these conditions is dropped first.
+ * Filters out endpoints that were tried, unreachable, suspect or to be avoided, and for a further attempt
+ * those that were never reached. If none is left, the last of these conditions is dropped first.
  */
 function listCandidates(input: ChoiceInput): readonly RegisteredEndpoint[] {
   const { endpoints, excluded, loads, nowMs } = input;
@@ -110,6 +110,9 @@
   const reachable = untried.filter(({ dataCentre }) => !unreachable.includes(dataCentre));
   const healthy = reachable.filter(({ startId }) => !loads.isSuspect(startId, nowMs));
   const preferred = healthy.filter((endpoint) => !input.isAvoided(endpoint));
+  // Guards against a call that is refused after it tried one address after the other at which nothing answers.
+  const reached = preferred.filter(({ startId }) => loads.isReached(startId));
+  if (excluded.length > 0 && reached.length > 0) return reached;
   if (preferred.length > 0) return preferred;
   if (healthy.length > 0) return healthy;
   return reachable.length > 0 ? reachable : untried;
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -31,6 +31,11 @@
  * seconds or more to return.
  */
 const PROBE_AFTER_MS = 1000;
+/**
+ * Bound of the same time for an endpoint that was never reached; it doubles with each probe. Guards against
+ * entries of addresses where nothing answers, each of which costs a call an attempt.
+ */
+const UNREACHED_PROBE_AFTER_MAX_MS = 8000;
 
 /** How an endpoint handled a call that has ended. */
 export const ENDPOINT_VERDICT = {
@@ -113,6 +118,8 @@
     running: number,
     nowMs: number,
   ): number | undefined;
+  /** Whether calls of this instance reached the endpoint, and none has failed to since. */
+  isReached(id: string): boolean;
   /** Whether the endpoint should be skipped because calls of this instance failed in a row. */
   isSuspect(id: string, nowMs: number): boolean;
   /**
@@ -143,6 +150,7 @@
   unreadTokens: number;
   failuresInRow: number;
   lastFailureMs: number;
+  wasReached: boolean;
   readonly failures: DecayingSums<keyof FailureCounts>;
   readonly prefill: DecayingSums<keyof PrefillSums>;
   readonly pauses: DecayingSums<keyof PauseSums>;
@@ -156,6 +164,12 @@
   readonly pauses: PauseModel;
 }
 
+function computeProbeAfterMs({ wasReached, failuresInRow }: LoadState): number {
+  if (wasReached) return PROBE_AFTER_MS;
+  const probes = failuresInRow - SUSPECT_AFTER_FAILURES;
+  return Math.min(UNREACHED_PROBE_AFTER_MAX_MS, PROBE_AFTER_MS * 2 ** probes);
+}
+
 export function createEndpointLoads(): EndpointLoads {
   const states = new Map<string, LoadState>();
   const remote = createRemoteLoads();
@@ -216,6 +230,7 @@
       unreadTokens: 0,
       failuresInRow: 0,
       lastFailureMs: -Infinity,
+      wasReached: false,
       failures: createFailureCounts(),
       prefill: createPrefillSums(),
       pauses: createPauseSums(),
@@ -230,6 +245,7 @@
       case ENDPOINT_VERDICT.Resting:
       case ENDPOINT_VERDICT.Errored:
         state.failuresInRow = 0;
+        state.wasReached = true;
         break;
       case ENDPOINT_VERDICT.None:
         break;
@@ -401,11 +417,15 @@
         running,
       );
     },
+    isReached(id) {
+      const state = states.get(id);
+      return state !== undefined && state.wasReached && state.failuresInRow === 0;
+    },
     isSuspect(id, nowMs) {
       const state = states.get(id);
       if (state === undefined || state.failuresInRow < SUSPECT_AFTER_FAILURES) return false;
       // A suspect endpoint gets one probe call at a time.
-      return state.running > 0 || nowMs - state.lastFailureMs < PROBE_AFTER_MS;
+      return state.running > 0 || nowMs - state.lastFailureMs < computeProbeAfterMs(state);
     },
     start: startCall,
     remove(id) {
