One odd address or entry keeps no instance from being told or found

Evidence on the code before: datagrams: RangeError [ERR_SOCKET_BAD_PORT]: Port should be > 0 and < 65536 instance-list-client: "the instance list is malformed (Invalid input: expected object, received null)"; SyntaxError for a text that is no JSON

Change: src/utils/address.ts reads HOST:PORT; what is no address is logged and passed over. Entries of both lists of instances are read one by one.

--- a/src/peers/datagrams.test.ts
+++ b/src/peers/datagrams.test.ts
@@ -21,14 +21,35 @@
   return toBinary(DatagramSchema, message);
 }
 
+async function findFreePort(): Promise<number> {
+  const probe = createSocket('udp4').bind(0, HOST);
+  await once(probe, 'listening');
+  const { port } = probe.address();
+  probe.close();
+  await once(probe, 'close');
+  return port;
+}
+
+const IGNORED = {
+  onPeerStatus: () => undefined,
+  onGossip: () => undefined,
+  onCases: () => undefined,
+  onLimits: () => undefined,
+  onNotices: () => undefined,
+  onBrittle: () => undefined,
+  onPermitRequests: () => undefined,
+  onPermitReplies: () => undefined,
+  onStreams: () => undefined,
+  onStreamQuery: () => undefined,
+  onStreamReply: () => undefined,
+  onUsage: () => undefined,
+  onUnknown: () => undefined,
+} as const;
+
 describe('datagrams of a newer release', ({ it }) => {
   // Guards against an uncaught error that ends the process and against repeated errors in the log.
   it('are reported as unknown, and their known fields are decoded', async (t) => {
-    const probe = createSocket('udp4').bind(0, HOST);
-    await once(probe, 'listening');
-    const { port } = probe.address();
-    probe.close();
-    await once(probe, 'close');
+    const port = await findFreePort();
     const received: PeerStatus[] = [];
     const unknown: string[] = [];
     const errors: string[] = [];
@@ -39,21 +60,11 @@
         secret: SECRET,
         host: HOST,
         port,
+        ...IGNORED,
         onPeerStatus(status) {
           received.push(status);
           resolve();
         },
-        onGossip: () => undefined,
-        onCases: () => undefined,
-        onLimits: () => undefined,
-        onNotices: () => undefined,
-        onBrittle: () => undefined,
-        onPermitRequests: () => undefined,
-        onPermitReplies: () => undefined,
-        onStreams: () => undefined,
-        onStreamQuery: () => undefined,
-        onStreamReply: () => undefined,
-        onUsage: () => undefined,
         onUnknown: (field, value) => unknown.push(`${field} ${value}`),
         onError: (reason) => errors.push(reason),
       });
@@ -72,3 +83,30 @@
     t.like(received[0], { instance: 'front-2', scope: 'own' });
   });
 });
+
+describe('datagrams to several addresses', ({ it }) => {
+  // Guards against one odd address that keeps the instances after it from being told anything.
+  it('reach the others if one is no address', async (t) => {
+    const receiver = createSocket('udp4').bind(0, HOST);
+    await once(receiver, 'listening');
+    const errors: string[] = [];
+    const datagrams = openDatagrams({
+      self: 'front-1',
+      dataCentre: 'hall',
+      secret: SECRET,
+      host: HOST,
+      port: await findFreePort(),
+      ...IGNORED,
+      onError: (reason) => errors.push(reason),
+    });
+    t.teardown(() => {
+      datagrams.close();
+      receiver.close();
+    });
+    const arrived = once(receiver, 'message');
+    const odd = ['nowhere', `${HOST}:65536`, `${HOST}:-1`, `${HOST}:`, ':7', ''];
+    datagrams.sendNotices([...odd, `${HOST}:${receiver.address().port}`], []);
+    await arrived;
+    t.is(errors.length, odd.length);
+  });
+});
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -40,6 +40,7 @@
 import { decodeUsage, encodeUsage } from './encode-usage.js';
 import type { KnowledgeSummary } from './peer-links.js';
 import type { PeerStatus } from './peer-status.js';
+import { parseAddress } from '../utils/address.js';
 
 export interface Datagrams {
   sendLoads(
@@ -147,8 +148,10 @@
   }
 
   function sendBytes(address: string, bytes: Uint8Array): void {
-    const separator = address.lastIndexOf(':');
-    socket.send(bytes, Number(address.slice(separator + 1)), address.slice(0, separator));
+    const target = parseAddress(address);
+    // Guards against one odd address, in an entry or in gossip, that keeps the others from being sent to.
+    if (target === undefined) options.onError(`'${address}' is no address; not sent`);
+    else socket.send(bytes, target.port, target.host);
   }
 
   socket.on('error', (error) => options.onError(String(error)));
--- a/src/storage/instance-list-client.ts
+++ b/src/storage/instance-list-client.ts
@@ -5,6 +5,7 @@
 import type { Result } from '../utils/result.js';
 import { PLATFORM_FAILURE, createPlatformError } from './platform-error.js';
 import type { PlatformError } from './platform-error.js';
+import { parseAddress } from '../utils/address.js';
 import { readText } from '../utils/read-text.js';
 
 const LIST_TIMEOUT_MS = 1500;
@@ -13,13 +14,28 @@
 
 const listedInstanceSchema = z.object({
   name: z.string().min(1),
-  address: z.string().min(1),
+  address: z.string().refine((text) => parseAddress(text) !== undefined, 'no host and port'),
   dataCentre: z.string().min(1),
   state: z.enum([LISTED_STATE.Live, LISTED_STATE.Leaving]),
 });
 
 export type ListedInstance = z.infer<typeof listedInstanceSchema>;
 
+/** Undefined if the text is no JSON list. */
+function parseEntries(text: string): readonly unknown[] | undefined {
+  try {
+    const parsed: unknown = JSON.parse(text);
+    return Array.isArray(parsed) ? parsed : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Guards against one odd entry that hides all others; gossip still finds the instance that it is of. */
+function isListedInstance(entry: unknown): entry is ListedInstance {
+  return listedInstanceSchema.safeParse(entry).success;
+}
+
 export interface InstanceListClient {
   list(): Promise<Result<readonly ListedInstance[], PlatformError>>;
   /** Registers this instance; the platform removes it some time after the last call. */
@@ -59,12 +75,12 @@
     async list() {
       const result = await send('GET', '/instances', null);
       if (result.err) return result;
-      const parsed = z.array(listedInstanceSchema).safeParse(JSON.parse(result.val));
-      if (parsed.success) return Ok(parsed.data);
+      const entries = parseEntries(result.val);
+      if (entries !== undefined) return Ok(entries.filter(isListedInstance));
       return Err(
         createPlatformError(
           PLATFORM_FAILURE.Rejected,
-          `the instance list is malformed (${parsed.error.issues[0]?.message ?? ''}); check the platform version`,
+          'the instance list is no list; check the platform version',
         ),
       );
     },
