--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -54,7 +54,10 @@
 
 /** Connections of this instance to all endpoints. */
 export interface EndpointConnections {
-  /** Starts an exchange; the returned function closes its connection. */
+  /**
+   * Starts an exchange; the returned function closes its connection. `address`: HOST:PORT, or an origin with
+   * its scheme.
+   */
   open(
     address: string,
     connectionsMax: number,
@@ -90,6 +93,10 @@
   return fields;
 }
 
+function buildOrigin(address: string): string {
+  return address.includes('://') ? address : `http://${address}`;
+}
+
 export interface EndpointConnectionsOptions {
   /** Address that connections are made from; chosen by the system by default. */
   readonly sourceHost?: string | undefined;
@@ -133,7 +140,7 @@
 
   function createConnection(address: string): Connection {
     const connection: Connection = {
-      client: new Client(`http://${address}`, {
+      client: new Client(buildOrigin(address), {
         pipelining: 1,
         ...(sourceHost === undefined ? {} : { localAddress: sourceHost }),
         // The call state machine detects stalled responses.
--- a/src/node/endpoint-client.test.ts
+++ b/src/node/endpoint-client.test.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer as createSocketServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { ExecutionContext } from 'ava';
 import { NO_NOTICE } from '../endpoint-availability/availability-notice.js';
 import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
@@ -68,7 +69,7 @@
   });
 });
 
-describe('calls to services', ({ it }) => {
+describe('calls to services', ({ describe: block, it }) => {
   const attempt = { attemptId: 'a', method: 'POST', path: '/', headers: {}, body: undefined };
 
   // Guards against throwing away the answer of a service that ran the call, and running it elsewhere.
@@ -107,4 +108,53 @@
       t.deepEqual(notice, expected, `status ${status}`);
     }
   });
+
+  block('whose answer is cut', ({ it: itCut }) => {
+    const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n';
+
+    async function runAgainst(
+      t: ExecutionContext,
+      sendAnswer: (socket: Socket) => void,
+    ): Promise<ServiceResult> {
+      const server = createSocketServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => sendAnswer(socket));
+      });
+      await new Promise<void>((resolve) => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      const client = createEndpointClient();
+      t.teardown(async () => {
+        await client.close();
+        server.close();
+      });
+      const { port } = server.address() as AddressInfo;
+      const url = `http://127.0.0.1:${port}`;
+      const endpoint = { name: 's-1', pool: 'stores', url, dataCentre: 'hall', slots: 4 };
+      return new Promise((resolve) => {
+        client.startService(endpoint, attempt, { onNotice: () => undefined, onEnded: resolve });
+      });
+    }
+
+    // Guards against an answer without a length that is passed on as whole after its service has ended.
+    itCut('are broken off', async (t) => {
+      const cuts: readonly ((socket: Socket) => void)[] = [
+        (socket) => socket.end(`${HEAD}Content-Le`),
+        (socket) => socket.end(`${HEAD}Content-Length: 5\r\n\r\nhal`),
+        (socket) => socket.end(`${HEAD}\r\n`),
+        (socket) => socket.write(`${HEAD}\r\nhal`, () => socket.resetAndDestroy()),
+      ];
+      const results = await Promise.all(cuts.map((cut) => runAgainst(t, cut)));
+      for (const [index, result] of results.entries())
+        t.deepEqual(result, { kind: 'ended', ending: 'broken' }, `cut ${index}`);
+    });
+
+    itCut('are whole if the connection ends in order after a body', async (t) => {
+      const result = await runAgainst(t, (socket) => socket.end(`${HEAD}\r\nwhole`));
+      t.deepEqual(result, {
+        kind: 'answered',
+        answer: { status: 200, contentType: 'text/plain', body: 'whole' },
+      });
+    });
+  });
 });
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -6,7 +6,8 @@
 import { StringDecoder } from 'node:string_decoder';
 import { createParser } from 'eventsource-parser';
 import { Pool } from 'undici';
-import type { Dispatcher } from 'undici';
+import { createEndpointConnections } from '../calls/endpoint-connections.js';
+import type { HeaderField } from '../calls/call-messages.js';
 import { parseRetryAfter } from '../endpoint-availability/availability-notice.js';
 import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type { EndpointDeclaration } from '../types/declarations.js';
@@ -16,7 +17,7 @@
 const CONNECT_TIMEOUT_MS = 800;
 const CONNECTIONS_MAX = 512;
 const KEEP_ALIVE_MS = 10_000;
-const SERVICE_BODY_MAX_CHARACTERS = 16 * 1024 * 1024;
+const SERVICE_BODY_BYTES_MAX = 16 * 1024 * 1024;
 /** Errors raised before any byte was sent, after which a retry is safe. */
 const UNSENT_CODES = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'];
 /** In any response: `true` if the endpoint is leaving. */
@@ -140,13 +141,28 @@
   return code !== undefined && UNSENT_CODES.includes(code) ? 'unsent' : 'broken';
 }
 
-function listHeader({ headers }: Dispatcher.ResponseData, name: string): string[] {
+/** What is read of the head of a response. */
+interface ResponseHead {
+  readonly statusCode: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
+function mergeHeaders(fields: readonly HeaderField[]): Record<string, string[]> {
+  const headers: Record<string, string[]> = {};
+  for (const { name, value } of fields) {
+    const key = name.toLowerCase();
+    headers[key] = [...(headers[key] ?? []), value];
+  }
+  return headers;
+}
+
+function listHeader({ headers }: ResponseHead, name: string): string[] {
   const value = headers[name];
   if (value === undefined) return [];
   return typeof value === 'string' ? [value] : value;
 }
 
-function decodeNotice(response: Dispatcher.ResponseData): AvailabilityNotice {
+function decodeNotice(response: ResponseHead): AvailabilityNotice {
   return {
     isLeaving: listHeader(response, LEAVING_HEADER).includes('true'),
     rest:
@@ -160,22 +176,31 @@
  * Returns how an attempt ended that the endpoint turned away; undefined if it did not. One that is
  * leaving says so in all responses, but only with this status is it a promise that it ran nothing.
  */
-function computeTurnedAway(response: Dispatcher.ResponseData): AttemptEnding | undefined {
+function computeTurnedAway(response: ResponseHead): AttemptEnding | undefined {
   if (response.statusCode !== STATUS_UNAVAILABLE) return undefined;
   const { isLeaving, rest } = decodeNotice(response);
   if (isLeaving) return 'leaving';
   return rest.kind === 'rest' ? 'resting' : undefined;
 }
 
-function computeStatusEnding(response: Dispatcher.ResponseData): AttemptEnding {
+function computeStatusEnding(response: ResponseHead): AttemptEnding {
   const turnedAway = computeTurnedAway(response);
   if (turnedAway !== undefined) return turnedAway;
   const isClientError = response.statusCode >= 400 && response.statusCode < 500;
   return isClientError && response.statusCode !== 429 ? 'rejected' : 'error';
 }
 
+function buildServiceResult(head: ResponseHead, body: string): ServiceResult {
+  const turnedAway = computeTurnedAway(head);
+  if (turnedAway !== undefined) return { kind: 'ended', ending: turnedAway };
+  if (head.statusCode >= 500) return { kind: 'ended', ending: 'error' };
+  const [contentType = 'application/octet-stream'] = listHeader(head, 'content-type');
+  return { kind: 'answered', answer: { status: head.statusCode, contentType, body } };
+}
+
 export function createEndpointClient(): EndpointClient {
   const pools = new Map<string, Pool>();
+  const connections = createEndpointConnections();
 
   function getPool(url: string): Pool {
     const { origin } = new URL(url);
@@ -264,27 +289,46 @@
     reader.close();
   }
 
-  async function runService(
+  /** Answers are read as those of endpoints of calls are: one that is cut or reset is not whole. */
+  function runService(
     endpoint: EndpointDeclaration,
     attempt: ServiceAttempt,
     listener: ServiceListener,
-    signal: AbortSignal,
-  ): Promise<ServiceResult> {
-    const response = await getPool(endpoint.url).request({
-      method: attempt.method,
-      path: attempt.path,
-      headers: { ...attempt.headers, 'x-request-id': attempt.attemptId },
-      body: attempt.body ?? null,
-      signal,
-    });
-    listener.onNotice(decodeNotice(response));
-    const body = await readText(response.body);
-    if (body.length > SERVICE_BODY_MAX_CHARACTERS) return { kind: 'ended', ending: 'error' };
-    const turnedAway = computeTurnedAway(response);
-    if (turnedAway !== undefined) return { kind: 'ended', ending: turnedAway };
-    if (response.statusCode >= 500) return { kind: 'ended', ending: 'error' };
-    const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
-    return { kind: 'answered', answer: { status: response.statusCode, contentType, body } };
+  ): () => void {
+    let head: ResponseHead = { statusCode: 0, headers: {} };
+    const chunks: Buffer[] = [];
+    let bytesRead = 0;
+    const closeWith = (ending: AttemptEnding): void => listener.onEnded({ kind: 'ended', ending });
+    return connections.open(
+      new URL(endpoint.url).origin,
+      CONNECTIONS_MAX,
+      {
+        method: attempt.method,
+        target: attempt.path,
+        headers: Object.entries({ ...attempt.headers, 'x-request-id': attempt.attemptId }).map(
+          ([name, value]) => ({ name, value }),
+        ),
+        body: attempt.body ?? Buffer.alloc(0),
+      },
+      {
+        isSendAllowed: () => true,
+        onWithheld: () => closeWith('unsent'),
+        onHead(statusCode, headers) {
+          head = { statusCode, headers: mergeHeaders(headers) };
+          listener.onNotice(decodeNotice(head));
+          return true;
+        },
+        onData(bytes) {
+          chunks.push(bytes);
+          bytesRead += bytes.length;
+          if (bytesRead <= SERVICE_BODY_BYTES_MAX) return true;
+          closeWith('error');
+          return false;
+        },
+        onEnd: () => listener.onEnded(buildServiceResult(head, Buffer.concat(chunks).toString())),
+        onError: (isSent) => closeWith(isSent ? 'broken' : 'unsent'),
+      },
+    );
   }
 
   return {
@@ -295,17 +339,7 @@
       });
       return () => controller.abort();
     },
-    startService(endpoint, attempt, listener) {
-      const controller = new AbortController();
-      runService(endpoint, attempt, listener, controller.signal)
-        .then((result) => listener.onEnded(result))
-        .catch((error: unknown) => {
-          if (!controller.signal.aborted) {
-            listener.onEnded({ kind: 'ended', ending: computeEnding(error) });
-          }
-        });
-      return () => controller.abort();
-    },
+    startService: runService,
     async fetchJson(endpoint, path, body, timeoutMs, isAllowed = () => true) {
       try {
         const bytes = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
@@ -327,6 +361,7 @@
     },
     async close() {
       await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+      await connections.close();
     },
   };
 }
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -155,8 +155,7 @@
     // Suspected members are excluded, so that requests do not wait for an owner that may be dead.
     // A wrong suspicion can briefly cause duplicate grants.
     listAlive: () => membership.listMembers().filter((fact) => fact.state === FactState.ALIVE),
-    listLeaving: () =>
-      membership.listMembers().filter((fact) => fact.state === FactState.LEAVING),
+    listLeaving: () => membership.listMembers().filter((fact) => fact.state === FactState.LEAVING),
     listNotLeaving: () =>
       membership
         .listMembers()
