The log says what a process that has drained still holds

`stopped` told only that the drain was over: it now says how many calls, carried exchanges and responses that are not written out were left, so that the next run tells a drain that ended too early from a process that ended otherwise (no `stopped`), and from `drain_cut` (work that was ended with an answer).

Looked at on the way and ruled out: a caller that closes its sending half. Its connection is closed at once by the server of the runtime, not held.

--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -3,7 +3,14 @@
 
 export type LogEvent =
   | { readonly event: 'started'; readonly callers: string; readonly peers: string }
-  | { readonly event: 'stopped'; readonly reason: string }
+  | {
+      readonly event: 'stopped';
+      readonly reason: string;
+      /** What the process still holds: calls, exchanges of peers, and responses that are not written out. */
+      readonly calls: number;
+      readonly carried: number;
+      readonly responses: number;
+    }
   | { readonly event: 'leaving'; readonly inFlight: number }
   | {
       /** The drain ran out of time with work left, which was ended with an answer. */
