A starting instance counts as informed only when it can have heard all peers

`isInformed` was true from the first update of any one peer, and before any peer was known; in a small fleet each peer tells its own calls only.

Change: an instance that hears each peer by itself counts as informed a second after its start or change of role.

--- a/src/load-sharing/load-exchange.test.ts
+++ b/src/load-sharing/load-exchange.test.ts
@@ -128,22 +128,22 @@
 
   // Guards against calls to engines that look idle because nobody has told an instance their loads.
   it('tells that loads are unknown until they come, for a bounded time', (t) => {
-    const cluster = createFleet(2, 2);
-    const [first] = cluster.fleet as [Instance];
-    t.true(first.exchange.isInformed(0), 'no peer is known');
-    cluster.disconnected.add('i-1');
-    cluster.runPeriods(1);
-    t.false(first.exchange.isInformed(cluster.getNow()));
-    cluster.disconnected.clear();
-    cluster.runPeriods(4);
-    t.true(first.exchange.isInformed(cluster.getNow()));
+    const mesh = createFleet(3, 3);
+    const [starting] = mesh.fleet as [Instance];
+    t.false(starting.exchange.isInformed(0));
+    // One of two peers has told its loads; the other has not.
+    mesh.disconnected.add('i-2');
+    mesh.runPeriods(4);
+    t.false(starting.exchange.isInformed(mesh.getNow()));
+    mesh.runPeriods(8);
+    t.true(starting.exchange.isInformed(mesh.getNow()));
 
-    const cutOff = createFleet(2, 2);
-    cutOff.disconnected.add('i-1');
-    cutOff.runPeriods(9);
-    t.false(cutOff.fleet[0]?.exchange.isInformed(cutOff.getNow()));
-    cutOff.runPeriods(3);
-    t.true(cutOff.fleet[0]?.exchange.isInformed(cutOff.getNow()));
+    // An aggregator tells the loads of all others at once.
+    const large = createFleet(70, 3);
+    const reporter = large.fleet.find(({ self }) => !large.aggregators.includes(self.name));
+    t.false(reporter?.exchange.isInformed(0));
+    large.runPeriods(6);
+    t.true(reporter?.exchange.isInformed(large.getNow()));
   });
 
   // Guards against outdated loads until membership detects the failure of an aggregator.
--- a/src/load-sharing/load-exchange.ts
+++ b/src/load-sharing/load-exchange.ts
@@ -26,7 +26,10 @@
 const AGGREGATOR_BACKOFF_MS = 3000;
 /** Time for which a data centre counts as heard after its last update: a heartbeat and one lost datagram. */
 const DATA_CENTRE_TIMEOUT_MS = 400;
-/** Time after a start or a change of the role after which this instance relies on what it knows. */
+/**
+ * Time after a start, or a change of the role, in which an instance that hears each peer by itself may have
+ * heard only some of them, or know none.
+ */
 const INFORMATION_WAIT_MAX_MS = 1000;
 /** Periods between refreshes of the list of instances. */
 const FLEET_REFRESH_PERIODS = 5;
@@ -54,8 +57,8 @@
   advance(nowMs: number): AddressedLoadUpdate[];
   handle(update: ReceivedLoadUpdate, nowMs: number): void;
   /**
-   * Whether the loads of other instances are known, or there is none to ask. False for a short time after a
-   * start and after a change of the role, in which the engines look idle.
+   * Whether the loads of other instances are known as far as they can be. False for a short time after a start
+   * and after a change of the role, in which the engines look idle.
    */
   isInformed(nowMs: number): boolean;
 }
@@ -84,7 +87,7 @@
   let localAggregators: string[] = [];
   let periods = 0;
   let isAggregator = true;
-  let hasPeers = false;
+  /** Whether the aggregator has told the loads of all others. */
   let isInformed = false;
   /** When the instance started or changed its role. */
   let uninformedSinceMs: number | undefined;
@@ -99,7 +102,6 @@
     const fleet = listFleet();
     const members = [...fleet, ...(options.listLeaving?.() ?? [])];
     addresses = new Map(members.map(({ name, address }) => [name, address]));
-    hasPeers = members.some(({ name }) => name !== self.name);
     aggregators = chooseAggregators(fleet);
     const localNames = new Set(
       fleet.filter(({ dataCentre }) => dataCentre === self.dataCentre).map(({ name }) => name),
@@ -240,7 +242,6 @@
     const sources = new Set([...(reporters.get(instance)?.sources ?? []), source]);
     reporters.set(instance, { heardMs: nowMs, sources });
     updateRole(nowMs);
-    isInformed = true;
     remote.set(source, shares, true, nowMs);
     groupLoads.set(source, shares, true, nowMs);
   }
@@ -251,7 +252,6 @@
   ): void {
     aggregatorsHeardMs.set(instance, nowMs);
     if (!isAggregator) return;
-    isInformed = true;
     remote.set(`${instance}/${part}`, shares, dataCentre === self.dataCentre, nowMs);
   }
 
@@ -270,7 +270,7 @@
   return {
     isInformed(nowMs) {
       const sinceMs = nowMs - (uninformedSinceMs ?? nowMs);
-      return isInformed || !hasPeers || sinceMs >= INFORMATION_WAIT_MAX_MS;
+      return isInformed || sinceMs >= INFORMATION_WAIT_MAX_MS;
     },
     advance(nowMs) {
       if (periods % FLEET_REFRESH_PERIODS === 0) updateFleet();
