--- a/src/calls/cut-heads.test.ts
+++ b/src/calls/cut-heads.test.ts
@@ -5,7 +5,7 @@
 import { createEndpointConnections } from './endpoint-connections.js';
 import type { EndpointConnections } from './endpoint-connections.js';
 
-const OWN_HEADERS = 'X-Server-Stamp: s\r\nX-Attempt-Id: c\r\n';
+const OWN_HEADERS = 'X-Signature: s\r\nX-Call: c\r\n';
 const INFORMATIONAL = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
 const CLOSING_INFORMATIONAL = 'HTTP/1.1 103 Early Hints\r\nConnection: close\r\nLink: </a>\r\n\r\n';
 const BODY = 'whole body';
