A stream whose events come again is broken off, or goes on elsewhere

What callers saw: a resumable stream broke after its second event, the next endpoint passed over Last-Event-Id and began anew (or repeated the last event), and the caller read 1 2 1 2 3 4 5 and the end of a complete answer. The same where an endpoint sends events again within its own answer, and where it begins anew on a caller's own take-up.

Cause: the id of an event was kept to be named to the next endpoint and compared with nothing.

Evidence, platform/test/stream-order on the reader without the check:

goes on from event 1 though event 2 was the last is broken off [ 1, 2, - 1, - 2, - 3, - 4, - 5 ] goes on from event 2 though event 2 was the last is broken off [ 1, 2, - 2, - 3, - 4, - 5 ] sends events again within its answer is broken off [ 1, 2, 3, - 2, - 3, - 4, - 5 ] sends events again goes on at another one, if it may be resumed [ 1, 2, 3, - 2, - 3, 4, 5 ] begins anew is broken off when its caller takes it up [ - 1, - 2, - 3, - 4, - 5 ] 5 tests failed (of 6)

Fix: calls/event-order follows the ids of an attempt from the event after which it goes on; the first event that does not come after it ends the attempt as broken before it is passed on.

The harness of calls/attempt-reader.test takes the reader's options as one object now; its checks are unchanged.

--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -17,10 +17,11 @@
   headers: [],
 };
 
-function createHarness(isStreamExpected = false) {
+function createHarness(isStream = false, lastEventId: string | undefined = undefined) {
   const ends: AttemptEnd[] = [];
   const events: string[] = [];
-  const reader = createAttemptReader('mine', isStreamExpected, {
+  const expected = { callId: 'mine', isStream, lastEventId };
+  const reader = createAttemptReader(expected, {
     onRateLimit: ({ kind }) => {
       if (kind !== 'none') events.push(kind);
     },
@@ -95,6 +96,18 @@
     t.is(ends[0]?.kind, 'broken');
   });
 
+  // Guards against a stream of two runs, or one whose events come twice, that looks whole.
+  it('delivers no event that came before and reports the stream as broken', (t) => {
+    const { reader, ends, events } = createHarness(true, '2');
+    reader.readHead(200, { ...HEAD, isEventStream: true });
+    t.false(reader.readData(Buffer.from('id: 3\n\nid: 3\n\nid: 4\n\n')));
+    t.deepEqual(events, ['head', 'id: 3\n\n']);
+    t.is(ends[0]?.kind, 'broken');
+    t.false(reader.readData(Buffer.from('id: 5\n\n')));
+    reader.readEnd();
+    t.is(ends.length, 1);
+  });
+
   // Guards against missing a limit that only a rejection, a failure or the head of a long stream names.
   it('reports the rate limit of every response of the endpoint itself', (t) => {
     const rateLimit = { kind: 'limited', perSecond: 2 } as const;
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -8,6 +8,7 @@
 import { REJECTION } from './call-messages.js';
 import type { AttemptEnd, HeaderField, RejectionReason, ResponseHead } from './call-messages.js';
 import { REJECTION_BYTES_MAX, RESPONSE_BYTES_MAX } from './response-limits.js';
+import { createEventOrder } from './event-order.js';
 import { createEventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
 
@@ -43,6 +44,14 @@
   onEnded(end: AttemptEnd): void;
 }
 
+/** The response that the attempt waits for. */
+export interface ExpectedResponse {
+  readonly callId: string;
+  readonly isStream: boolean;
+  /** Event after which the stream goes on; undefined if it begins. */
+  readonly lastEventId: string | undefined;
+}
+
 export interface AttemptReader {
   /** False if the rest of the response is not needed and the connection must be closed. */
   readHead(status: number, head: DecodedHead): boolean;
@@ -64,11 +73,11 @@
 }
 
 export function createAttemptReader(
-  callId: string,
-  isStreamExpected: boolean,
+  { callId, isStream, lastEventId }: ExpectedResponse,
   listener: AttemptListener,
 ): AttemptReader {
   const splitter = createEventSplitter();
+  const order = createEventOrder(lastEventId);
   const chunks: Buffer[] = [];
   let bytesRead = 0;
   let head: ResponseHead | undefined;
@@ -86,8 +95,12 @@
       close({ kind: 'broken', reason: 'event exceeds the size limit' });
       return false;
     }
-    for (const event of events) listener.onEvent(event);
-    return true;
+    const outOfOrder = events.findIndex(({ id }) => !order.record(id));
+    const inOrder = outOfOrder === -1 ? events : events.slice(0, outOfOrder);
+    for (const event of inOrder) listener.onEvent(event);
+    if (outOfOrder === -1) return true;
+    close({ kind: 'broken', reason: `event ${events[outOfOrder]?.id} comes again or too late` });
+    return false;
   }
 
   function readBody(bytes: Buffer): boolean {
@@ -131,7 +144,7 @@
         return false;
       }
       head = { status, headers: decoded.headers };
-      mode = isSuccess && isStreamExpected && decoded.isEventStream ? 'stream' : 'whole';
+      mode = isSuccess && isStream && decoded.isEventStream ? 'stream' : 'whole';
       if (mode === 'stream') listener.onStreamStarted(head);
       return true;
     },
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -148,7 +148,8 @@
     run.slot = slot;
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
-    const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
+    const expected = { callId: call.callId, isStream: isStream(call.route.kind), lastEventId };
+    const reader = createAttemptReader(expected, {
       onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
       onBrittle: (reading) => options.shares.recordAnswer(endpoint, reading),
       onNotice: (notice) => options.availability.recordAnswer(endpoint, notice),
