A stream does not go on after a piece without an id

What callers saw: a resumable stream whose pieces bear no id (or an empty one, or of which only the first bears one) broke off, was taken up within the same answer, and the caller read 1 2 1 2 3 4 5 and a complete end.

Cause: an event without an id left the last id as it was, so that the next endpoint was told too small a one, or none. An empty id was named as an id, and of several ids in an event the first was taken, not the last as readers of events do.

Fix: the splitter tells the last id of an event and whether it holds data; after data without an id no further attempt follows, until an id is there again.

The events that calls/call-state-machine.test sends say that they hold data now; its checks are unchanged.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -103,6 +103,7 @@
       readonly kind: 'event';
       readonly attempt: number;
       readonly id: string | undefined;
+      readonly hasData: boolean;
       readonly bytes: Buffer;
     }
   | { readonly kind: 'ended'; readonly attempt: number; readonly end: AttemptEnd }
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -157,13 +157,13 @@
         watch.recordStarted();
         advanceRun(run, { kind: 'stream_started', attempt, head });
       },
-      onEvent({ id, bytes }) {
+      onEvent(event) {
         ticket.recordEvent(getNow());
         watch.recordEvent();
         run.firstMs ??= getNow() - call.receivedMs;
         recordStarted(run, getNow());
         recordVersion(run, endpoint);
-        advanceRun(run, { kind: 'event', attempt, id, bytes });
+        advanceRun(run, { kind: 'event', attempt, ...event });
       },
       onEnded(end) {
         ticket.recordEnd(computeEndpointVerdict(end), getNow());
--- a/src/calls/call-state-machine.test.ts
+++ b/src/calls/call-state-machine.test.ts
@@ -131,20 +131,56 @@
       const { send } = createHarness(CALL_KIND.ResumableStream);
       send({ kind: 'start' });
       send({ kind: 'stream_started', attempt: 1, head: HEAD });
-      send({ kind: 'event', attempt: 1, id: '7', bytes: Buffer.from('id: 7\n\n') });
+      send({ kind: 'event', attempt: 1, id: '7', hasData: true, bytes: Buffer.from('id: 7\n\n') });
       const next = send({ kind: 'ended', attempt: 1, end: BROKEN });
       t.like(next[0], { kind: 'attempt', attempt: 2, lastEventId: '7' });
       t.deepEqual(send({ kind: 'stream_started', attempt: 2, head: HEAD }), []);
-      const late = send({ kind: 'event', attempt: 1, id: '8', bytes: Buffer.from('id: 8\n\n') });
+      const late = send({
+        kind: 'event',
+        attempt: 1,
+        id: '8',
+        hasData: true,
+        bytes: Buffer.from('id: 8\n\n'),
+      });
       t.deepEqual(late, []);
     });
 
+    // Guards against pieces that come twice since no id tells the next endpoint of them.
+    it('are not resumed after a piece without an id', (t) => {
+      const bytes = Buffer.from('data: a\n\n');
+      for (const unplaced of [{ id: undefined }, { id: '' }]) {
+        const { send } = createHarness(CALL_KIND.ResumableStream);
+        send({ kind: 'start' });
+        send({ kind: 'stream_started', attempt: 1, head: HEAD });
+        send({ kind: 'event', attempt: 1, id: '7', hasData: true, bytes });
+        send({ kind: 'event', attempt: 1, ...unplaced, hasData: true, bytes });
+        t.deepEqual(send({ kind: 'tick' }, STREAM_IDLE_TIMEOUT_MS), []);
+        t.is(send({ kind: 'ended', attempt: 1, end: BROKEN })[0]?.kind, 'break_answer');
+      }
+    });
+
+    // Guards against breaking off a stream since its endpoint said that it still works.
+    it('are resumed after a comment, or once a piece has an id again', (t) => {
+      const bytes = Buffer.from('');
+      const { send } = createHarness(CALL_KIND.ResumableStream);
+      send({ kind: 'start' });
+      send({ kind: 'stream_started', attempt: 1, head: HEAD });
+      send({ kind: 'event', attempt: 1, id: undefined, hasData: true, bytes });
+      send({ kind: 'event', attempt: 1, id: '7', hasData: true, bytes });
+      send({ kind: 'event', attempt: 1, id: undefined, hasData: false, bytes });
+      const next = send({ kind: 'ended', attempt: 1, end: BROKEN });
+      t.like(next[0], { kind: 'attempt', attempt: 2, lastEventId: '7' });
+    });
+
     // Guards against waiting for a stream whose data centre became unreachable without a reset.
     it('are resumed at another endpoint if events stop arriving', (t) => {
       const { send } = createHarness(CALL_KIND.ResumableStream);
       send({ kind: 'start' });
       send({ kind: 'stream_started', attempt: 1, head: HEAD }, 100);
-      send({ kind: 'event', attempt: 1, id: '3', bytes: Buffer.from('id: 3\n\n') }, 200);
+      send(
+        { kind: 'event', attempt: 1, id: '3', hasData: true, bytes: Buffer.from('id: 3\n\n') },
+        200,
+      );
       t.deepEqual(send({ kind: 'tick' }, 200 + STREAM_IDLE_TIMEOUT_MS - 1), []);
       const moved = send({ kind: 'tick' }, 200 + STREAM_IDLE_TIMEOUT_MS);
       t.like(moved[0], { kind: 'cancel', reason: 'stalled' });
--- a/src/calls/call-state-machine.ts
+++ b/src/calls/call-state-machine.ts
@@ -75,6 +75,8 @@
   let hasResponseStarted = false;
   let isEnded = false;
   let { lastEventId } = options;
+  /** A piece without an id was delivered since `lastEventId`: nobody can go on after it. */
+  let isPlaceLost = false;
   /** Error response of an endpoint, delivered if the retry fails. */
   let endpointError: EndpointResponse | undefined;
   let commands: CallCommand[] = [];
@@ -108,6 +110,11 @@
     commands.push({ kind: 'attempt', attempt, lastEventId });
   }
 
+  /** Whether another attempt may follow one that may have run. */
+  function isRepeatAllowed(): boolean {
+    return isRepeatable && !isPlaceLost && sentAttempts < attemptsMax;
+  }
+
   /** Ends a call without a response that may not be retried. */
   function closeUnanswered(message: string): void {
     if (mayHaveRun) closeWithFailure(FAILURE.EndpointFailed, message);
@@ -119,7 +126,7 @@
 
   /** Retries the call at another endpoint if that is allowed, else ends it. */
   function handleFailedAttempt(isKnownNotRun: boolean, message: string, nowMs: number): void {
-    const isAllowed = (isKnownNotRun || isRepeatable) && sentAttempts < attemptsMax;
+    const isAllowed = isKnownNotRun ? sentAttempts < attemptsMax : isRepeatAllowed();
     if (isAllowed && options.takeRetry()) startAttempt(nowMs);
     else closeUnanswered(message);
   }
@@ -140,7 +147,7 @@
       closeWithFailure(FAILURE.EndpointFailed, 'the endpoint refused to continue the answer');
       return;
     }
-    if (isError && isRepeatable && sentAttempts < attemptsMax && options.takeRetry()) {
+    if (isError && isRepeatAllowed() && options.takeRetry()) {
       endpointError = response;
       startAttempt(nowMs);
       return;
@@ -188,6 +195,13 @@
     commands.push({ kind: 'deliver_head', head });
   }
 
+  /** An empty id takes back those before it, as readers of events do. */
+  function recordPlace({ id, hasData }: Extract<CallMessage, { kind: 'event' }>): void {
+    if (id !== undefined) isPlaceLost = id === '';
+    else if (hasData) isPlaceLost = true;
+    if (id !== undefined && id !== '') lastEventId = id;
+  }
+
   function cancelAttempt(reason: CancelReason): void {
     if (!isAttemptPending) return;
     isAttemptPending = false;
@@ -225,8 +239,7 @@
       ? options.streamIdleTimeoutMs
       : options.firstResponseTimeoutMs;
     const isStalled = isAttemptPending && isDispatched && nowMs - lastActivityMs >= timeoutMs;
-    if (!isStalled || !isRepeatable || sentAttempts >= attemptsMax) return;
-    if (!options.takeRetry()) return;
+    if (!isStalled || !isRepeatAllowed() || !options.takeRetry()) return;
     mayHaveRun = true;
     cancelAttempt('stalled');
     startAttempt(nowMs);
@@ -267,7 +280,7 @@
         break;
       case 'event':
         lastActivityMs = nowMs;
-        if (message.id !== undefined) lastEventId = message.id;
+        recordPlace(message);
         commands.push({ kind: 'deliver_event', bytes: message.bytes });
         break;
       case 'ended':
--- a/src/calls/event-splitter.test.ts
+++ b/src/calls/event-splitter.test.ts
@@ -33,6 +33,24 @@
     t.true(splitter.hasPartialEvent());
   });
 
+  // Guards against going on after another event than the one that callers would name.
+  it('reads the id and the data of an event as readers of events do', (t) => {
+    const read = (text: string) => {
+      const [event] = createEventSplitter().add(Buffer.from(text)) ?? [];
+      return [event?.id, event?.hasData];
+    };
+    t.deepEqual(read('id: 4\ndata: a\n\n'), ['4', true]);
+    t.deepEqual(read('id:4\r\ndata\r\n\r\n'), ['4', true]);
+    t.deepEqual(read('data: a\nid: 4\nid: 5\n\n'), ['5', true]);
+    t.deepEqual(read('id:  4\n\n'), [' 4', false]);
+    t.deepEqual(read('id\ndata: a\n\n'), ['', true]);
+    t.deepEqual(read('\uFEFFid: 4\ndata: a\n\n'), ['4', true]);
+    t.deepEqual(read('\uFEFFdata: a\n\n'), [undefined, true]);
+    t.deepEqual(read(': id: 4\ndata: id: 5\n\n'), [undefined, true]);
+    t.deepEqual(read('idea: 4\ndatabase: a\nretry: 5\n\n'), [undefined, false]);
+    t.deepEqual(read(': waits\n\n'), [undefined, false]);
+  });
+
   it('rejects an event beyond the size limit', (t) => {
     const splitter = createEventSplitter();
     t.is(splitter.add(Buffer.alloc(EVENT_BYTES_MAX + 1, 'x')), undefined);
--- a/src/calls/event-splitter.ts
+++ b/src/calls/event-splitter.ts
@@ -6,11 +6,17 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_LINE = /(?:^|\n)id:[ ]?([^\r\n]*)/;
+/** A byte order mark may precede the first line, here as its three bytes. */
+const LINE_START = '(?:^(?:\u00ef\u00bb\u00bf)?|[\\r\\n])';
+const ID_LINES = new RegExp(`${LINE_START}id(?::[ ]?([^\\r\\n]*))?(?=[\\r\\n])`, 'g');
+const DATA_LINE = new RegExp(`${LINE_START}data(?=[:\\r\\n])`);
 
 /** One complete event, including its closing blank line. */
 export interface StreamEvent {
+  /** The last id that it names, as readers of events take it; undefined if it names none. */
   readonly id: string | undefined;
+  /** Whether a reader of events gets it; comments and the like are no pieces of the stream. */
+  readonly hasData: boolean;
   readonly bytes: Buffer;
 }
 
@@ -32,6 +38,16 @@
   return -1;
 }
 
+function readEvent(bytes: Buffer): StreamEvent {
+  const text = bytes.toString('latin1');
+  const idLine = [...text.matchAll(ID_LINES)].at(-1);
+  return {
+    id: idLine === undefined ? undefined : (idLine[1] ?? ''),
+    hasData: DATA_LINE.test(text),
+    bytes,
+  };
+}
+
 export function createEventSplitter(): EventSplitter {
   let partialEvent: Buffer = Buffer.alloc(0);
   return {
@@ -41,8 +57,7 @@
       let start = 0;
       let end = findEventEnd(buffer, start);
       while (end !== -1) {
-        const event = buffer.subarray(start, end);
-        events.push({ id: ID_LINE.exec(event.toString('latin1'))?.[1], bytes: event });
+        events.push(readEvent(buffer.subarray(start, end)));
         start = end;
         end = findEventEnd(buffer, start);
       }
