A stream that ends with a blank line is whole

What callers saw: all pieces, and then a broken answer in place of its end, where the endpoint had sent a line end more than the last event needs. The rest was taken for an event that had begun; the endpoint counted as failed.

--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -96,6 +96,18 @@
     t.is(ends[0]?.kind, 'broken');
   });
 
+  // Guards against a whole stream that is taken for one that was cut within an event.
+  it('delivers blank lines after the last event of a stream', (t) => {
+    for (const blank of ['\n', '\r\n', '\n\n\n']) {
+      const { reader, ends, events } = createHarness(true);
+      reader.readHead(200, { ...HEAD, isEventStream: true });
+      reader.readData(Buffer.from(`id: 1\n\n${blank}`));
+      reader.readEnd();
+      t.is(events.join(''), `headid: 1\n\n${blank}`);
+      t.deepEqual(ends, [{ kind: 'stream_ended' }]);
+    }
+  });
+
   // Guards against a stream of two runs, or one whose events come twice, that looks whole.
   it('delivers no event that came before and reports the stream as broken', (t) => {
     const { reader, ends, events } = createHarness(true, '2');
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -103,6 +103,16 @@
     return false;
   }
 
+  function readStreamEnd(): void {
+    if (splitter.hasPartialEvent()) {
+      close({ kind: 'broken', reason: 'stream ended within an event' });
+      return;
+    }
+    const bytes = splitter.takeBlankLines();
+    if (bytes.length > 0) listener.onEvent({ id: undefined, hasData: false, bytes });
+    close({ kind: 'stream_ended' });
+  }
+
   function readBody(bytes: Buffer): boolean {
     chunks.push(bytes);
     bytesRead += bytes.length;
@@ -161,11 +171,8 @@
       }
     },
     readEnd() {
-      if (mode === 'stream') {
-        if (splitter.hasPartialEvent())
-          close({ kind: 'broken', reason: 'stream ended within an event' });
-        else close({ kind: 'stream_ended' });
-      } else if (mode === 'rejected') close({ kind: 'rejected', reason: rejection });
+      if (mode === 'stream') readStreamEnd();
+      else if (mode === 'rejected') close({ kind: 'rejected', reason: rejection });
       else if (mode === 'whole' && head !== undefined) {
         close({ kind: 'answered', head, body: Buffer.concat(chunks) });
       }
--- a/src/calls/event-splitter.ts
+++ b/src/calls/event-splitter.ts
@@ -24,7 +24,10 @@
 export interface EventSplitter {
   /** Returns the events completed by these bytes; undefined if an event exceeds `EVENT_BYTES_MAX`. */
   add(bytes: Buffer): StreamEvent[] | undefined;
+  /** Whether an event has begun; blank lines begin none. */
   hasPartialEvent(): boolean;
+  /** Returns the blank lines after the last event; only if no event has begun. */
+  takeBlankLines(): Buffer;
 }
 
 /** Returns the offset after the blank line that closes the event, or -1. */
@@ -38,6 +41,10 @@
   return -1;
 }
 
+function isLineEnd(byte: number): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
+
 function readEvent(bytes: Buffer): StreamEvent {
   const text = bytes.toString('latin1');
   const idLine = [...text.matchAll(ID_LINES)].at(-1);
@@ -64,6 +71,11 @@
       partialEvent = buffer.subarray(start);
       return partialEvent.length > EVENT_BYTES_MAX ? undefined : events;
     },
-    hasPartialEvent: () => partialEvent.length > 0,
+    hasPartialEvent: () => !partialEvent.every(isLineEnd),
+    takeBlankLines() {
+      const lines = partialEvent;
+      partialEvent = Buffer.alloc(0);
+      return lines;
+    },
   };
 }
