--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -148,7 +148,8 @@
     run.slot = slot;
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
-    const reader = createAttemptReader(call.callId, isStream(call.route.kind), {
+    const expected = { callId: call.callId, isStream: isStream(call.route.kind), lastEventId };
+    const reader = createAttemptReader(expected, {
       onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
       onBrittle: (reading) => options.shares.recordAnswer(endpoint, reading),
       onNotice: (notice) => options.availability.recordAnswer(endpoint, notice),
@@ -156,13 +157,13 @@
         watch.recordStarted();
         advanceRun(run, { kind: 'stream_started', attempt, head });
       },
-      onEvent({ id, bytes }) {
+      onEvent(event) {
         ticket.recordEvent(getNow());
         watch.recordEvent();
         run.firstMs ??= getNow() - call.receivedMs;
         recordStarted(run, getNow());
         recordVersion(run, endpoint);
-        advanceRun(run, { kind: 'event', attempt, id, bytes });
+        advanceRun(run, { kind: 'event', attempt, ...event });
       },
       onEnded(end) {
         ticket.recordEnd(computeEndpointVerdict(end), getNow());
