Log of a resumed stream: the registry revision that a conclusion rests on

The line stream_resumed had the peers that were asked and what they replied, but not up to which revision of the registry the instance knew all changes. Without it an instance whose view lags cannot be told from one that is cut off. No change of logic.

--- a/src/gateway/call-streams.ts
+++ b/src/gateway/call-streams.ts
@@ -88,6 +88,7 @@
     isViewConfirmed,
     isViewContinuous: () =>
       options.computeViewAge() <= VIEW_GAP_MAX_MS && options.getRegistryRevision() > 0,
+    getRegistryRevision: options.getRegistryRevision,
     getStreamLifeMs: () => life.get(),
     resolveStored: (key, pool) => stored.resolve(key, pool),
     onLimit: (limitMs) => life.recordLimit(limitMs),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -298,6 +298,8 @@
       readonly source: string;
       /** Time since the binding was recorded; null where none is kept here. */
       readonly ageMs: number | null;
+      /** Revision of the registry up to which all changes were known. */
+      readonly registryRevision: number;
       readonly asked: readonly string[];
       readonly replies: readonly string[];
       readonly tookMs: number;
--- a/src/observability/stream-observer.ts
+++ b/src/observability/stream-observer.ts
@@ -41,7 +41,7 @@
   }
 
   return {
-    onResolved({ call, resolution, source, ageMs, query }) {
+    onResolved({ call, resolution, source, ageMs, query, registryRevision }) {
       metrics.recordResumedStream(resolution.kind);
       const isBound = resolution.kind === 'bound';
       log.write({
@@ -53,6 +53,7 @@
         version: isBound ? formatVersion(resolution.version) : '',
         source,
         ageMs: ageMs === undefined ? null : Math.round(ageMs),
+        registryRevision,
         asked: query?.asked ?? [],
         replies: (query?.replies ?? []).map(formatReply),
         tookMs: Math.round(query?.tookMs ?? 0),
--- a/src/stream-versions/stream-versions.test.ts
+++ b/src/stream-versions/stream-versions.test.ts
@@ -48,6 +48,7 @@
     find: (id) => endpoints.find((endpoint) => endpoint.id === id),
     isViewConfirmed: () => isConfirmed,
     isViewContinuous: () => isConfirmed,
+    getRegistryRevision: () => 1,
     getStreamLifeMs: () => 10_000,
     resolveStored: () => ({ kind: 'unknown' }),
     onLimit: () => undefined,
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -51,6 +51,8 @@
   /** Time since the binding was recorded; undefined if none is known. */
   readonly ageMs: number | undefined;
   readonly query: QueryRecord | undefined;
+  /** Revision of the registry up to which all changes are known. */
+  readonly registryRevision: number;
 }
 
 export interface StreamObserver {
@@ -75,6 +77,8 @@
   readonly isViewConfirmed: () => boolean;
   /** Whether no version can have come and gone unseen since the view was last confirmed. */
   readonly isViewContinuous: () => boolean;
+  /** Revision of the registry up to which all changes are known; 0 before its first list. */
+  readonly getRegistryRevision: () => number;
   /** Longest time from a stream's first event to the last try of its caller. */
   readonly getStreamLifeMs: () => number;
   /** Resolves a stream that no instance knows by what was stored. */
@@ -148,7 +152,8 @@
     reported.add(call);
     const key = getStreamKey(call);
     const query = queries.getRecord(key, getNow());
-    observer.onResolved({ call, resolution, source, ageMs, query });
+    const registryRevision = options.getRegistryRevision();
+    observer.onResolved({ call, resolution, source, ageMs, query, registryRevision });
     return resolution;
   }
 
--- a/src/test/stream-fleet.ts
+++ b/src/test/stream-fleet.ts
@@ -147,6 +147,7 @@
       find: (id) => endpoints.find((endpoint) => endpoint.id === id),
       isViewConfirmed: () => !cut.has(index),
       isViewContinuous: () => !cut.has(index),
+      getRegistryRevision: () => 1,
       getStreamLifeMs: () => STREAM_LIFE_MS,
       resolveStored: () => ({ kind: 'unknown' }),
       onLimit: () => undefined,
