A stream is taken up by what was looked up after its caller came

What callers saw: an instance that was cut off while a new software version joined took up streams that the new version had begun at other instances and went on at the old one: answers joined from two versions, with status 200.

Cause: "confirmed within 2.2 s" is an age, not an order of events. Within it a version can join, begin a stream and lose it. And what was confirmed is the configuration: a watch of the registry that hangs beside an answered watch of the configuration left the conclusion standing as long as it hung.

The fix is the protocol of docs/design/stream-versions.md: - The memory of versions is by revision. A list after the first, or the removal of an endpoint that was never seen, is a gap; a version counts as registered until its removal is known. The bound of 4 s without a gap is gone. - A take-up asks for a look, the registry's changes after the known revision, that is sent after the caller came; takes up that wait share it. The conclusion holds if every endpoint that changed has the one version and every one that went was known. Looks: at most every 25 ms and 1,000 a second of all instances. - An instance that cannot conclude asks others to look (`conclude`); their `only` counts if it was `checked`. Releases before ignore the field, and what they conclude counts for nothing. - Where the look fails or is late, 64 others are asked: the one that began the stream knows it. 700 ms at most, then a refusal as not run. - Followers keep their revision young by the load updates of peers whose last change is the same (`endpoints_unchanged`).

--- a/src/gateway/call-streams.ts
+++ b/src/gateway/call-streams.ts
@@ -7,7 +7,7 @@
 import type { BindingMessage } from '../stream-versions/binding-messages.js';
 import { createStoredStreams } from '../stream-versions/stored-streams.js';
 import { createStreamLife } from '../stream-versions/stream-life.js';
-import type { StreamStore, VersionClaim } from '../stream-versions/stream-row.js';
+import type { EndpointChanges, StreamStore, VersionClaim } from '../stream-versions/stream-row.js';
 import { createStreamRowWriter } from '../stream-versions/stream-row-writer.js';
 import { ENDED_KEPT_MS, createStreamVersions } from '../stream-versions/stream-versions.js';
 import type { StreamObserver, StreamVersions } from '../stream-versions/stream-versions.js';
@@ -17,8 +17,8 @@
 import type { PeerExchange } from './peer-exchange.js';
 
 const TICK_MS = 100;
-/** An endpoint takes longer to start, begin a stream and leave the registry again. */
-const VIEW_GAP_MAX_MS = 4000;
+/** Interval at which looks at the registry that are due are sent. */
+const LOOK_TICK_MS = 25;
 /** Endpoints named in a claim, so that it fits a row. */
 const CLAIMED_ENDPOINTS_MAX = 4000;
 
@@ -36,6 +36,8 @@
   readonly computeViewAge: () => number;
   /** Revision of the registry up to which all changes are known; 0 before its first list. */
   readonly getRegistryRevision: () => number;
+  /** Revision of the last change of the registry that is known. */
+  readonly getChangeRevision: () => number;
   /** Names the rows of this start of the instance. */
   readonly rowKey: string;
   readonly store: StreamStore;
@@ -79,6 +81,13 @@
     }
   }
 
+  function startLook(
+    revision: number,
+    onEnded: (changes: EndpointChanges | undefined) => void,
+  ): void {
+    store.listEndpointChanges(revision).then(onEnded, () => onEnded(undefined));
+  }
+
   const streams = createStreamVersions({
     self: self.name,
     getNow,
@@ -86,9 +95,10 @@
     listRegistered: options.listRegistered,
     find: options.findEndpoint,
     isViewConfirmed,
-    isViewContinuous: () =>
-      options.computeViewAge() <= VIEW_GAP_MAX_MS && options.getRegistryRevision() > 0,
+    isViewContinuous: () => options.getRegistryRevision() > 0,
     getRegistryRevision: options.getRegistryRevision,
+    getChangeRevision: options.getChangeRevision,
+    startLook,
     getStreamLifeMs: () => life.get(),
     resolveStored: (key, pool) => stored.resolve(key, pool),
     onLimit: (limitMs) => life.recordLimit(limitMs),
@@ -134,6 +144,7 @@
     stored.advance();
     writer.advance();
   });
+  timers.subscribe(LOOK_TICK_MS, () => streams.advanceLooks());
 
   return {
     ...streams,
--- a/src/gateway/endpoint-knowledge.ts
+++ b/src/gateway/endpoint-knowledge.ts
@@ -18,6 +18,8 @@
   readonly onEndpointStarted: (endpoint: RegisteredEndpoint, isFirstList: boolean) => void;
   /** An endpoint ended or its entry was removed; `isRestarted`: a new start of it has replaced this one. */
   readonly onEndpointEnded: (endpoint: RegisteredEndpoint, isRestarted: boolean) => void;
+  /** Rows were applied; `isGap`: an endpoint may have come and gone unseen before them. */
+  readonly onEndpointsApplied: (isGap: boolean) => void;
 }
 
 export interface EndpointKnowledgeOptions extends EndpointListener {
@@ -37,6 +39,8 @@
   applyTable(table: TableKnowledge, renewalLeftMs: number, peer: string): void;
   /** Builds the rows that a peer lacks; undefined before the first list. */
   buildTable(knownRevision: number): TableKnowledge | undefined;
+  /** Records that no endpoint changed after the last change known to a peer, up to a revision. */
+  recordUnchanged(contentRevision: number, revision: number): void;
   /** All changes up to this revision are included; 0 before the first list. */
   getRevision(): number;
   /** Revision of the last change to any row. */
@@ -87,6 +91,19 @@
     hasListed = true;
   }
 
+  /** Whether a list replaces changes that were not seen one by one. */
+  function isGapBeforeList(revision: number): boolean {
+    return hasListed && revision > mirror.getRevision();
+  }
+
+  /** Whether an endpoint was removed that was never seen. */
+  function hasUnseen(rows: readonly FeedRow[], responseRevision: number): boolean {
+    return rows.some(
+      ({ key, value, revision = responseRevision }) =>
+        value === undefined && revision > mirror.getRevision() && !mirror.hasKey(key),
+    );
+  }
+
   /**
    * Guards against reverting to older rows when the feed resumes at a revision before the one received from
    * peers, which would send calls to an endpoint that is leaving or to its previous start.
@@ -100,13 +117,17 @@
     apply,
     applyList(rows, response) {
       if (isBehindPeers(response)) return;
+      const isGap = isGapBeforeList(response.revision);
       mirror.setAll(rows, response.revision);
       applyAllRows(rows, 'source');
+      options.onEndpointsApplied(isGap);
     },
     applyChanges(rows, response) {
       if (isBehindPeers(response)) return;
+      const isGap = hasUnseen(rows, response.revision);
       mirror.apply(rows, response.revision);
       applyRows(rows, 'source');
+      if (rows.length > 0) options.onEndpointsApplied(isGap);
     },
     applyTable(table, renewalLeftMs, peer) {
       if (table.revision <= mirror.getContentRevision()) return;
@@ -114,10 +135,16 @@
       if (table.isComplete && !table.hasRows) return;
       apply({ kind: 'renewing', forMs: renewalLeftMs }, peer);
       const rows = decodeRows(table.rows);
+      const isGap = table.isComplete
+        ? isGapBeforeList(table.revision)
+        : hasUnseen(rows, table.revision);
       mirror.applyFromPeer({ kind: table.isComplete ? 'all' : 'changed', rows }, table.revision);
       if (table.isComplete) applyAllRows(rows, peer);
       else applyRows(rows, peer);
+      options.onEndpointsApplied(isGap);
     },
+    recordUnchanged: (contentRevision, revision) =>
+      mirror.recordUnchanged(contentRevision, revision),
     buildTable(knownRevision) {
       const revision = mirror.getContentRevision();
       if (revision === 0) return undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -80,6 +80,7 @@
       quarantine.recordEnded(endpoint);
       if (isRestarted) closeConnectionsTo(endpoint);
     },
+    onEndpointsApplied: (isGap) => streams.recordRegistry(isGap),
     onSuspended: () => peers.startKnowledgeFetches(),
   });
 
@@ -210,6 +211,7 @@
     viewAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
     computeViewAge: () => knowledge.computeAge(),
     getRegistryRevision: () => knowledge.getEndpointsRevision(),
+    getChangeRevision: () => knowledge.getSummary().endpointsRevision,
     rowKey: `${options.self.name}/${options.incarnation}`,
     store: options.streamStore,
     getSourceNow: () => knowledge.computeSourceNow(),
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -86,6 +86,7 @@
     decodeEndpoint: (row) => decoder.decodeEndpoint(row),
     onEndpointStarted: options.onEndpointStarted,
     onEndpointEnded: options.onEndpointEnded,
+    onEndpointsApplied: options.onEndpointsApplied,
   });
   const { directory } = endpoints;
   const endpointLagDetector = createFeedLagDetector();
@@ -300,6 +301,7 @@
         configurationRevision: knowledge.getVersion(),
         endpointsRevision: endpoints.getContentRevision(),
         confirmedAtMs: Number.isFinite(knownAtMs) ? knownAtMs : undefined,
+        endpointsUnchanged: endpoints.getRevision() - endpoints.getContentRevision(),
       };
     },
     getEndpointsRevision: () => endpoints.getRevision(),
@@ -313,6 +315,10 @@
       if (confirmedAtMs !== undefined && !isNewer) {
         knowledge.record({ version, content: undefined, knownAtMs: confirmedAtMs });
       }
+      endpoints.recordUnchanged(
+        endpointsRevision,
+        endpointsRevision + (summary.endpointsUnchanged ?? 0),
+      );
       const isFeedLagging = checkLag(summary);
       const isPeerAhead = isNewer || endpointsRevision > endpoints.getContentRevision();
       return isPeerAhead && (role.kind === 'follow' || isSourceLost || isFeedLagging);
--- a/src/knowledge/table-mirror.ts
+++ b/src/knowledge/table-mirror.ts
@@ -25,6 +25,10 @@
   apply(rows: readonly FeedRow[], revision: number): void;
   /** Applies changes from a peer whose rows last changed at a revision. */
   applyFromPeer(changes: MirrorChanges, contentRevision: number): void;
+  /** Records that no row changed after `contentRevision`, up to a revision; without effect on other contents. */
+  recordUnchanged(contentRevision: number, revision: number): void;
+  /** Whether the row, or its removal, is known. */
+  hasKey(key: string): boolean;
   /** All changes up to this revision are included; 0 before the first list. */
   getRevision(): number;
   /** Revision of the last change to any row. */
@@ -98,6 +102,10 @@
       else apply(changes.rows, revision);
       contentRevision = Math.max(contentRevision, revision);
     },
+    recordUnchanged(content, revision) {
+      if (content === contentRevision) currentRevision = Math.max(currentRevision, revision);
+    },
+    hasKey: (key) => rows.has(key) || tombstones.has(key),
     getRevision: () => currentRevision,
     getContentRevision: () => contentRevision,
     list: () => [...rows.values()],
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -300,6 +300,8 @@
       readonly ageMs: number | null;
       /** Revision of the registry up to which all changes were known. */
       readonly registryRevision: number;
+      /** Revision of the look at the registry by which this instance concluded; null if it did not. */
+      readonly lookRevision: number | null;
       readonly asked: readonly string[];
       readonly replies: readonly string[];
       readonly tookMs: number;
--- a/src/observability/stream-observer.ts
+++ b/src/observability/stream-observer.ts
@@ -28,8 +28,9 @@
     return endpoint?.softwareVersion ?? `hash ${version.toString(16)}`;
   }
 
-  function formatReply({ from, answer, version, ageMs }: ReceivedReply): string {
-    return `${from}: ${answer}, ${formatVersion(version)}, ${Math.round(ageMs)} ms ago`;
+  function formatReply({ from, answer, version, ageMs, checked }: ReceivedReply): string {
+    const seen = checked === true ? 'looked up' : `${Math.round(ageMs)} ms ago`;
+    return `${from}: ${answer}, ${formatVersion(version)}, ${seen}`;
   }
 
   function listPassedOver(pool: string, version: VersionKey): string[] {
@@ -41,7 +42,7 @@
   }
 
   return {
-    onResolved({ call, resolution, source, ageMs, query, registryRevision }) {
+    onResolved({ call, resolution, source, ageMs, query, registryRevision, lookRevision }) {
       metrics.recordResumedStream(resolution.kind);
       const isBound = resolution.kind === 'bound';
       log.write({
@@ -54,6 +55,7 @@
         source,
         ageMs: ageMs === undefined ? null : Math.round(ageMs),
         registryRevision,
+        lookRevision: lookRevision ?? null,
         asked: query?.asked ?? [],
         replies: (query?.replies ?? []).map(formatReply),
         tookMs: Math.round(query?.tookMs ?? 0),
--- a/src/peers/encode-load-update.ts
+++ b/src/peers/encode-load-update.ts
@@ -76,9 +76,10 @@
 export function encodeLoadUpdate(
   { scope, shares, heardDataCentres }: LoadUpdate,
   dataCentre: string,
-  { configurationRevision, endpointsRevision, confirmedAtMs }: KnowledgeSummary,
+  knowledge: KnowledgeSummary,
   time: PeerTime | undefined,
 ): TellLoad[] {
+  const { configurationRevision, endpointsRevision, confirmedAtMs, endpointsUnchanged } = knowledge;
   const parts = Math.max(1, Math.ceil(shares.length / SHARES_PER_DATAGRAM_MAX));
   return Array.from({ length: parts }, (_, part) => {
     const partShares = listPartShares(shares, part, parts);
@@ -90,6 +91,7 @@
       heardDataCentres: [...heardDataCentres],
       configurationVersion: configurationRevision,
       endpointsRevision,
+      endpointsUnchanged: encodeUint32(endpointsUnchanged ?? 0),
       ...(confirmedAtMs === undefined ? {} : { confirmedAtMs }),
       ...(time === undefined ? {} : { trueNow: encodeTime(time) }),
       endpoints: partShares.map(({ endpoint }) => endpoint),
@@ -126,6 +128,7 @@
       configurationRevision: load.configurationVersion,
       endpointsRevision: load.endpointsRevision,
       confirmedAtMs: load.confirmedAtMs,
+      ...(load.endpointsUnchanged === 0 ? {} : { endpointsUnchanged: load.endpointsUnchanged }),
     },
     time: load.trueNow === undefined ? undefined : decodeTime(load.trueNow),
     shares: load.endpoints.map((endpoint, index) => ({
--- a/src/peers/encode-streams.ts
+++ b/src/peers/encode-streams.ts
@@ -62,16 +62,16 @@
   return groups.map(({ pool, version, keys }) => ({ pool, version, keys: decodeKeys(keys) }));
 }
 
-export function encodeStreamQuery({ key, pool }: BindingQuery): QueryStream {
-  return create(QueryStreamSchema, { key: encodeKeys([key]), pool });
+export function encodeStreamQuery({ key, pool, conclude }: BindingQuery): QueryStream {
+  return create(QueryStreamSchema, { key: encodeKeys([key]), pool, conclude: conclude === true });
 }
 
-export function decodeStreamQuery({ key, pool }: QueryStream): BindingQuery {
-  return { key: decodeKeys(key)[0] ?? '', pool };
+export function decodeStreamQuery({ key, pool, conclude }: QueryStream): BindingQuery {
+  return { key: decodeKeys(key)[0] ?? '', pool, conclude };
 }
 
 export function encodeStreamReply(reply: BindingReply): StreamReply {
-  const { key, answer, pool, version, ageMs, coveredMs } = reply;
+  const { key, answer, pool, version, ageMs, coveredMs, checked, registryRevision } = reply;
   return create(StreamReplySchema, {
     key: encodeKeys([key]),
     answer: WIRE_ANSWER[answer],
@@ -79,6 +79,8 @@
     version,
     agoMs: encodeUint32(ageMs),
     coveredMs: encodeUint32(coveredMs),
+    checked: checked === true,
+    registryRevision: registryRevision ?? 0,
   });
 }
 
@@ -89,6 +91,8 @@
   version,
   agoMs,
   coveredMs,
+  checked,
+  registryRevision,
 }: StreamReply): BindingReply {
   return {
     key: decodeKeys(key)[0] ?? '',
@@ -97,5 +101,7 @@
     version,
     ageMs: agoMs,
     coveredMs,
+    checked,
+    registryRevision,
   };
 }
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -19,6 +19,11 @@
    * undefined if unknown.
    */
   readonly confirmedAtMs: number | undefined;
+  /**
+   * Number of revisions after `endpointsRevision` for which no endpoint is known to have changed.
+   * @default 0
+   */
+  readonly endpointsUnchanged?: number;
 }
 
 export interface PeerLinks {
--- a/src/stream-versions/binding-messages.ts
+++ b/src/stream-versions/binding-messages.ts
@@ -4,6 +4,11 @@
 export interface BindingQuery {
   readonly key: StreamKey;
   readonly pool: PoolKey;
+  /**
+   * Whether the asking instance cannot conclude the version by itself.
+   * @default false
+   */
+  readonly conclude?: boolean;
 }
 
 /** What an asked instance knows of the stream. */
@@ -25,6 +30,16 @@
   readonly ageMs: number;
   /** Life of streams that `only` covers; 0 from releases that do not say so. */
   readonly coveredMs: number;
+  /**
+   * Whether the registry was looked at after the query had arrived; releases that do not say so did not.
+   * @default false
+   */
+  readonly checked?: boolean;
+  /**
+   * Revision of that look, or else of the last change of the registry that the sender knows.
+   * @default 0
+   */
+  readonly registryRevision?: number;
 }
 
 /** A message to another instance, by name. */
--- a/src/stream-versions/binding-queries.ts
+++ b/src/stream-versions/binding-queries.ts
@@ -6,6 +6,8 @@
 
 /** Several times a round trip between data centres of a region. */
 const REPLY_TIMEOUT_MS = 150;
+/** Longest wait for a look at the registry, by this instance or by those that were asked. */
+const CONCLUSION_TIMEOUT_MS = 700;
 /** Calls that wait for a place look at the result again. */
 const RESULT_KEPT_MS = 2000;
 /** Bounds the memory that callers with unknown ids can take. */
@@ -19,11 +21,14 @@
   | { readonly kind: 'unknown' };
 
 /** What this instance concludes by itself. */
-export interface OwnConclusion {
-  /** The only version that the pool can have had; undefined if there may have been several. */
-  readonly version: VersionKey | undefined;
-  readonly lifeMs: number;
-}
+export type OwnConclusion =
+  /** The pool may have had several versions, or that is not known. */
+  | { readonly kind: 'none' }
+  /** A look at the registry is under way; `isLate`: it should have been answered by now. */
+  | { readonly kind: 'wait'; readonly isLate: boolean }
+  | { readonly kind: 'failed' }
+  /** The only version that the pool can have had, by a look at a revision of the registry. */
+  | { readonly kind: 'only'; readonly version: VersionKey; readonly revision: number };
 
 export interface ReceivedReply extends BindingReply {
   readonly from: string;
@@ -38,21 +43,42 @@
 }
 
 export interface BindingQueries {
-  has(key: StreamKey): boolean;
+  find(key: StreamKey): BindingQueryState | undefined;
   /** Starts a query; false if too many are under way. */
-  start(key: StreamKey, pool: PoolKey, asked: readonly string[], nowMs: number): boolean;
+  start(key: StreamKey, pool: PoolKey, asked: readonly AskedInstance[], nowMs: number): boolean;
+  /** Replaces those that are asked by more, once. */
+  extend(key: StreamKey, asked: readonly AskedInstance[], nowMs: number): void;
   handle(reply: BindingReply, from: string, nowMs: number): void;
-  /** Replies of peers that count with a shorter life than `own` conclude nothing. */
-  resolve(key: StreamKey, own: OwnConclusion, nowMs: number): Resolution;
+  /** Conclusions of peers that cover less than `lifeMs` count for nothing. */
+  resolve(key: StreamKey, own: OwnConclusion, lifeMs: number, nowMs: number): Resolution;
   getRecord(key: StreamKey, nowMs: number): QueryRecord | undefined;
   removeExpired(nowMs: number): void;
 }
 
+/** An instance that is asked; `isConcluding`: it is to look at the registry. */
+export interface AskedInstance {
+  readonly name: string;
+  readonly isConcluding: boolean;
+}
+
+export interface BindingQueryState {
+  readonly startedMs: number;
+  readonly asked: readonly AskedInstance[];
+  readonly isExtended: boolean;
+  /** Newest change of the registry that one of the replies knows of. */
+  readonly newestRevision: number;
+}
+
 interface Query {
   readonly pool: PoolKey;
-  readonly asked: readonly string[];
   readonly startedMs: number;
+  asked: readonly AskedInstance[];
+  /** When the last instances were asked. */
+  askedMs: number;
+  isExtended: boolean;
   readonly replies: Map<string, ReceivedReply>;
+  /** A stream keeps its version, whatever happens later. */
+  boundVersion?: VersionKey;
 }
 
 /** The version that all of some conclusions agree on. */
@@ -64,47 +90,105 @@
 export function createBindingQueries(): BindingQueries {
   const queries = new Map<StreamKey, Query>();
 
-  function resolveReplies({ pool, replies }: Query, own: OwnConclusion): VersionKey | undefined {
-    const ofPool = [...replies.values()].filter((reply) => reply.pool === pool);
-    const bound = ofPool.filter(({ answer }) => answer === BINDING_ANSWER.Bound);
-    if (bound.length > 0) return findAgreed(bound.map(({ version }) => version));
-    const only = ofPool.filter(
-      ({ answer, coveredMs }) => answer === BINDING_ANSWER.Only && coveredMs >= own.lifeMs,
+  function listOfPool({ pool, replies }: Query): ReceivedReply[] {
+    return [...replies.values()].filter((reply) => reply.pool === pool);
+  }
+
+  /** Only what was looked up after the query covers all that happened before it. */
+  function isConclusion(reply: ReceivedReply, lifeMs: number): boolean {
+    const { answer, checked, coveredMs } = reply;
+    return answer === BINDING_ANSWER.Only && checked === true && coveredMs >= lifeMs;
+  }
+
+  function computeNewest({ replies }: Query): number {
+    return Math.max(
+      0,
+      ...[...replies.values()].map(({ registryRevision = 0 }) => registryRevision),
     );
-    const concluded = own.version === undefined ? [] : [own.version];
-    return findAgreed([...only.map(({ version }) => version), ...concluded]);
   }
 
-  function isDecided({ asked, startedMs, replies }: Query, nowMs: number): boolean {
-    const isBound = [...replies.values()].some(({ answer }) => answer === BINDING_ANSWER.Bound);
-    return isBound || replies.size >= asked.length || nowMs - startedMs >= REPLY_TIMEOUT_MS;
+  function isAnsweredInTime({ asked, askedMs, replies }: Query, nowMs: number): boolean {
+    return replies.size >= asked.length || nowMs - askedMs >= REPLY_TIMEOUT_MS;
+  }
+
+  /** Whether a conclusion may still come, from this instance or from one that looks for it. */
+  function isConclusionDue(query: Query, own: OwnConclusion, nowMs: number): boolean {
+    const { asked, replies, startedMs } = query;
+    if (nowMs - startedMs >= CONCLUSION_TIMEOUT_MS) return false;
+    const isOwnDue = own.kind === 'wait' || (own.kind === 'failed' && !query.isExtended);
+    return isOwnDue || asked.some(({ name, isConcluding }) => isConcluding && !replies.has(name));
+  }
+
+  function resolveConclusions(
+    query: Query,
+    own: OwnConclusion,
+    lifeMs: number,
+  ): VersionKey | undefined {
+    const concluded = listOfPool(query)
+      .filter((reply) => isConclusion(reply, lifeMs))
+      .map(({ version }) => version);
+    const isOwnNewest = own.kind === 'only' && own.revision >= computeNewest(query);
+    return findAgreed(isOwnNewest ? [...concluded, own.version] : concluded);
+  }
+
+  function buildResolution(query: Query, version: VersionKey | undefined): Resolution {
+    if (version === undefined || version === UNSURE_VERSION) return { kind: 'unknown' };
+    query.boundVersion = version;
+    return { kind: 'bound', version };
+  }
+
+  function resolveQuery(
+    query: Query,
+    own: OwnConclusion,
+    lifeMs: number,
+    nowMs: number,
+  ): Resolution {
+    const { boundVersion } = query;
+    if (boundVersion !== undefined) return { kind: 'bound', version: boundVersion };
+    const bound = listOfPool(query).filter(({ answer }) => answer === BINDING_ANSWER.Bound);
+    if (bound.length > 0)
+      return buildResolution(query, findAgreed(bound.map(({ version }) => version)));
+    if (!isAnsweredInTime(query, nowMs)) return { kind: 'wait' };
+    const version = resolveConclusions(query, own, lifeMs);
+    if (version === undefined && isConclusionDue(query, own, nowMs)) return { kind: 'wait' };
+    return buildResolution(query, version);
   }
 
   return {
-    has: (key) => queries.has(key),
+    find(key) {
+      const query = queries.get(key);
+      return query === undefined ? undefined : { ...query, newestRevision: computeNewest(query) };
+    },
     start(key, pool, asked, nowMs) {
       if (queries.size >= QUERIES_MAX) return false;
-      queries.set(key, { pool, asked, startedMs: nowMs, replies: new Map() });
+      const times = { startedMs: nowMs, askedMs: nowMs };
+      queries.set(key, { pool, asked, ...times, isExtended: false, replies: new Map() });
       return true;
     },
+    extend(key, asked, nowMs) {
+      const query = queries.get(key);
+      if (query === undefined || query.isExtended) return;
+      // Those that are asked again are to look at the registry this time.
+      for (const { name } of asked) query.replies.delete(name);
+      query.asked = asked;
+      query.askedMs = nowMs;
+      query.isExtended = true;
+    },
     handle(reply, from) {
       const query = queries.get(reply.key);
-      if (query?.asked.includes(from) === true) query.replies.set(from, { ...reply, from });
+      if (query?.asked.some(({ name }) => name === from) === true)
+        query.replies.set(from, { ...reply, from });
     },
-    resolve(key, own, nowMs) {
+    resolve(key, own, lifeMs, nowMs) {
       const query = queries.get(key);
-      if (query === undefined) return { kind: 'unknown' };
-      if (!isDecided(query, nowMs)) return { kind: 'wait' };
-      const version = resolveReplies(query, own);
-      return version === undefined || version === UNSURE_VERSION
-        ? { kind: 'unknown' }
-        : { kind: 'bound', version };
+      return query === undefined ? { kind: 'unknown' } : resolveQuery(query, own, lifeMs, nowMs);
     },
     getRecord(key, nowMs) {
       const query = queries.get(key);
       if (query === undefined) return undefined;
       const { asked, replies, startedMs } = query;
-      return { key, asked, replies: [...replies.values()], tookMs: nowMs - startedMs };
+      const names = [...new Set(asked.map(({ name }) => name))];
+      return { key, asked: names, replies: [...replies.values()], tookMs: nowMs - startedMs };
     },
     removeExpired(nowMs) {
       for (const [key, { startedMs }] of queries) {
--- a/src/stream-versions/stream-row.ts
+++ b/src/stream-versions/stream-row.ts
@@ -36,6 +36,8 @@
 
 /** Changes of the registry after a revision. */
 export interface EndpointChanges {
+  /** All changes up to this revision are included. */
+  readonly revision: number;
   /** Endpoints that were added or changed, as they are now. */
   readonly present: readonly RegisteredEndpoint[];
   /** Ids of endpoints that were removed. */
--- a/src/stream-versions/stream-versions.test.ts
+++ b/src/stream-versions/stream-versions.test.ts
@@ -49,6 +49,9 @@
     isViewConfirmed: () => isConfirmed,
     isViewContinuous: () => isConfirmed,
     getRegistryRevision: () => 1,
+    getChangeRevision: () => 1,
+    startLook: (revision, onEnded) =>
+      onEnded({ revision, present: [], removed: [], sentMs: nowMs }),
     getStreamLifeMs: () => 10_000,
     resolveStored: () => ({ kind: 'unknown' }),
     onLimit: () => undefined,
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -10,13 +10,12 @@
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { hashName } from '../utils/hash.js';
 import { createBindingLedger } from './binding-ledger.js';
-import { BINDING_ANSWER } from './binding-messages.js';
 import type { BindingMessage, BindingQuery, BindingReply } from './binding-messages.js';
 import { createOwnerChooser } from './binding-owners.js';
 import type { OwnerCandidate } from './binding-owners.js';
 import { createBindingQueries } from './binding-queries.js';
-import type { QueryRecord, Resolution } from './binding-queries.js';
-import { createPoolVersions } from './pool-versions.js';
+import type { AskedInstance, OwnConclusion, QueryRecord, Resolution } from './binding-queries.js';
+import { createQueryReplies } from './query-replies.js';
 import { UNSURE_VERSION, buildBinding, getStreamKey, isResumed } from './stream-binding.js';
 import type {
   BindingGroup,
@@ -26,11 +25,16 @@
   VersionKey,
 } from './stream-binding.js';
 import type { HeldClaim, StoredRead } from './stored-streams.js';
+import type { EndpointChanges } from './stream-row.js';
 import { buildToldMessages } from './told-messages.js';
+import { createVersionConclusions } from './version-conclusions.js';
+import type { Inquiry } from './version-conclusions.js';
 
 const OWNERS_TOLD = 3;
 /** More than are told, since two instances may see slightly different fleets. */
 const OWNERS_ASKED = 4;
+/** Instances asked where the look at the registry fails. */
+const ASKED_MAX = 64;
 /**
  * Time for which a start that has ended is remembered while the view of the registry is confirmed:
  * longer than the registry takes to notice an end.
@@ -53,6 +57,8 @@
   readonly query: QueryRecord | undefined;
   /** Revision of the registry up to which all changes are known. */
   readonly registryRevision: number;
+  /** Revision of the look at the registry by which this instance concluded; undefined if it did not. */
+  readonly lookRevision: number | undefined;
 }
 
 export interface StreamObserver {
@@ -75,10 +81,17 @@
   readonly find: (id: string) => RegisteredEndpoint | undefined;
   /** Whether the view of the registry was lately confirmed as the newest. */
   readonly isViewConfirmed: () => boolean;
-  /** Whether no version can have come and gone unseen since the view was last confirmed. */
+  /** Whether all changes of the registry since its first list are known. */
   readonly isViewContinuous: () => boolean;
   /** Revision of the registry up to which all changes are known; 0 before its first list. */
   readonly getRegistryRevision: () => number;
+  /** Revision of the last change of the registry that is known. */
+  readonly getChangeRevision: () => number;
+  /** Reads the changes of the registry after a revision; hands on undefined if that fails. */
+  readonly startLook: (
+    revision: number,
+    onEnded: (changes: EndpointChanges | undefined) => void,
+  ) => void;
   /** Longest time from a stream's first event to the last try of its caller. */
   readonly getStreamLifeMs: () => number;
   /** Resolves a stream that no instance knows by what was stored. */
@@ -110,8 +123,12 @@
   /** Pools that can only have had one version. */
   listOnly(): StreamBinding[];
   recordClaim(claim: HeldClaim): void;
+  /** The registry changed; `isGap`: a version may have come and gone unseen. */
+  recordRegistry(isGap: boolean): void;
   /** Sends what is due. */
   advance(): void;
+  /** Looks at the registry if a look is due. */
+  advanceLooks(): void;
   /** Number of bindings that are kept. */
   count(): number;
 }
@@ -121,14 +138,29 @@
   const ledger = createBindingLedger();
   const queries = createBindingQueries();
   const owners = createOwnerChooser();
-  const poolVersions = createPoolVersions();
   const endedMs = new Map<EndpointKey, number>();
   /** Calls whose resolution was reported. */
   const reported = new WeakSet<RoutedCall>();
+  const inquiries = new Map<StreamKey, Inquiry>();
+  const getCoveredMs = (): number => options.getStreamLifeMs();
+  const conclusions = createVersionConclusions({
+    ...options,
+    getCoveredMs,
+    countInstances: () => options.listAlive().length,
+    onLookEnded: () => replies.advance(),
+  });
+  const replies = createQueryReplies({
+    getNow,
+    ledger,
+    conclusions,
+    getCoveredMs,
+    getChangeRevision: options.getChangeRevision,
+    send: (reply, to) => options.send({ kind: 'reply', to, reply }),
+  });
 
+  /** Enough to decide who must be told, not to go on with a stream. */
   function findOnly(pool: PoolKey): VersionKey | undefined {
-    if (!options.isViewConfirmed()) return undefined;
-    return poolVersions.findOnly(pool, options.getStreamLifeMs(), getNow());
+    return options.isViewConfirmed() ? conclusions.findRemembered(pool) : undefined;
   }
 
   function isCurrent({ id, startId, softwareVersion }: RegisteredEndpoint): boolean {
@@ -145,15 +177,15 @@
   function recordResolved(
     call: RoutedCall,
     resolution: Resolution,
-    source: string,
-    ageMs?: number,
+    { source, ageMs, lookRevision }: Pick<ResolvedStream, 'source' | 'ageMs' | 'lookRevision'>,
   ): Resolution {
     if (resolution.kind === 'wait' || reported.has(call)) return resolution;
     reported.add(call);
     const key = getStreamKey(call);
     const query = queries.getRecord(key, getNow());
     const registryRevision = options.getRegistryRevision();
-    observer.onResolved({ call, resolution, source, ageMs, query, registryRevision });
+    const sight = { query, registryRevision, lookRevision };
+    observer.onResolved({ call, resolution, source, ageMs, ...sight });
     return resolution;
   }
 
@@ -163,30 +195,76 @@
       : { kind: 'bound', version };
   }
 
-  function listAsked(key: string): string[] {
+  function listOwners(key: string): string[] {
     return owners.choose(key, options.listAlive(), OWNERS_ASKED).filter((name) => name !== self);
   }
 
-  function startQuery(key: string, pool: PoolKey): void {
-    const asked = listAsked(key);
+  function sendQueries(key: StreamKey, pool: PoolKey, asked: readonly AskedInstance[]): void {
+    for (const { name: to, isConcluding: conclude } of asked)
+      options.send({ kind: 'query', to, query: { key, pool, conclude } });
+  }
+
+  function startQuery(key: StreamKey, pool: PoolKey): void {
+    const inquiry = { pool, askedMs: getNow() };
+    const isConcluding = conclusions.resolve(inquiry).kind === 'none';
+    const asked = listOwners(key).map((name) => ({ name, isConcluding }));
     if (!queries.start(key, pool, asked, getNow())) return;
-    for (const to of asked) options.send({ kind: 'query', to, query: { key, pool } });
+    inquiries.set(key, inquiry);
+    if (conclusions.isFailing()) startSecondRound(key, pool);
+    else sendQueries(key, pool, asked);
+  }
+
+  /** The instance that began the stream knows it, also where nobody can look at the registry. */
+  function startSecondRound(key: StreamKey, pool: PoolKey): void {
+    const first = listOwners(key);
+    const others = owners
+      .choose(key, options.listAlive(), ASKED_MAX + 1)
+      .filter((name) => name !== self && !first.includes(name));
+    const asked = [
+      ...first.map((name) => ({ name, isConcluding: true })),
+      ...others.map((name) => ({ name, isConcluding: false })),
+    ];
+    // Reading the rows takes as long as a look, so it is not left until after it.
+    options.resolveStored(key, pool);
+    queries.extend(key, asked, getNow());
+    sendQueries(key, pool, asked);
+  }
+
+  function resolveOwn(key: StreamKey): OwnConclusion {
+    const query = queries.find(key);
+    const inquiry = inquiries.get(key);
+    if (query === undefined || inquiry === undefined) return { kind: 'none' };
+    const own = conclusions.resolve(inquiry);
+    // A look that another instance knows more than was answered by a store that lags.
+    if (own.kind === 'only' && own.revision < query.newestRevision) {
+      inquiry.ticket = undefined;
+      return conclusions.resolve(inquiry);
+    }
+    const isMissing = own.kind === 'failed' || (own.kind === 'wait' && own.isLate);
+    if (isMissing && !query.isExtended) startSecondRound(key, inquiry.pool);
+    return own;
+  }
+
+  function resolveAsked(call: RoutedCall, key: StreamKey, pool: PoolKey): Resolution {
+    if (queries.find(key) === undefined) startQuery(key, pool);
+    const own = resolveOwn(key);
+    const asked = queries.resolve(key, own, getCoveredMs(), getNow());
+    const lookRevision = own.kind === 'only' ? own.revision : undefined;
+    const sight = { ageMs: undefined, lookRevision };
+    if (asked.kind !== 'unknown') return recordResolved(call, asked, { source: 'asked', ...sight });
+    return recordResolved(call, options.resolveStored(key, pool), { source: 'stored', ...sight });
   }
 
   function resolveResumed(call: RoutedCall): Resolution {
     const key = getStreamKey(call);
     const pool = hashName(call.pool);
     const known = ledger.find(key);
-    if (known !== undefined) {
-      const version = known.pool === pool ? known.version : undefined;
-      const ageMs = getNow() - known.recordedMs;
-      return recordResolved(call, buildResolution(version), known.source, ageMs);
-    }
-    if (!queries.has(key)) startQuery(key, pool);
-    const own = { version: findOnly(pool), lifeMs: options.getStreamLifeMs() };
-    const asked = queries.resolve(key, own, getNow());
-    if (asked.kind !== 'unknown') return recordResolved(call, asked, 'asked');
-    return recordResolved(call, options.resolveStored(key, pool), 'stored');
+    if (known === undefined) return resolveAsked(call, key, pool);
+    const version = known.pool === pool ? known.version : undefined;
+    const ageMs = getNow() - known.recordedMs;
+    const { source } = known;
+    const sight = { source, ageMs, lookRevision: undefined };
+    return recordResolved(call, buildResolution(version), sight);
   }
 
   /** Whether instances must be told of a stream: nobody could conclude its version without. */
@@ -210,22 +288,6 @@
     observer.onTold(untold.length);
   }
 
-  function buildReply({ key, pool }: BindingQuery): BindingReply {
-    const known = ledger.find(key);
-    if (known !== undefined) {
-      const ageMs = getNow() - known.recordedMs;
-      const { version } = known;
-      return { key, answer: BINDING_ANSWER.Bound, pool: known.pool, version, ageMs, coveredMs: 0 };
-    }
-    const only = findOnly(pool);
-    if (only === undefined) {
-      const version = UNSURE_VERSION;
-      return { key, answer: BINDING_ANSWER.Unknown, pool, version, ageMs: 0, coveredMs: 0 };
-    }
-    const coveredMs = options.getStreamLifeMs();
-    return { key, answer: BINDING_ANSWER.Only, pool, version: only, ageMs: 0, coveredMs };
-  }
-
   /** A registry out of reach cannot notice that an endpoint came back with other software. */
   function removeEnded(nowMs: number): void {
     const isConfirmed = options.isViewConfirmed();
@@ -254,9 +316,7 @@
       if (!endedMs.has(start)) endedMs.set(start, getNow());
     },
     handleTold: (groups, from) => ledger.merge(groups, from, getNow()),
-    handleQuery(query, from) {
-      options.send({ kind: 'reply', to: from, reply: buildReply(query) });
-    },
+    handleQuery: (query, from) => replies.handle(query, from),
     handleReply: (reply, from) => queries.handle(reply, from, getNow()),
     listUnconcluded: () => ledger.listOwn(createToldCheck()),
     listOnly() {
@@ -266,17 +326,22 @@
         return version === undefined ? [] : [{ pool, version }];
       });
     },
-    recordClaim({ pools, sinceMs, checkedMs }) {
-      for (const binding of pools) poolVersions.recordEarlier(binding, sinceMs, checkedMs);
-    },
+    recordClaim: (claim) => conclusions.recordClaim(claim),
+    recordRegistry: (isGap) => conclusions.record(isGap),
     advance() {
       const nowMs = getNow();
-      poolVersions.record(options.listRegistered(), options.isViewContinuous(), nowMs);
+      conclusions.record(false);
       sendTold();
       queries.removeExpired(nowMs);
+      for (const key of inquiries.keys())
+        if (queries.find(key) === undefined) inquiries.delete(key);
       ledger.removeBefore(nowMs - options.getStreamLifeMs());
       removeEnded(nowMs);
     },
+    advanceLooks() {
+      conclusions.advance();
+      replies.advance();
+    },
     count: () => ledger.count(),
   };
 }
--- /dev/null
+++ b/src/stream-versions/version-conclusions.ts
@@ -0,0 +1,103 @@
+/**
+ * Concludes that a pool can only have had one software version: by what this instance remembers of the
+ * registry and by a look at it that was sent after the question. Performs no I/O.
+ */
+import type { RegisteredEndpoint } from '../types/traffic.js';
+import type { OwnConclusion } from './binding-queries.js';
+import { createPoolVersions } from './pool-versions.js';
+import { createRegistryLooks, hasOnlyVersion } from './registry-looks.js';
+import type { LookTicket } from './registry-looks.js';
+import type { PoolKey, VersionKey } from './stream-binding.js';
+import type { EndpointChanges } from './stream-row.js';
+import type { HeldClaim } from './stored-streams.js';
+
+export interface VersionConclusionsOptions {
+  readonly getNow: () => number;
+  /** Time before the question that a conclusion must cover. */
+  readonly getCoveredMs: () => number;
+  /** Revision of the registry up to which all changes are known; 0 before its first list. */
+  readonly getRegistryRevision: () => number;
+  /** Whether all changes of the registry since its first list are known. */
+  readonly isViewContinuous: () => boolean;
+  readonly listRegistered: () => readonly RegisteredEndpoint[];
+  readonly countInstances: () => number;
+  /** Reads the changes of the registry after a revision; hands on undefined if that fails. */
+  readonly startLook: (
+    revision: number,
+    onEnded: (changes: EndpointChanges | undefined) => void,
+  ) => void;
+  readonly onLookEnded: () => void;
+}
+
+/** A question that is being answered. */
+export interface Inquiry {
+  readonly pool: PoolKey;
+  /** What happens later does not matter. */
+  readonly askedMs: number;
+  /** Names the looks that count; undefined until one was asked for. */
+  ticket?: LookTicket | undefined;
+}
+
+export interface VersionConclusions {
+  /** Records the registry as it is known now; `isGap`: a version may have come and gone unseen. */
+  record(isGap: boolean): void;
+  recordClaim(claim: HeldClaim): void;
+  /** Returns the only version by memory alone, which may be out of step with the registry. */
+  findRemembered(pool: PoolKey): VersionKey | undefined;
+  /** Concludes for all that happened until the question; asks for a look if one is needed. */
+  resolve(inquiry: Inquiry): OwnConclusion;
+  /** Whether looks fail at present. */
+  isFailing(): boolean;
+  advance(): void;
+}
+
+const NONE: OwnConclusion = { kind: 'none' };
+
+export function createVersionConclusions(options: VersionConclusionsOptions): VersionConclusions {
+  const { getNow } = options;
+  const poolVersions = createPoolVersions();
+  const looks = createRegistryLooks({
+    getNow,
+    countInstances: options.countInstances,
+    getRevision: options.getRegistryRevision,
+    listRegistered: options.listRegistered,
+    startRead: options.startLook,
+    onEnded: options.onLookEnded,
+  });
+
+  function findRemembered(pool: PoolKey, beforeMs = getNow()): VersionKey | undefined {
+    const nowMs = getNow();
+    return poolVersions.findOnly(pool, options.getCoveredMs() + nowMs - beforeMs, nowMs);
+  }
+
+  function recordNow(isContinuous: boolean): void {
+    poolVersions.record(options.listRegistered(), isContinuous, getNow());
+  }
+
+  function resolveLook(inquiry: Inquiry, version: VersionKey): OwnConclusion {
+    inquiry.ticket ??= looks.request();
+    const state = looks.find(inquiry.ticket);
+    if (state.kind !== 'seen') return state;
+    const { look } = state;
+    const { revision } = look.changes;
+    const { pool } = inquiry;
+    return hasOnlyVersion(look, { pool, version }) ? { kind: 'only', version, revision } : NONE;
+  }
+
+  return {
+    record(isGap) {
+      if (isGap) recordNow(false);
+      recordNow(options.isViewContinuous());
+    },
+    recordClaim({ pools, sinceMs, checkedMs }) {
+      for (const binding of pools) poolVersions.recordEarlier(binding, sinceMs, checkedMs);
+    },
+    findRemembered: (pool) => findRemembered(pool),
+    resolve(inquiry) {
+      const version = findRemembered(inquiry.pool, inquiry.askedMs);
+      return version === undefined ? NONE : resolveLook(inquiry, version);
+    },
+    isFailing: () => looks.isFailing(),
+    advance: () => looks.advance(),
+  };
+}
--- a/src/test/configuration-simulation.ts
+++ b/src/test/configuration-simulation.ts
@@ -90,6 +90,7 @@
     onConfiguration: () => undefined,
     onEndpointStarted: () => undefined,
     onEndpointEnded: () => undefined,
+    onEndpointsApplied: () => undefined,
     onSuspended: () => undefined,
   });
   const exchange = createPeerExchange({
--- a/src/test/knowledge-harness.ts
+++ b/src/test/knowledge-harness.ts
@@ -164,6 +164,7 @@
     onConfiguration: () => undefined,
     onEndpointStarted: ({ startId }, isFirstList) => started.push({ startId, isFirstList }),
     onEndpointEnded: ({ startId }) => ended.push(startId),
+    onEndpointsApplied: () => undefined,
     onSuspended: () => undefined,
   });
   t.teardown(() => {
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -219,6 +219,7 @@
     viewAgeMaxMs: 0,
     computeViewAge: () => 0,
     getRegistryRevision: () => 1,
+    getChangeRevision: () => 1,
     rowKey: self.name,
     store: createSimulatedStreamStore(timers.clock.monotonicMs),
     getSourceNow: () => undefined,
--- a/src/test/simulated-stream-store.ts
+++ b/src/test/simulated-stream-store.ts
@@ -7,14 +7,17 @@
   /** Whether calls are answered. */
   setReachable(isReachable: boolean): void;
   /** Sets what the registry answers if it is asked for changes; none by default. */
-  setChanges(changes: Omit<EndpointChanges, 'sentMs'> | undefined): void;
+  setChanges(changes: Omit<EndpointChanges, 'sentMs' | 'revision'> | undefined): void;
 }
 
 /** The clock of the store is that of the test. */
 export function createSimulatedStreamStore(getNow: () => number): SimulatedStreamStore {
   const rows = new Map<string, StreamRow>();
   let isReachable = true;
-  let changes: Omit<EndpointChanges, 'sentMs'> | undefined = { present: [], removed: [] };
+  let changes: Omit<EndpointChanges, 'sentMs' | 'revision'> | undefined = {
+    present: [],
+    removed: [],
+  };
   return {
     rows,
     setReachable(next) {
@@ -35,9 +38,9 @@
     async remove(keys) {
       for (const key of keys) rows.delete(key);
     },
-    async listEndpointChanges() {
+    async listEndpointChanges(revision) {
       if (!isReachable || changes === undefined) return undefined;
-      return { ...changes, sentMs: getNow() };
+      return { revision, ...changes, sentMs: getNow() };
     },
   };
 }
--- a/src/test/stream-fleet.ts
+++ b/src/test/stream-fleet.ts
@@ -1,4 +1,7 @@
-/** Simulates the stream bindings of a fleet alone: instances, datagrams that are late or lost, two versions of endpoints. */
+/**
+ * Simulates the stream bindings of a fleet alone: instances whose views of the registry lag, datagrams that
+ * are late or lost, a store that is slow, away or out of reach, two versions of endpoints.
+ */
 import { toBinary } from '@bufbuild/protobuf';
 import { SILENT_STREAM_OBSERVER } from './simulated-stream-store.js';
 import { QueryStreamSchema, StreamReplySchema, TellStreamsSchema } from '../gen/peer_pb.js';
@@ -8,10 +11,15 @@
 import { createStreamVersions } from '../stream-versions/stream-versions.js';
 import type { StreamChoice, StreamVersions } from '../stream-versions/stream-versions.js';
 import { CALL_KIND } from '../types/traffic.js';
-import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
 import type { Random } from '../utils/random.js';
 import { buildContacts } from './simulated-contacts.js';
+import {
+  buildEndpoint,
+  createRegistryView,
+  createSimulatedRegistry,
+} from './simulated-registry.js';
+import type { EndpointChanges } from '../stream-versions/stream-row.js';
 import { buildCall, buildSimulatedRoute } from './simulated-routes.js';
 import type { RoutedCall } from '../calls/call-messages.js';
 
@@ -21,6 +29,14 @@
 const STREAM_LIFE_MS = 10_000;
 const POLL_MS = 25;
 const DATA_CENTRES = 5;
+/** Longest time of a read of the store that is not slow, and of one that fails. */
+const READ_MAX_MS = 10;
+const READ_TIMEOUT_MS = 700;
+/** Longest time between two confirmations of a view, and the age up to which it counts as confirmed. */
+const CONFIRMED_PERIOD_MS = 1500;
+const CONFIRMED_MAX_MS = 2200;
+/** Longest time without a contact for which an instance begins streams. */
+export const SERVING_MAX_MS = 4500;
 
 export const VERSIONS = ['v1', 'v2'] as const;
 
@@ -53,6 +69,22 @@
   setCut(instance: number, isCut: boolean): void;
   /** Sets which versions are registered. */
   setVersions(versions: readonly string[]): void;
+  /** Sets whether the store, or the other instances, are out of reach of an instance. */
+  setStoreCut(instance: number, isCut: boolean): void;
+  setPeersCut(instance: number, isCut: boolean): void;
+  /** Sets whether the store is away for everybody. */
+  setStoreAway(isAway: boolean): void;
+  /** Sets the longest time of a read of the store. */
+  setReadTime(maxMs: number): void;
+  /** Sets by how much the view of an instance lags behind what it could know. */
+  setLag(instance: number, lagMs: number): void;
+  /** Replaces the view of an instance by a list, if the store is in reach. */
+  applyList(instance: number): void;
+  /** Begins a stream at an endpoint that the instance knows of; undefined if it may not serve. */
+  startAt(instance: number): SimulatedStream | undefined;
+  /** Time since the simulation began. */
+  getNow(): number;
+  countLooks(): number;
   runFor(ms: number): void;
   /** Resumes a stream at a random instance other than the one that began it. */
   resume(stream: SimulatedStream, organisation?: string): ResumedStream;
@@ -79,18 +111,9 @@
   }
 }
 
-function buildEndpoint(softwareVersion: string): RegisteredEndpoint {
-  return {
-    id: `engine-${softwareVersion}`,
-    startId: `engine-${softwareVersion}`,
-    pool: 'engines',
-    address: softwareVersion,
-    dataCentre: 'd',
-    slots: 8,
-    isLeaving: false,
-    isSpot: false,
-    softwareVersion,
-  };
+function setMember(members: Set<number>, member: number, isMember: boolean): void {
+  if (isMember) members.add(member);
+  else members.delete(member);
 }
 
 export function createStreamFleet(options: StreamFleetOptions): StreamFleet {
@@ -99,7 +122,18 @@
   const indexes = new Map(contacts.map(({ name }, index) => [name, index]));
   const stopped = new Set<number>();
   const cut = new Set<number>();
-  let endpoints = VERSIONS.map(buildEndpoint);
+  const registry = createSimulatedRegistry();
+  registry.setVersions(VERSIONS);
+  const storeCut = new Set<number>();
+  const peersCut = new Set<number>();
+  const lags = new Map<number, number>();
+  const views = contacts.map(() => createRegistryView(registry));
+  const confirmedMs = contacts.map(() => 0);
+  const viewedMs = contacts.map(() => 0);
+  const contactMs = contacts.map(() => 0);
+  let isStoreAway = false;
+  let readMaxMs = READ_MAX_MS;
+  let looks = 0;
   let inFlight: Datagram[] = [];
   let nowMs = 0;
   let tickedMs = 0;
@@ -127,7 +161,8 @@
     datagrams += 1;
     bytes += countMessageBytes(message);
     const to = indexes.get(message.to) ?? 0;
-    if (random.next() < options.lossProbability || cut.has(from) || cut.has(to)) return;
+    const isCut = [from, to].some((index) => cut.has(index) || peersCut.has(index));
+    if (random.next() < options.lossProbability || isCut) return;
     const name = contacts[from]?.name ?? '';
     inFlight.push({
       atMs: nowMs + 1 + random.next() * DELAY_MAX_MS,
@@ -138,16 +173,58 @@
     });
   }
 
+  function isStoreInReach(index: number): boolean {
+    return !isStoreAway && !cut.has(index) && !storeCut.has(index);
+  }
+
+  /** Whether the registry's state comes to an instance, from the store or from others. */
+  function isInTouch(index: number): boolean {
+    if (isStoreInReach(index)) return true;
+    const isAlone = cut.has(index) || peersCut.has(index);
+    return (
+      !isAlone &&
+      contacts.some(
+        (_, other) => isStoreInReach(other) && !peersCut.has(other) && !stopped.has(other),
+      )
+    );
+  }
+
+  function startLook(
+    index: number,
+    revision: number,
+    onEnded: (changes: EndpointChanges | undefined) => void,
+  ): void {
+    looks += 1;
+    const sentMs = nowMs;
+    const tookMs = random.next() * readMaxMs;
+    const isAnswered = isStoreInReach(index) && tookMs < READ_TIMEOUT_MS;
+    let changes: EndpointChanges | undefined;
+    const readAtMs = nowMs + tookMs / 2;
+    inFlight.push({
+      atMs: readAtMs,
+      deliver() {
+        if (isAnswered) changes = { ...registry.listChanges(revision), sentMs };
+      },
+    });
+    inFlight.push({
+      atMs: nowMs + (isAnswered ? tookMs : READ_TIMEOUT_MS),
+      deliver: () => onEnded(isStoreInReach(index) ? changes : undefined),
+    });
+  }
+
   const instances = contacts.map(({ name }, index) =>
     createStreamVersions({
       self: name,
       getNow: () => nowMs,
       listAlive: () => contacts,
-      listRegistered: () => endpoints,
-      find: (id) => endpoints.find((endpoint) => endpoint.id === id),
-      isViewConfirmed: () => !cut.has(index),
+      listRegistered: () => views[index]?.list() ?? [],
+      find: (id) => views[index]?.list().find((endpoint) => endpoint.id === id),
+      isViewConfirmed: () =>
+        !cut.has(index) && nowMs - (confirmedMs[index] ?? 0) <= CONFIRMED_MAX_MS,
       isViewContinuous: () => !cut.has(index),
-      getRegistryRevision: () => 1,
+      getRegistryRevision: () => views[index]?.getRevision() ?? 0,
+      getChangeRevision: () => views[index]?.getRevision() ?? 0,
+      startLook: (revision, onEnded) => startLook(index, revision, onEnded),
       getStreamLifeMs: () => STREAM_LIFE_MS,
       resolveStored: () => ({ kind: 'unknown' }),
       onLimit: () => undefined,
@@ -156,8 +233,23 @@
     }),
   );
 
+  /** The watch of the configuration confirms a view whose watch of the registry may lag. */
+  function advanceView(index: number): void {
+    if (stopped.has(index) || !isInTouch(index)) return;
+    contactMs[index] = nowMs;
+    const isConfirmedNow =
+      nowMs - (confirmedMs[index] ?? 0) >= CONFIRMED_PERIOD_MS || random.next() < 0.01;
+    if (isConfirmedNow) confirmedMs[index] = nowMs;
+    if (nowMs - (viewedMs[index] ?? 0) < (lags.get(index) ?? 0)) return;
+    viewedMs[index] = nowMs;
+    const before = views[index]?.getRevision();
+    if (before === registry.getRevision()) return;
+    const isGap = views[index]?.applyChanges() === true;
+    instances[index]?.recordRegistry(isGap);
+  }
+
   function takeDue(): Datagram[] {
-    const due = inFlight.filter(({ atMs }) => atMs <= nowMs);
+    const due = inFlight.filter(({ atMs }) => atMs <= nowMs).sort((a, b) => a.atMs - b.atMs);
     inFlight = inFlight.filter(({ atMs }) => atMs > nowMs);
     return due;
   }
@@ -166,7 +258,11 @@
     const endMs = nowMs + ms;
     while (nowMs < endMs) {
       nowMs += STEP_MS;
+      contacts.forEach((_, index) => advanceView(index));
       for (const datagram of takeDue()) datagram.deliver();
+      instances.forEach((instance, index) => {
+        if (!stopped.has(index)) instance.advanceLooks();
+      });
       if (nowMs - tickedMs >= TICK_MS) {
         tickedMs = nowMs;
         instances.forEach((instance, index) => {
@@ -217,17 +313,37 @@
     start(version) {
       const instance = chooseInstance();
       const call = buildStreamCall({});
-      instances[instance]?.recordStarted(call, buildEndpoint(version));
+      instances[instance]?.recordStarted(call, buildEndpoint(version, `engine-${version}`));
       return { callId: call.callId, instance, version };
     },
     stop: (instance) => stopped.add(instance),
-    setCut(instance, isCut) {
-      if (isCut) cut.add(instance);
-      else cut.delete(instance);
+    setCut: (instance, isCut) => setMember(cut, instance, isCut),
+    setVersions: (versions) => registry.setVersions(versions),
+    setStoreCut: (instance, isCut) => setMember(storeCut, instance, isCut),
+    setPeersCut: (instance, isCut) => setMember(peersCut, instance, isCut),
+    setStoreAway(isAway) {
+      isStoreAway = isAway;
+    },
+    setReadTime(maxMs) {
+      readMaxMs = maxMs;
     },
-    setVersions(versions) {
-      endpoints = versions.map(buildEndpoint);
+    setLag: (instance, lagMs) => lags.set(instance, lagMs),
+    applyList(instance) {
+      if (!isStoreInReach(instance) || stopped.has(instance)) return;
+      const isGap = views[instance]?.applyList() === true;
+      instances[instance]?.recordRegistry(isGap);
+    },
+    startAt(instance) {
+      const known = views[instance]?.list() ?? [];
+      const endpoint = known[random.nextIndex(Math.max(1, known.length))];
+      const isServing = nowMs - (contactMs[instance] ?? 0) <= SERVING_MAX_MS;
+      if (endpoint === undefined || !isServing || stopped.has(instance)) return undefined;
+      const call = buildStreamCall({});
+      instances[instance]?.recordStarted(call, endpoint);
+      return { callId: call.callId, instance, version: endpoint.softwareVersion };
     },
+    getNow: () => nowMs,
+    countLooks: () => looks,
     runFor,
     resume: (stream, organisation) =>
       runResumed(chooseInstance(stream.instance), stream, organisation),
