A conclusion covers streams that an old view could still begin

An instance that has not heard that a version's last endpoint went may begin a stream there for as long as it may serve: until it cannot tell whether keys are valid. Others counted a life from the moment at which they saw the version go, so that for these seconds a take-up at them was joined.

The new test before: 'are not joined by others, if their instance could still begin them by an old view': v2 for a stream that v1 began 4 s after it had left the registry, taken up 12 s after.

The tests of streams after an end of all instances are unchanged.

--- a/src/gateway/call-streams.ts
+++ b/src/gateway/call-streams.ts
@@ -32,6 +32,8 @@
   readonly findEndpoint: (id: string) => RegisteredEndpoint | undefined;
   /** Age of a view of the registry that counts as confirmed. */
   readonly viewAgeMaxMs: number;
+  /** Age of a view of the registry up to which an instance begins streams. */
+  readonly servingAgeMaxMs: number;
   /** Time since the view of the registry was last confirmed as the newest. */
   readonly computeViewAge: () => number;
   /** Revision of the registry up to which all changes are known; 0 before its first list. */
@@ -81,6 +83,11 @@
     }
   }
 
+  /** Another instance that has not heard of a version's end may begin streams on it for some time. */
+  function getCoveredMs(): number {
+    return life.get() + options.servingAgeMaxMs;
+  }
+
   function startLook(
     revision: number,
     onEnded: (changes: EndpointChanges | undefined) => void,
@@ -100,6 +107,7 @@
     getChangeRevision: options.getChangeRevision,
     startLook,
     getStreamLifeMs: () => life.get(),
+    getCoveredMs,
     resolveStored: (key, pool) => stored.resolve(key, pool),
     onLimit: (limitMs) => life.recordLimit(limitMs),
     send: sendMessage,
@@ -124,7 +132,8 @@
     const pools = streams.listOnly();
     const endpoints = options.listRegistered().map(({ id }) => hashName(id));
     if (pools.length === 0 || endpoints.length > CLAIMED_ENDPOINTS_MAX) return undefined;
-    return { revision: options.getRegistryRevision(), pools, endpoints };
+    const revision = options.getRegistryRevision();
+    return { revision, pools, endpoints, coveredMs: getCoveredMs() };
   }
 
   const writer = createStreamRowWriter({
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -209,6 +209,7 @@
     listRegistered: () => knowledge.directory.listAll(),
     findEndpoint: (id) => knowledge.directory.find(id),
     viewAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
+    servingAgeMaxMs: options.keyAgeMaxMs,
     computeViewAge: () => knowledge.computeAge(),
     getRegistryRevision: () => knowledge.getEndpointsRevision(),
     getChangeRevision: () => knowledge.getSummary().endpointsRevision,
--- a/src/stream-versions/binding-queries.ts
+++ b/src/stream-versions/binding-queries.ts
@@ -49,8 +49,8 @@
   /** Replaces those that are asked by more, once. */
   extend(key: StreamKey, asked: readonly AskedInstance[], nowMs: number): void;
   handle(reply: BindingReply, from: string, nowMs: number): void;
-  /** Conclusions of peers that cover less than `lifeMs` count for nothing. */
-  resolve(key: StreamKey, own: OwnConclusion, lifeMs: number, nowMs: number): Resolution;
+  /** Conclusions of peers that cover less than `neededMs` count for nothing. */
+  resolve(key: StreamKey, own: OwnConclusion, neededMs: number, nowMs: number): Resolution;
   getRecord(key: StreamKey, nowMs: number): QueryRecord | undefined;
   removeExpired(nowMs: number): void;
 }
@@ -95,9 +95,9 @@
   }
 
   /** Only what was looked up after the query covers all that happened before it. */
-  function isConclusion(reply: ReceivedReply, lifeMs: number): boolean {
+  function isConclusion(reply: ReceivedReply, neededMs: number): boolean {
     const { answer, checked, coveredMs } = reply;
-    return answer === BINDING_ANSWER.Only && checked === true && coveredMs >= lifeMs;
+    return answer === BINDING_ANSWER.Only && checked === true && coveredMs >= neededMs;
   }
 
   function computeNewest({ replies }: Query): number {
@@ -122,10 +122,10 @@
   function resolveConclusions(
     query: Query,
     own: OwnConclusion,
-    lifeMs: number,
+    neededMs: number,
   ): VersionKey | undefined {
     const concluded = listOfPool(query)
-      .filter((reply) => isConclusion(reply, lifeMs))
+      .filter((reply) => isConclusion(reply, neededMs))
       .map(({ version }) => version);
     const isOwnNewest = own.kind === 'only' && own.revision >= computeNewest(query);
     return findAgreed(isOwnNewest ? [...concluded, own.version] : concluded);
@@ -140,7 +140,7 @@
   function resolveQuery(
     query: Query,
     own: OwnConclusion,
-    lifeMs: number,
+    neededMs: number,
     nowMs: number,
   ): Resolution {
     const { boundVersion } = query;
@@ -149,7 +149,7 @@
     if (bound.length > 0)
       return buildResolution(query, findAgreed(bound.map(({ version }) => version)));
     if (!isAnsweredInTime(query, nowMs)) return { kind: 'wait' };
-    const version = resolveConclusions(query, own, lifeMs);
+    const version = resolveConclusions(query, own, neededMs);
     if (version === undefined && isConclusionDue(query, own, nowMs)) return { kind: 'wait' };
     return buildResolution(query, version);
   }
@@ -179,9 +179,9 @@
       if (query?.asked.some(({ name }) => name === from) === true)
         query.replies.set(from, { ...reply, from });
     },
-    resolve(key, own, lifeMs, nowMs) {
+    resolve(key, own, neededMs, nowMs) {
       const query = queries.get(key);
-      return query === undefined ? { kind: 'unknown' } : resolveQuery(query, own, lifeMs, nowMs);
+      return query === undefined ? { kind: 'unknown' } : resolveQuery(query, own, neededMs, nowMs);
     },
     getRecord(key, nowMs) {
       const query = queries.get(key);
--- a/src/stream-versions/stored-streams.ts
+++ b/src/stream-versions/stored-streams.ts
@@ -89,7 +89,7 @@
   async function checkClaim(row: StreamRow, ageMs: number): Promise<void> {
     const { claim } = row;
     if (claim === undefined) return;
-    const sinceMs = getNow() - ageMs - row.lifeMs;
+    const sinceMs = getNow() - ageMs - (claim.coveredMs ?? row.lifeMs);
     const changes = await store.listEndpointChanges(claim.revision);
     if (changes === undefined) return;
     options.onClaim({ pools: listUnchanged(claim, changes), sinceMs, checkedMs: changes.sentMs });
--- a/src/stream-versions/stream-out-of-step.test.ts
+++ b/src/stream-versions/stream-out-of-step.test.ts
@@ -179,6 +179,19 @@
     }
   });
 
+  // Guards against streams that an instance begins on a version after others have seen it leave.
+  it('are not joined by others, if their instance could still begin them by an old view', (t) => {
+    const fleet = startFleet(INSTANCES, 3);
+    fleet.setStoreCut(0, true);
+    fleet.setPeersCut(0, true);
+    fleet.setVersions(['v2']);
+    fleet.runFor(4000);
+    const stream = fleet.startAt(0);
+    t.is(stream?.version, 'v1');
+    fleet.runFor(LIFE_MS - 2000);
+    if (stream !== undefined) t.is(fleet.resumeAt(1, stream).version, undefined);
+  });
+
   // Guards against any series of faults by which a stream goes on at another version.
   it('go on at the version that began them or not at all, whatever fails', (t) => {
     fc.assert(
--- a/src/stream-versions/stream-row.ts
+++ b/src/stream-versions/stream-row.ts
@@ -3,13 +3,15 @@
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import type { BindingGroup, StreamBinding } from './stream-binding.js';
 
-/** Pools that can only have had one version for a life before a revision of the registry. */
+/** Pools that can only have had one version for some time before a revision of the registry. */
 export interface VersionClaim {
   /** All changes of the registry up to this revision are included. */
   readonly revision: number;
   readonly pools: readonly StreamBinding[];
   /** Hashes of the ids of all endpoints that were registered then. */
   readonly endpoints: readonly EndpointKey[];
+  /** Time before the row was written for which the claim holds. @default the life of the row */
+  readonly coveredMs?: number | undefined;
 }
 
 /** What one start of an instance stores. */
--- a/src/stream-versions/stream-versions.test.ts
+++ b/src/stream-versions/stream-versions.test.ts
@@ -53,6 +53,7 @@
     startLook: (revision, onEnded) =>
       onEnded({ revision, present: [], removed: [], sentMs: nowMs }),
     getStreamLifeMs: () => 10_000,
+    getCoveredMs: () => 10_000,
     resolveStored: () => ({ kind: 'unknown' }),
     onLimit: () => undefined,
     send: (message) => sent.push(message),
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -94,6 +94,8 @@
   ) => void;
   /** Longest time from a stream's first event to the last try of its caller. */
   readonly getStreamLifeMs: () => number;
+  /** Time before a take-up in which a version that was registered can have begun the stream. */
+  readonly getCoveredMs: () => number;
   /** Resolves a stream that no instance knows by what was stored. */
   readonly resolveStored: (key: StreamKey, pool: PoolKey) => Resolution;
   /** Receives the time limit of a caller whose stream began. */
@@ -142,10 +144,8 @@
   /** Calls whose resolution was reported. */
   const reported = new WeakSet<RoutedCall>();
   const inquiries = new Map<StreamKey, Inquiry>();
-  const getCoveredMs = (): number => options.getStreamLifeMs();
   const conclusions = createVersionConclusions({
     ...options,
-    getCoveredMs,
     countInstances: () => options.listAlive().length,
     onLookEnded: () => replies.advance(),
   });
@@ -153,7 +153,7 @@
     getNow,
     ledger,
     conclusions,
-    getCoveredMs,
+    getCoveredMs: options.getCoveredMs,
     getChangeRevision: options.getChangeRevision,
     send: (reply, to) => options.send({ kind: 'reply', to, reply }),
   });
@@ -248,7 +248,7 @@
   function resolveAsked(call: RoutedCall, key: StreamKey, pool: PoolKey): Resolution {
     if (queries.find(key) === undefined) startQuery(key, pool);
     const own = resolveOwn(key);
-    const asked = queries.resolve(key, own, getCoveredMs(), getNow());
+    const asked = queries.resolve(key, own, options.getCoveredMs(), getNow());
     const lookRevision = own.kind === 'only' ? own.revision : undefined;
     const sight = { ageMs: undefined, lookRevision };
     if (asked.kind !== 'unknown') return recordResolved(call, asked, { source: 'asked', ...sight });
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -217,6 +217,7 @@
     listRegistered: listOpen,
     findEndpoint: (id) => listOpen().find((endpoint) => endpoint.id === id),
     viewAgeMaxMs: 0,
+    servingAgeMaxMs: 0,
     computeViewAge: () => 0,
     getRegistryRevision: () => 1,
     getChangeRevision: () => 1,
--- a/src/test/stream-fleet.ts
+++ b/src/test/stream-fleet.ts
@@ -226,6 +226,7 @@
       getChangeRevision: () => views[index]?.getRevision() ?? 0,
       startLook: (revision, onEnded) => startLook(index, revision, onEnded),
       getStreamLifeMs: () => STREAM_LIFE_MS,
+      getCoveredMs: () => STREAM_LIFE_MS + SERVING_MAX_MS,
       resolveStored: () => ({ kind: 'unknown' }),
       onLimit: () => undefined,
       send: (message) => send(index, message),
