A list of the registry does not make an instance forget what it has seen

A follower that fetches the whole table, as all do when a new watcher has listed the registry, or a watcher that lists it again, cannot tell whether a version came and went before it. With the memory by revision it would conclude nothing for a life, and refuse streams whose instance has ended, each time that a watcher starts. So it asks the store once for the changes since the revision that it knew, as a new instance checks a stored claim, and keeps its memory if no version came and went. Without that the new test ends with undefined in place of v1.

Cost: one read for each instance whose view was replaced by a list.

--- a/src/stream-versions/stream-out-of-step.test.ts
+++ b/src/stream-versions/stream-out-of-step.test.ts
@@ -192,6 +192,22 @@
     if (stream !== undefined) t.is(fleet.resumeAt(1, stream).version, undefined);
   });
 
+  // Guards against all instances that forget what they have seen when a new watcher lists the registry.
+  it('go on by what was known before a list, unless a version came and went since', (t) => {
+    const resolveAfterList = (versions: readonly string[]): string | undefined => {
+      const fleet = startFleet(2, 4, 0);
+      const stream = fleet.start('v1');
+      fleet.setVersions(versions);
+      fleet.setVersions(['v1']);
+      fleet.applyList(1 - stream.instance);
+      fleet.stop(stream.instance);
+      fleet.runFor(100);
+      return fleet.resumeAt(1 - stream.instance, stream).version;
+    };
+    t.is(resolveAfterList([]), 'v1');
+    t.is(resolveAfterList(VERSIONS), undefined);
+  });
+
   // Guards against any series of faults by which a stream goes on at another version.
   it('go on at the version that began them or not at all, whatever fails', (t) => {
     fc.assert(
--- a/src/stream-versions/version-conclusions.ts
+++ b/src/stream-versions/version-conclusions.ts
@@ -3,13 +3,15 @@
  * registry and by a look at it that was sent after the question. Performs no I/O.
  */
 import type { RegisteredEndpoint } from '../types/traffic.js';
+import { hashName } from '../utils/hash.js';
 import type { OwnConclusion } from './binding-queries.js';
 import { createPoolVersions } from './pool-versions.js';
 import { createRegistryLooks, hasOnlyVersion } from './registry-looks.js';
 import type { LookTicket } from './registry-looks.js';
 import type { PoolKey, VersionKey } from './stream-binding.js';
-import type { EndpointChanges } from './stream-row.js';
+import type { EndpointChanges, VersionClaim } from './stream-row.js';
 import type { HeldClaim } from './stored-streams.js';
+import { listUnchanged } from './version-claim.js';
 
 export interface VersionConclusionsOptions {
   readonly getNow: () => number;
@@ -51,11 +53,19 @@
   advance(): void;
 }
 
+interface KnownRegistry {
+  readonly endpoints: readonly RegisteredEndpoint[];
+  /** All changes up to this revision are included. */
+  readonly revision: number;
+}
+
 const NONE: OwnConclusion = { kind: 'none' };
 
 export function createVersionConclusions(options: VersionConclusionsOptions): VersionConclusions {
   const { getNow } = options;
   const poolVersions = createPoolVersions();
+  /** The registry at the last record. */
+  let known: KnownRegistry = { endpoints: [], revision: 0 };
   const looks = createRegistryLooks({
     getNow,
     countInstances: options.countInstances,
@@ -71,7 +81,43 @@
   }
 
   function recordNow(isContinuous: boolean): void {
-    poolVersions.record(options.listRegistered(), isContinuous, getNow());
+    known = { endpoints: options.listRegistered(), revision: options.getRegistryRevision() };
+    poolVersions.record(known.endpoints, isContinuous, getNow());
+  }
+
+  function recordClaim({ pools, sinceMs, checkedMs }: HeldClaim): void {
+    for (const binding of pools) poolVersions.recordEarlier(binding, sinceMs, checkedMs);
+  }
+
+  /** What was known before a gap, as a claim of this instance's own. */
+  function buildOwnClaim({ endpoints, revision }: KnownRegistry): VersionClaim {
+    const pools = [...new Set(endpoints.map(({ pool }) => hashName(pool)))];
+    return {
+      revision,
+      pools: pools.flatMap((pool) => {
+        const version = findRemembered(pool);
+        return version === undefined ? [] : [{ pool, version }];
+      }),
+      endpoints: endpoints.map(({ id }) => hashName(id)),
+    };
+  }
+
+  /** Guards against a new watcher's list, after which all others would forget what they have seen. */
+  function startBridging(claim: VersionClaim, sinceMs: number): void {
+    if (claim.pools.length === 0) return;
+    const listedRevision = options.getRegistryRevision();
+    options.startLook(claim.revision, (changes) => {
+      if (changes === undefined || changes.revision < listedRevision) return;
+      recordClaim({ pools: listUnchanged(claim, changes), sinceMs, checkedMs: changes.sentMs });
+    });
+  }
+
+  function recordGap(): void {
+    const sinceMs = getNow() - options.getCoveredMs();
+    const claim = buildOwnClaim(known);
+    recordNow(false);
+    recordNow(options.isViewContinuous());
+    startBridging(claim, sinceMs);
   }
 
   function resolveLook(inquiry: Inquiry, version: VersionKey): OwnConclusion {
@@ -86,12 +132,10 @@
 
   return {
     record(isGap) {
-      if (isGap) recordNow(false);
-      recordNow(options.isViewContinuous());
-    },
-    recordClaim({ pools, sinceMs, checkedMs }) {
-      for (const binding of pools) poolVersions.recordEarlier(binding, sinceMs, checkedMs);
+      if (isGap) recordGap();
+      else recordNow(options.isViewContinuous());
     },
+    recordClaim,
     findRemembered: (pool) => findRemembered(pool),
     resolve(inquiry) {
       const version = findRemembered(inquiry.pool, inquiry.askedMs);
