--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -80,6 +80,7 @@
       quarantine.recordEnded(endpoint);
       if (isRestarted) closeConnectionsTo(endpoint);
     },
+    onEndpointsApplied: (isGap) => streams.recordRegistry(isGap),
     onSuspended: () => peers.startKnowledgeFetches(),
   });
 
@@ -208,8 +209,10 @@
     listRegistered: () => knowledge.directory.listAll(),
     findEndpoint: (id) => knowledge.directory.find(id),
     viewAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
+    servingAgeMaxMs: options.keyAgeMaxMs,
     computeViewAge: () => knowledge.computeAge(),
     getRegistryRevision: () => knowledge.getEndpointsRevision(),
+    getChangeRevision: () => knowledge.getSummary().endpointsRevision,
     rowKey: `${options.self.name}/${options.incarnation}`,
     store: options.streamStore,
     getSourceNow: () => knowledge.computeSourceNow(),
--- a/src/stream-versions/stream-versions.test.ts
+++ b/src/stream-versions/stream-versions.test.ts
@@ -48,7 +48,12 @@
     find: (id) => endpoints.find((endpoint) => endpoint.id === id),
     isViewConfirmed: () => isConfirmed,
     isViewContinuous: () => isConfirmed,
+    getRegistryRevision: () => 1,
+    getChangeRevision: () => 1,
+    startLook: (revision, onEnded) =>
+      onEnded({ revision, present: [], removed: [], sentMs: nowMs }),
     getStreamLifeMs: () => 10_000,
+    getCoveredMs: () => 10_000,
     resolveStored: () => ({ kind: 'unknown' }),
     onLimit: () => undefined,
     send: (message) => sent.push(message),
