A start waits for its ports, and an instance always hears its datagrams

What was seen: with one of the ports of callers, readiness, control or metrics held, the process ended with code 1 after one attempt, at each restart anew; beside a predecessor that drained as well. With the datagram port held it started, said that it was ready and never heard a peer.

Cause: each server tried once, and the gateway, with its timers, watches and messages to peers, was created before the first port was bound. The datagram socket was bound in passing; its error was a log line only.

Now all ports are bound before anything that peers, the store or callers see, in one order (callers last), by one module. EADDRINUSE is waited for, and EADDRNOTAVAIL, since a machine may get its address after its processes start; others, such as EACCES, end the start at once. It waits for the grace period of a predecessor and 4 s more, with attempts after 50 to 500 ms and a line at first and every 5 s. Requests that reach a bound server meanwhile get status 503. The datagram socket is bound like the others, and opened anew if it fails later; a failed send leaves it as it is. Errors of a server that listens are logged and no longer uncaught.

Changed tests: those of datagrams and of the peer outbox create the socket and the server first; what they check is as before.

--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -1,7 +1,5 @@
 /** Starts and stops a router: its core, its HTTP servers and its connections. */
-import type { Server } from 'node:http';
-import { createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { create } from '@bufbuild/protobuf';
 import Emittery from 'emittery';
 import { FetchKnowledgeResponseSchema } from '../gen/peer_pb.js';
@@ -9,11 +7,11 @@
 import { STAGE } from '../lifecycle/drain.js';
 import { createOpenResponses } from '../lifecycle/open-responses.js';
 import { createPeerOutbox } from '../peers/peer-outbox.js';
-import { startPeerServer } from '../peers/peer-server.js';
 import { createInstanceListClient } from '../storage/instance-list-client.js';
 import { createObjectClient } from '../storage/object-client.js';
 import { createSignedClient } from '../storage/signed-client.js';
 import { createTableClient } from '../storage/table-client.js';
+import { createPortBinder, PORT_WAIT_MARGIN_MS } from '../runtime/bind-port.js';
 import { createSystemClock } from '../runtime/clock.js';
 import { createInvariants } from '../runtime/invariants.js';
 import { createLogger } from '../runtime/logger.js';
@@ -23,6 +21,7 @@
 import { FAILURE, HTTP_STATUS_BY_FAILURE } from '../types/outcomes.js';
 import type { RouterEvents } from '../types/router-events.js';
 import type { RouterStatus } from '../types/router-status.js';
+import { parseListen } from '../utils/address.js';
 import { hashName } from '../utils/hash.js';
 import { createRandom } from '../utils/random.js';
 import { buildErrorBody } from './answer-writers.js';
@@ -32,12 +31,13 @@
 import { createRouterCore } from './router-core.js';
 import type { RouterCore } from './router-core.js';
 import { createOperatorApi } from './operator-api.js';
-import { parseListen, resolveRouterConfig } from './settings.js';
+import { HEADER_BYTES_MAX, getPort, openRouterPorts } from './router-ports.js';
+import { resolveRouterConfig } from './settings.js';
 import type { RouterOptions } from './settings.js';
 import type { AdmissionPolicy } from '../admission/policy.js';
 
-/** Larger request headers are answered with status 431. */
-const HEADER_BYTES_MAX = 16_384;
+/** Longest drain of a predecessor whose ports a start waits for. */
+const PREDECESSOR_WAIT_MAX_MS = 60_000;
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 /** Protects against callers that open connections and send nothing. */
@@ -50,6 +50,8 @@
   readonly policy?: AdmissionPolicy;
   /** Simulated one-way delay to a peer address. */
   readonly getPeerDelayMs?: (address: string) => number;
+  /** Ends a start that waits for a port. */
+  readonly stop?: AbortSignal;
 }
 
 export interface Router {
@@ -66,15 +68,6 @@
   stop(): Promise<void>;
 }
 
-async function startServer(server: Server, listen: string): Promise<number> {
-  const { host, port } = parseListen(listen);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-  return (server.address() as AddressInfo).port;
-}
-
 /** Responds to input that the HTTP parser rejects, such as oversized headers. */
 function handleClientError(error: Error & { code?: string }, socket: Socket): void {
   if (!socket.writable) {
@@ -104,7 +97,6 @@
   const config = resolveRouterConfig(options);
   const { name, dataCentre } = config;
   const clock = createSystemClock();
-  const incarnation = clock.wallMs();
   const timers = createTimerService(clock, (error) => recordTaskFailure(error));
   const events = new Emittery<RouterEvents>();
   const logger = createLogger(config.logLevel, { instance: name, dataCentre });
@@ -114,6 +106,20 @@
     onCount: () => metrics.count(METRIC.TaskFailures),
     onLog: (reason) => logger.error('a task failed; report this', { reason }),
   });
+  const ports = await openRouterPorts(
+    config,
+    createPortBinder({
+      timers,
+      waitMaxMs: Math.min(config.drainTimeoutMs, PREDECESSOR_WAIT_MAX_MS) + PORT_WAIT_MARGIN_MS,
+      stop: internals.stop,
+      onWait: (wait) => logger.warn('a port is held; waiting for it', wait),
+      onServerError: (role, error) => logger.error('a server failed', { role, error }),
+    }),
+  ).catch((error: unknown) => {
+    timers.stop();
+    throw error;
+  });
+  const incarnation = clock.wallMs();
   const random = createRandom(hashName(`${name}|${incarnation}`));
   const invariants = createInvariants((breach) => {
     metrics.count(METRIC.InvariantBreaches, 1, { name: breach.name });
@@ -148,8 +154,7 @@
   const endpoints = createEndpointClient();
   let isStopped = false;
 
-  const peersListen = parseListen(config.peers);
-  const peerServer = await startPeerServer(peersListen.host, peersListen.port, config.peerSecret, {
+  ports.peerServer.start(config.peerSecret, {
     onMessages(from, bodies) {
       if (!isStopped) core.handleMessages(from, bodies);
     },
@@ -158,7 +163,7 @@
     // This router reads no source tables, so it has no rows to share with peers.
     onFetchKnowledge: () => create(FetchKnowledgeResponseSchema),
   });
-  const peersAddress = `${peersListen.host}:${peerServer.port}`;
+  const peersAddress = `${parseListen(config.peers).host}:${getPort(ports.peerServer.server)}`;
   const core: RouterCore = createRouterCore({
     self: { name, address: peersAddress, dataCentre },
     incarnation,
@@ -186,8 +191,8 @@
     ...(internals.policy === undefined ? {} : { policy: internals.policy }),
   });
 
-  const callersServer = createServer(
-    { maxHeaderSize: HEADER_BYTES_MAX },
+  const callersServer = ports.callers.server;
+  ports.callers.start(
     createCallerApi({
       runner: core.runner,
       authenticator: core.authenticator,
@@ -203,7 +208,7 @@
   callersServer.requestTimeout = REQUEST_TIMEOUT_MS;
   callersServer.maxConnections = CONNECTIONS_MAX;
   callersServer.on('clientError', handleClientError);
-  const operatorsServer = createServer(
+  ports.operators.start(
     createOperatorApi({
       secret: config.operatorSecret,
       isReady: () => core.getStage() === STAGE.Ready,
@@ -212,19 +217,15 @@
       onLeave: () => core.leave(),
     }),
   );
-  const callersPort = await startServer(callersServer, config.callers);
-  const operatorsPort = await startServer(operatorsServer, config.operators);
+  const callersPort = getPort(callersServer);
+  const operatorsPort = getPort(ports.operators.server);
 
   async function stop(): Promise<void> {
     if (isStopped) return;
     isStopped = true;
     timers.stop();
     outbox.close();
-    callersServer.close();
-    operatorsServer.close();
-    callersServer.closeAllConnections();
-    operatorsServer.closeAllConnections();
-    await peerServer.close();
+    await ports.close();
     await endpoints.close();
     await tableHttp.close();
     await objectHttp.close();
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -69,8 +69,3 @@
   });
   throw new SettingsError(lines.join('\n'));
 }
-
-export function parseListen(listen: string): { host: string; port: number } {
-  const at = listen.lastIndexOf(':');
-  return { host: listen.slice(0, at), port: Number(listen.slice(at + 1)) };
-}
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -2,6 +2,14 @@
 import type { UnknownValue } from './unknown-values.js';
 
 export type LogEvent =
+  | {
+      /** A port that the start needs is held; tried again until `leftMs` are over. */
+      readonly event: 'port_awaited';
+      readonly role: string;
+      readonly address: string;
+      readonly reason: string;
+      readonly leftMs: number;
+    }
   | { readonly event: 'started'; readonly callers: string; readonly peers: string }
   | {
       readonly event: 'stopped';
@@ -243,6 +251,8 @@
   /** Uncaught errors: of a connection to a peer, or (`failed`) any other, which ends the process. */
   | { readonly event: 'link_failed' | 'failed'; readonly reason: string }
   | { readonly event: 'datagram_refused'; readonly reason: string }
+  /** A server that listens failed at one connection; it goes on. */
+  | { readonly event: 'server_failed'; readonly role: string; readonly reason: string }
   /** The fleet duties have moved to another instance or to this one. */
   | {
       readonly event: 'duty_holder_changed';
--- a/src/peers/datagrams.test.ts
+++ b/src/peers/datagrams.test.ts
@@ -1,8 +1,13 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
 import { create, toBinary } from '@bufbuild/protobuf';
+import type { ExecutionContext } from 'ava';
 import { DatagramSchema, LoadScope, TellLoadSchema } from '../gen/peer_pb.js';
 import { describe } from '../test/describe.js';
+import { createSystemClock } from '../runtime/clock.js';
+import { createTimerService } from '../runtime/timer-service.js';
+import { openDatagramSocket } from './datagram-socket.js';
+import type { DatagramSocket } from './datagram-socket.js';
 import { openDatagrams } from './datagrams.js';
 import type { PeerStatus } from './peer-status.js';
 
@@ -21,6 +26,17 @@
   return toBinary(DatagramSchema, message);
 }
 
+async function openSocket(t: ExecutionContext): Promise<{ socket: DatagramSocket; port: number }> {
+  const timers = createTimerService(createSystemClock());
+  const port = await findFreePort();
+  const socket = await openDatagramSocket({ address: `${HOST}:${port}`, timers });
+  t.teardown(() => {
+    timers.stop();
+    socket.close();
+  });
+  return { socket, port };
+}
+
 async function findFreePort(): Promise<number> {
   const probe = createSocket('udp4').bind(0, HOST);
   await once(probe, 'listening');
@@ -49,17 +65,16 @@
 describe('datagrams of a newer release', ({ it }) => {
   // Guards against an uncaught error that ends the process and against repeated errors in the log.
   it('are reported as unknown, and their known fields are decoded', async (t) => {
-    const port = await findFreePort();
+    const { socket, port } = await openSocket(t);
     const received: PeerStatus[] = [];
     const unknown: string[] = [];
     const errors: string[] = [];
     const ended = new Promise<void>((resolve) => {
-      const datagrams = openDatagrams({
+      openDatagrams({
         self: 'front-1',
         dataCentre: 'hall',
         secret: SECRET,
-        host: HOST,
-        port,
+        socket,
         ...IGNORED,
         onPeerStatus(status) {
           received.push(status);
@@ -68,7 +83,6 @@
         onUnknown: (field, value) => unknown.push(`${field} ${value}`),
         onError: (reason) => errors.push(reason),
       });
-      t.teardown(() => datagrams.close());
     });
     const sender = createSocket('udp4');
     t.teardown(() => sender.close());
@@ -90,19 +104,16 @@
     const receiver = createSocket('udp4').bind(0, HOST);
     await once(receiver, 'listening');
     const errors: string[] = [];
+    const { socket } = await openSocket(t);
     const datagrams = openDatagrams({
       self: 'front-1',
       dataCentre: 'hall',
       secret: SECRET,
-      host: HOST,
-      port: await findFreePort(),
+      socket,
       ...IGNORED,
       onError: (reason) => errors.push(reason),
     });
-    t.teardown(() => {
-      datagrams.close();
-      receiver.close();
-    });
+    t.teardown(() => receiver.close());
     const arrived = once(receiver, 'message');
     const odd = ['nowhere', `${HOST}:65536`, `${HOST}:-1`, `${HOST}:`, ':7', ''];
     datagrams.sendNotices([...odd, `${HOST}:${receiver.address().port}`], []);
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -3,7 +3,6 @@
  * lost. They take much less processor time than calls over HTTP/2.
  */
 import { timingSafeEqual } from 'node:crypto';
-import { createSocket } from 'node:dgram';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { DatagramSchema, PeerMessageSchema } from '../gen/peer_pb.js';
 import type { Datagram, PeerMessage, TellLoad } from '../gen/peer_pb.js';
@@ -38,6 +37,7 @@
   encodeStreams,
 } from './encode-streams.js';
 import { decodeUsage, encodeUsage } from './encode-usage.js';
+import type { DatagramSocket } from './datagram-socket.js';
 import type { KnowledgeSummary } from './peer-links.js';
 import type { PeerStatus } from './peer-status.js';
 import { parseAddress } from '../utils/address.js';
@@ -59,7 +59,6 @@
   sendStreams(address: string, groups: readonly BindingGroup[]): void;
   sendStreamQuery(address: string, query: BindingQuery): void;
   sendStreamReply(address: string, reply: BindingReply): void;
-  close(): void;
 }
 
 export interface DatagramsOptions {
@@ -67,8 +66,7 @@
   readonly dataCentre: string;
   /** Shared by all instances; datagrams with another secret are reported to `onError` and dropped. */
   readonly secret: string;
-  readonly host: string;
-  readonly port: number;
+  readonly socket: DatagramSocket;
   readonly onPeerStatus: (status: PeerStatus) => void;
   readonly onGossip: (from: string, body: PeerMessage['body']) => void;
   readonly onCases: (from: string, cases: readonly CaseReport[]) => void;
@@ -87,11 +85,10 @@
   readonly onError: (reason: string) => void;
 }
 
-/** Binds the socket. */
+/** Sends and receives over a bound socket. */
 export function openDatagrams(options: DatagramsOptions): Datagrams {
-  const { self, dataCentre, secret } = options;
+  const { self, dataCentre, secret, socket } = options;
   const expected = Buffer.from(secret);
-  const socket = createSocket('udp4');
 
   function handleLoad(from: string, load: TellLoad): void {
     const status = decodeLoadUpdate(from, load);
@@ -154,15 +151,14 @@
     else socket.send(bytes, target.port, target.host);
   }
 
-  socket.on('error', (error) => options.onError(String(error)));
-  socket.on('message', (bytes) => {
+  socket.onError(options.onError);
+  socket.onMessage((bytes) => {
     try {
       handleDatagram(fromBinary(DatagramSchema, bytes));
     } catch (error) {
       options.onError(String(error));
     }
   });
-  socket.bind(options.port, options.host);
 
   function sendBody(addresses: readonly string[], body: Datagram['body']): void {
     const message = create(DatagramSchema, { from: self, secret, body });
@@ -209,6 +205,5 @@
     sendStreamReply(address, reply) {
       sendBody([address], { case: 'streamReply', value: encodeStreamReply(reply) });
     },
-    close: () => socket.close(),
   };
 }
--- a/src/peers/peer-outbox.test.ts
+++ b/src/peers/peer-outbox.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { createMetrics } from '../runtime/metrics.js';
 import { describe } from '../test/describe.js';
@@ -5,7 +7,7 @@
 import type { PeerMessage } from '../gen/peer_pb.js';
 import { isLinkFailure } from './link-failure.js';
 import { createPeerOutbox } from './peer-outbox.js';
-import { startPeerServer } from './peer-server.js';
+import { createPeerServer } from './peer-server.js';
 
 const SECRET = 'a-secret-of-all-routers';
 /** Covers the timeout of the lost call and a new connection. */
@@ -20,7 +22,10 @@
 
 async function startPair() {
   const received: number[] = [];
-  const server = await startPeerServer('127.0.0.1', 0, SECRET, {
+  const server = createPeerServer();
+  server.server.listen(0, '127.0.0.1');
+  await once(server.server, 'listening');
+  server.start(SECRET, {
     onMessages(_, bodies) {
       for (const body of bodies) if (body.case === 'ping') received.push(body.value.sequence);
     },
@@ -33,7 +38,7 @@
       renewalLeftMs: 0,
     }),
   });
-  const relay = await startRelay(server.port);
+  const relay = await startRelay((server.server.address() as AddressInfo).port);
   const outbox = createPeerOutbox({
     self: 'front-1',
     incarnation: 1,
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -1,7 +1,6 @@
 /** Serves the peer protocol. Every call must include the peer secret. */
 import { createServer } from 'node:http2';
-import type { ServerHttp2Session } from 'node:http2';
-import type { AddressInfo } from 'node:net';
+import type { Http2Server, ServerHttp2Session } from 'node:http2';
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { Interceptor } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
@@ -14,6 +13,7 @@
   ForwardRequest as EncodedRequest,
   PeerMessage,
 } from '../gen/peer_pb.js';
+import { createRequestGate } from '../runtime/request-gate.js';
 import { hashText, isSameDigest } from '../utils/hash.js';
 import type { ForwardRequest, ForwardResponse } from '../forwarding/forward-messages.js';
 import { decodeForwardRequest, encodeForwardResponse } from './encode-forwarding.js';
@@ -44,16 +44,13 @@
 }
 
 export interface PeerServer {
-  readonly port: number;
+  /** Answers with status 503 until `start` is called. */
+  readonly server: Http2Server;
+  start(secret: string, handlers: PeerHandlers): void;
   close(): Promise<void>;
 }
 
-export async function startPeerServer(
-  host: string,
-  port: number,
-  secret: string,
-  handlers: PeerHandlers,
-): Promise<PeerServer> {
+function createPeerAdapter(secret: string, handlers: PeerHandlers) {
   const expected = hashText(`Bearer ${secret}`);
   const checkSecret: Interceptor = (next) => (request) => {
     const given = hashText(request.header.get(PEER_SECRET_HEADER) ?? '');
@@ -65,7 +62,7 @@
     }
     return next(request);
   };
-  const handler = connectNodeAdapter({
+  return connectNodeAdapter({
     interceptors: [checkSecret],
     readMaxBytes: MESSAGE_BYTES_MAX,
     routes: (router) => {
@@ -92,19 +89,21 @@
       });
     },
   });
-  const server = createServer(handler);
+}
+
+/** Creates the server, which does not listen yet. */
+export function createPeerServer(): PeerServer {
+  const server = createServer();
+  const startServing = createRequestGate(server);
   const sessions = new Set<ServerHttp2Session>();
   server.on('session', (session) => {
     sessions.add(session);
     session.on('close', () => sessions.delete(session));
     session.on('error', () => session.destroy());
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
   return {
-    port: (server.address() as AddressInfo).port,
+    server,
+    start: (secret, handlers) => startServing(createPeerAdapter(secret, handlers)),
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
--- a/src/utils/address.ts
+++ b/src/utils/address.ts
@@ -17,3 +17,9 @@
   const isPort = PORT_PATTERN.test(portText) && port > 0 && port <= PORT_MAX;
   return host === '' || !isPort ? undefined : { host, port };
 }
+
+/** Splits an address to listen at, which may have port 0. */
+export function parseListen(listen: string): HostAndPort {
+  const separator = listen.lastIndexOf(':');
+  return { host: listen.slice(0, separator), port: Number(listen.slice(separator + 1)) };
+}
