Own front door: an answer does not go on at another version

What callers could see: a repeatable completion breaks after some frames, goes on at any other engine of the pool, and ends as complete with the words of two software versions. src/node offers no take-up by callers (no ids, no Last-Event-Id), so this is the only way there.

Cause: nothing of an endpoint's software was read.

Evidence, requests/request-state-machine.test without the check:

is not joined with what another version writes - { kind: 'deliver', text: 'a' } + undefined

Fix: system_fingerprint of the first frame that was delivered holds for the answer; an attempt that goes on with another one is cancelled before its frame is delivered, and another endpoint is tried.

--- a/src/node/endpoint-client.test.ts
+++ b/src/node/endpoint-client.test.ts
@@ -69,6 +69,46 @@
   });
 });
 
+describe('completions', ({ it }) => {
+  // Guards against an answer that is joined from two versions since nobody reads which one wrote it.
+  it('tell the software of the endpoint with each frame', async (t) => {
+    const buildFrame = (fingerprint?: string): string => {
+      const choices = [{ delta: { content: 'a' } }];
+      const frame = { id: 'a', choices, system_fingerprint: fingerprint };
+      return `data: ${JSON.stringify(frame)}\n\n`;
+    };
+    const server = createServer((_, response) => {
+      response.writeHead(200, { 'x-request-id': 'a' });
+      response.end(buildFrame('v1') + buildFrame());
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const client = createEndpointClient();
+    t.teardown(async () => {
+      await client.close();
+      server.close();
+    });
+    const { port } = server.address() as AddressInfo;
+    const url = `http://127.0.0.1:${port}`;
+    const endpoint = { name: 'e-1', pool: 'small', url, dataCentre: 'hall', slots: 4 };
+    const fingerprints: (string | undefined)[] = [];
+    await new Promise<void>((resolve) => {
+      client.startCompletion(
+        endpoint,
+        { attemptId: 'a', body: '{}', offset: 0 },
+        {
+          onNotice: () => undefined,
+          onFrame: (_id, _index, _text, fingerprint) => fingerprints.push(fingerprint),
+          onFinished: () => resolve(),
+          onEnded: () => resolve(),
+        },
+      );
+    });
+    t.deepEqual(fingerprints, ['v1', undefined]);
+  });
+});
+
 describe('calls to services', ({ describe: block, it }) => {
   const attempt = { attemptId: 'a', method: 'POST', path: '/', headers: {}, body: undefined };
 
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -29,8 +29,11 @@
 export interface AttemptListener {
   /** Called for the head of each response, before anything else. */
   onNotice(notice: AvailabilityNotice): void;
-  /** `id` is the attempt id in the frame; `index` is its position in the whole answer. */
-  onFrame(id: string, index: number, text: string): void;
+  /**
+   * `id` is the attempt id in the frame; `index` is its position in the whole answer; `fingerprint`
+   * tells the software and weights of the endpoint, if it names them.
+   */
+  onFrame(id: string, index: number, text: string, fingerprint?: string): void;
   onFinished(id: string, index: number, finishReason: string): void;
   onEnded(ending: AttemptEnding): void;
 }
@@ -98,11 +101,13 @@
   readonly index: number | undefined;
   readonly text: string;
   readonly finishReason: string | undefined;
+  readonly fingerprint: string | undefined;
 }
 
 interface WireFrame {
   readonly id?: unknown;
   readonly index?: unknown;
+  readonly system_fingerprint?: unknown;
   readonly choices?: readonly {
     readonly delta?: { readonly content?: unknown };
     readonly finish_reason?: unknown;
@@ -124,7 +129,7 @@
  * schema validation.
  */
 function parseFrame(data: string): StreamFrame | undefined {
-  const { id, index, choices } = JSON.parse(data) as WireFrame;
+  const { id, index, choices, system_fingerprint: fingerprint } = JSON.parse(data) as WireFrame;
   const choice = Array.isArray(choices) ? (choices as WireFrame['choices'])?.[0] : undefined;
   if (typeof id !== 'string' || choice === undefined) return undefined;
   const content = choice.delta?.content;
@@ -133,6 +138,7 @@
     index: typeof index === 'number' ? index : undefined,
     text: typeof content === 'string' ? content : '',
     finishReason: typeof choice.finish_reason === 'string' ? choice.finish_reason : undefined,
+    fingerprint: typeof fingerprint === 'string' ? fingerprint : undefined,
   };
 }
 
@@ -231,11 +237,11 @@
         }
         const frame = parseFrame(event.data);
         if (frame === undefined) return;
-        const { id, index, text, finishReason } = frame;
+        const { id, index, text, finishReason, fingerprint } = frame;
         const isSameAttempt = id === attempt.attemptId;
         if (text !== '') {
           const position = index ?? nextIndex;
-          listener.onFrame(id, position, text);
+          listener.onFrame(id, position, text, fingerprint);
           // Uses the position, so that a duplicate frame does not count twice.
           if (isSameAttempt) nextIndex = Math.max(nextIndex, position + 1);
         }
--- a/src/node/request-runner.ts
+++ b/src/node/request-runner.ts
@@ -254,8 +254,8 @@
   function createListener(run: Run, attemptId: string, endpoint: string): AttemptListener {
     return {
       onNotice: (notice) => notices.recordAnswer(endpoint, notice),
-      onFrame(id, index, text) {
-        handleMessage(run, { kind: 'frame', attemptId: id, index, text });
+      onFrame(id, index, text, fingerprint) {
+        handleMessage(run, { kind: 'frame', attemptId: id, index, text, fingerprint });
       },
       onFinished(id, index, finishReason) {
         run.finishReason = finishReason;
--- a/src/requests/request-messages.ts
+++ b/src/requests/request-messages.ts
@@ -49,6 +49,8 @@
       readonly attemptId: string;
       readonly index: number;
       readonly text: string;
+      /** What the endpoint says of its software and weights. */
+      readonly fingerprint?: string | undefined;
     }
   | { readonly kind: 'finished'; readonly attemptId: string; readonly index: number }
   | { readonly kind: 'attempt_ended'; readonly attemptId: string; readonly ending: AttemptEnding }
@@ -88,7 +90,10 @@
       readonly ending: SlotEnding;
     }
   | { readonly kind: 'deliver'; readonly text: string }
-  | { readonly kind: 'drop_frame'; readonly reason: 'foreign' | 'repeated' | 'gap' }
+  | {
+      readonly kind: 'drop_frame';
+      readonly reason: 'foreign' | 'repeated' | 'gap' | 'other_version';
+    }
   | { readonly kind: 'complete'; readonly frames: number }
   /** Sends the stored answer to the caller. */
   | { readonly kind: 'replay' }
--- a/src/requests/request-state-machine.test.ts
+++ b/src/requests/request-state-machine.test.ts
@@ -109,6 +109,43 @@
 );
 
 describe('request lifecycle', ({ describe: describeInner, it }) => {
+  describeInner('an answer that goes on at another endpoint', ({ it: itResumed }) => {
+    /** Breaks after two frames of one endpoint, and gets the first frame of the next one. */
+    function startSecond(first: string | undefined, second: string | undefined) {
+      const lifecycle = startLifecycle();
+      const frame = { kind: 'frame', attemptId: 'r-1', text: 'a' } as const;
+      lifecycle.handle({ ...frame, index: 0, fingerprint: first }, 2);
+      lifecycle.handle({ ...frame, index: 1, fingerprint: first }, 3);
+      lifecycle.handle({ kind: 'attempt_ended', attemptId: 'r-1', ending: 'broken' }, 4);
+      lifecycle.handle({ kind: 'granted', ticketId: 'r.2', endpoint: 'e2' }, 5);
+      const next = { ...frame, attemptId: 'r-2', index: 2, fingerprint: second };
+      return { lifecycle, commands: lifecycle.handle(next, 6) };
+    }
+
+    // Guards against an answer that is joined from two versions of the endpoints' software.
+    itResumed('is not joined with what another version writes', (t) => {
+      for (const [first, second] of [
+        ['v1', 'v2'],
+        ['v1', undefined],
+        [undefined, 'v2'],
+      ]) {
+        const { lifecycle, commands } = startSecond(first, second);
+        t.is(findCommand(commands, 'deliver'), undefined);
+        t.truthy(findCommand(commands, 'cancel_attempt'));
+        t.deepEqual(findCommand(commands, 'acquire')?.excluded, ['e1', 'e2']);
+        t.is(lifecycle.countDelivered(), 2);
+      }
+    });
+
+    // Guards against losing answers of endpoints that say the same, or nothing, of their software.
+    itResumed('goes on at the same version', (t) => {
+      for (const fingerprint of ['v1', undefined]) {
+        const { commands } = startSecond(fingerprint, fingerprint);
+        t.truthy(findCommand(commands, 'deliver'));
+      }
+    });
+  });
+
   // Guards against a rejection that asks for rest, which proves nothing, as a proof that nothing ran.
   it('repeats a request that may run once only if nothing was sent', (t) => {
     const { SingleAttempt, Repeatable } = REPEATABILITY;
--- a/src/requests/request-state-machine.ts
+++ b/src/requests/request-state-machine.ts
@@ -62,6 +62,8 @@
   getProgress(): { ticketId: string; tokens: number; stepMs: number } | undefined;
 }
 
+const OTHER_VERSION_MESSAGE =
+  'no endpoint with the software that began the answer goes on with it; send the request again';
 const RESTING_MESSAGE = 'the endpoint asked for rest; try again later';
 
 export function createRequestStateMachine(
@@ -74,6 +76,8 @@
   let attemptCount = 0;
   let mayHaveRun = false;
   const delivered: string[] = [];
+  /** Of the endpoint that wrote the first frame that was delivered. */
+  let fingerprint: string | undefined;
   let wastedFrames = 0;
   let finalAnswers = 0;
   let excluded: string[] = [];
@@ -269,6 +273,15 @@
       );
       return;
     }
+    if (current.frames === 0 && delivered.length > 0 && message.fingerprint !== fingerprint) {
+      // Guards against an answer that is joined from two versions of the software.
+      commands.push({ kind: 'drop_frame', reason: 'other_version' });
+      wastedFrames += 1;
+      releaseAttempt(SlotEnding.CANCELLED, true);
+      handleFailedAttempt(current.endpoint, false, OTHER_VERSION_MESSAGE);
+      return;
+    }
+    if (delivered.length === 0) fingerprint = message.fingerprint;
     current.firstFrameMs ??= nowMs;
     current.lastFrameMs = nowMs;
     current.pausedMs = 0;
