--- /dev/null
+++ b/src/stream-versions/stream-inquiries.ts
@@ -0,0 +1,117 @@
+/**
+ * Finds out which version began a stream that callers bring from elsewhere: asks other instances and looks
+ * at the registry. Performs no I/O.
+ */
+import type { BindingMessage, BindingReply } from './binding-messages.js';
+import type { OwnerCandidate, OwnerChooser } from './binding-owners.js';
+import { createBindingQueries } from './binding-queries.js';
+import type { AskedInstance, OwnConclusion, QueryRecord, Resolution } from './binding-queries.js';
+import type { PoolKey, StreamKey } from './stream-binding.js';
+import type { Inquiry, VersionConclusions } from './version-conclusions.js';
+
+/** More than are told, since two instances may see slightly different fleets. */
+const OWNERS_ASKED = 4;
+/** Instances asked where the look at the registry fails. */
+const ASKED_MAX = 64;
+
+/** What came out, and where from. */
+export interface InquiryResult {
+  readonly resolution: Resolution;
+  readonly source: 'asked' | 'stored';
+  /** Revision of the look at the registry by which this instance concluded; undefined if it did not. */
+  readonly lookRevision: number | undefined;
+}
+
+export interface StreamInquiriesOptions {
+  readonly self: string;
+  readonly getNow: () => number;
+  /** Live instances, including this one. */
+  readonly listAlive: () => readonly OwnerCandidate[];
+  readonly owners: OwnerChooser;
+  readonly conclusions: Pick<VersionConclusions, 'resolve' | 'isFailing'>;
+  /** Time before a take-up that a conclusion must cover. */
+  readonly getCoveredMs: () => number;
+  /** Resolves a stream that no instance knows by what was stored. */
+  readonly resolveStored: (key: StreamKey, pool: PoolKey) => Resolution;
+  readonly send: (message: BindingMessage) => void;
+}
+
+export interface StreamInquiries {
+  /** Starts to ask if that has not been done yet. */
+  resolve(key: StreamKey, pool: PoolKey): InquiryResult;
+  handleReply(reply: BindingReply, from: string): void;
+  getRecord(key: StreamKey): QueryRecord | undefined;
+  removeExpired(): void;
+}
+
+export function createStreamInquiries(options: StreamInquiriesOptions): StreamInquiries {
+  const { self, getNow, conclusions, owners } = options;
+  const queries = createBindingQueries();
+  const inquiries = new Map<StreamKey, Inquiry>();
+
+  function listOwners(key: StreamKey, count: number): string[] {
+    return owners.choose(key, options.listAlive(), count).filter((name) => name !== self);
+  }
+
+  function sendQueries(key: StreamKey, pool: PoolKey, asked: readonly AskedInstance[]): void {
+    for (const { name: to, isConcluding: conclude } of asked)
+      options.send({ kind: 'query', to, query: { key, pool, conclude } });
+  }
+
+  function startQuery(key: StreamKey, pool: PoolKey): void {
+    const inquiry = { pool, askedMs: getNow() };
+    const isConcluding = conclusions.resolve(inquiry).kind === 'none';
+    const asked = listOwners(key, OWNERS_ASKED).map((name) => ({ name, isConcluding }));
+    if (!queries.start(key, pool, asked, getNow())) return;
+    inquiries.set(key, inquiry);
+    if (conclusions.isFailing()) startSecondRound(key, pool);
+    else sendQueries(key, pool, asked);
+  }
+
+  /** The instance that began the stream knows it, also where nobody can look at the registry. */
+  function startSecondRound(key: StreamKey, pool: PoolKey): void {
+    const first = listOwners(key, OWNERS_ASKED);
+    const others = listOwners(key, ASKED_MAX + 1).filter((name) => !first.includes(name));
+    const asked = [
+      ...first.map((name) => ({ name, isConcluding: true })),
+      ...others.map((name) => ({ name, isConcluding: false })),
+    ];
+    // Reading the rows takes as long as a look, so it is not left until after it.
+    options.resolveStored(key, pool);
+    queries.extend(key, asked, getNow());
+    sendQueries(key, pool, asked);
+  }
+
+  function resolveOwn(key: StreamKey): OwnConclusion {
+    const query = queries.find(key);
+    const inquiry = inquiries.get(key);
+    if (query === undefined || inquiry === undefined) return { kind: 'none' };
+    const own = conclusions.resolve(inquiry);
+    // A look that another instance knows more than was answered by a store that lags.
+    if (own.kind === 'only' && own.revision < query.newestRevision) {
+      inquiry.ticket = undefined;
+      return conclusions.resolve(inquiry);
+    }
+    const isMissing = own.kind === 'failed' || (own.kind === 'wait' && own.isLate);
+    if (isMissing && !query.isExtended) startSecondRound(key, inquiry.pool);
+    return own;
+  }
+
+  return {
+    resolve(key, pool) {
+      if (queries.find(key) === undefined) startQuery(key, pool);
+      const own = resolveOwn(key);
+      const resolution = queries.resolve(key, own, options.getCoveredMs(), getNow());
+      const lookRevision = own.kind === 'only' ? own.revision : undefined;
+      if (resolution.kind !== 'unknown') return { resolution, source: 'asked', lookRevision };
+      return { resolution: options.resolveStored(key, pool), source: 'stored', lookRevision };
+    },
+    handleReply: (reply, from) => queries.handle(reply, from, getNow()),
+    getRecord: (key) => queries.getRecord(key, getNow()),
+    removeExpired() {
+      queries.removeExpired(getNow());
+      for (const key of inquiries.keys())
+        if (queries.find(key) === undefined) inquiries.delete(key);
+    },
+  };
+}
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -13,9 +13,9 @@
 import type { BindingMessage, BindingQuery, BindingReply } from './binding-messages.js';
 import { createOwnerChooser } from './binding-owners.js';
 import type { OwnerCandidate } from './binding-owners.js';
-import { createBindingQueries } from './binding-queries.js';
-import type { AskedInstance, OwnConclusion, QueryRecord, Resolution } from './binding-queries.js';
+import type { QueryRecord, Resolution } from './binding-queries.js';
 import { createQueryReplies } from './query-replies.js';
+import { createStreamInquiries } from './stream-inquiries.js';
 import { UNSURE_VERSION, buildBinding, getStreamKey, isResumed } from './stream-binding.js';
 import type {
   BindingGroup,
@@ -28,13 +28,8 @@
 import type { EndpointChanges } from './stream-row.js';
 import { buildToldMessages } from './told-messages.js';
 import { createVersionConclusions } from './version-conclusions.js';
-import type { Inquiry } from './version-conclusions.js';
 
 const OWNERS_TOLD = 3;
-/** More than are told, since two instances may see slightly different fleets. */
-const OWNERS_ASKED = 4;
-/** Instances asked where the look at the registry fails. */
-const ASKED_MAX = 64;
 /**
  * Time for which a start that has ended is remembered while the view of the registry is confirmed:
  * longer than the registry takes to notice an end.
@@ -138,12 +133,10 @@
 export function createStreamVersions(options: StreamVersionsOptions): StreamVersions {
   const { self, getNow, observer } = options;
   const ledger = createBindingLedger();
-  const queries = createBindingQueries();
   const owners = createOwnerChooser();
   const endedMs = new Map<EndpointKey, number>();
   /** Calls whose resolution was reported. */
   const reported = new WeakSet<RoutedCall>();
-  const inquiries = new Map<StreamKey, Inquiry>();
   const conclusions = createVersionConclusions({
     ...options,
     countInstances: () => options.listAlive().length,
@@ -158,6 +151,8 @@
     send: (reply, to) => options.send({ kind: 'reply', to, reply }),
   });
 
+  const inquiries = createStreamInquiries({ ...options, owners, conclusions });
+
   /** Enough to decide who must be told, not to go on with a stream. */
   function findOnly(pool: PoolKey): VersionKey | undefined {
     return options.isViewConfirmed() ? conclusions.findRemembered(pool) : undefined;
@@ -182,7 +177,7 @@
     if (resolution.kind === 'wait' || reported.has(call)) return resolution;
     reported.add(call);
     const key = getStreamKey(call);
-    const query = queries.getRecord(key, getNow());
+    const query = inquiries.getRecord(key);
     const registryRevision = options.getRegistryRevision();
     const sight = { query, registryRevision, lookRevision };
     observer.onResolved({ call, resolution, source, ageMs, ...sight });
@@ -195,71 +190,14 @@
       : { kind: 'bound', version };
   }
 
-  function listOwners(key: string): string[] {
-    return owners.choose(key, options.listAlive(), OWNERS_ASKED).filter((name) => name !== self);
-  }
-
-  function sendQueries(key: StreamKey, pool: PoolKey, asked: readonly AskedInstance[]): void {
-    for (const { name: to, isConcluding: conclude } of asked)
-      options.send({ kind: 'query', to, query: { key, pool, conclude } });
-  }
-
-  function startQuery(key: StreamKey, pool: PoolKey): void {
-    const inquiry = { pool, askedMs: getNow() };
-    const isConcluding = conclusions.resolve(inquiry).kind === 'none';
-    const asked = listOwners(key).map((name) => ({ name, isConcluding }));
-    if (!queries.start(key, pool, asked, getNow())) return;
-    inquiries.set(key, inquiry);
-    if (conclusions.isFailing()) startSecondRound(key, pool);
-    else sendQueries(key, pool, asked);
-  }
-
-  /** The instance that began the stream knows it, also where nobody can look at the registry. */
-  function startSecondRound(key: StreamKey, pool: PoolKey): void {
-    const first = listOwners(key);
-    const others = owners
-      .choose(key, options.listAlive(), ASKED_MAX + 1)
-      .filter((name) => name !== self && !first.includes(name));
-    const asked = [
-      ...first.map((name) => ({ name, isConcluding: true })),
-      ...others.map((name) => ({ name, isConcluding: false })),
-    ];
-    // Reading the rows takes as long as a look, so it is not left until after it.
-    options.resolveStored(key, pool);
-    queries.extend(key, asked, getNow());
-    sendQueries(key, pool, asked);
-  }
-
-  function resolveOwn(key: StreamKey): OwnConclusion {
-    const query = queries.find(key);
-    const inquiry = inquiries.get(key);
-    if (query === undefined || inquiry === undefined) return { kind: 'none' };
-    const own = conclusions.resolve(inquiry);
-    // A look that another instance knows more than was answered by a store that lags.
-    if (own.kind === 'only' && own.revision < query.newestRevision) {
-      inquiry.ticket = undefined;
-      return conclusions.resolve(inquiry);
-    }
-    const isMissing = own.kind === 'failed' || (own.kind === 'wait' && own.isLate);
-    if (isMissing && !query.isExtended) startSecondRound(key, inquiry.pool);
-    return own;
-  }
-
-  function resolveAsked(call: RoutedCall, key: StreamKey, pool: PoolKey): Resolution {
-    if (queries.find(key) === undefined) startQuery(key, pool);
-    const own = resolveOwn(key);
-    const asked = queries.resolve(key, own, options.getCoveredMs(), getNow());
-    const lookRevision = own.kind === 'only' ? own.revision : undefined;
-    const sight = { ageMs: undefined, lookRevision };
-    if (asked.kind !== 'unknown') return recordResolved(call, asked, { source: 'asked', ...sight });
-    return recordResolved(call, options.resolveStored(key, pool), { source: 'stored', ...sight });
-  }
-
   function resolveResumed(call: RoutedCall): Resolution {
     const key = getStreamKey(call);
     const pool = hashName(call.pool);
     const known = ledger.find(key);
-    if (known === undefined) return resolveAsked(call, key, pool);
+    if (known === undefined) {
+      const { resolution, ...sight } = inquiries.resolve(key, pool);
+      return recordResolved(call, resolution, { ageMs: undefined, ...sight });
+    }
     const version = known.pool === pool ? known.version : undefined;
     const ageMs = getNow() - known.recordedMs;
     const { source } = known;
@@ -317,7 +255,7 @@
     },
     handleTold: (groups, from) => ledger.merge(groups, from, getNow()),
     handleQuery: (query, from) => replies.handle(query, from),
-    handleReply: (reply, from) => queries.handle(reply, from, getNow()),
+    handleReply: (reply, from) => inquiries.handleReply(reply, from),
     listUnconcluded: () => ledger.listOwn(createToldCheck()),
     listOnly() {
       const pools = new Set(options.listRegistered().map(({ pool }) => hashName(pool)));
@@ -332,9 +270,7 @@
       const nowMs = getNow();
       conclusions.record(false);
       sendTold();
-      queries.removeExpired(nowMs);
-      for (const key of inquiries.keys())
-        if (queries.find(key) === undefined) inquiries.delete(key);
+      inquiries.removeExpired();
       ledger.removeBefore(nowMs - options.getStreamLifeMs());
       removeEnded(nowMs);
     },
