A process no longer ends because of what a peer's address answers

What was seen: a router process with a seed at whose address another program answers (a plain HTTP/1.1 response, or 200 bytes of anything) drained and ended with code 1, 3.7 and 3.9 s after it was started, at each start anew.

Cause: the connect library takes its error listener off a session when it leaves a state, as at an abort, and the session may fail later. Such an error is uncaught, has no system call and counted as of unknown effect.

Now the sessions are our own: a listener from the creation to the end of each session and stream, which their owner opens.

What remains uncaught is told by its origin in place of a longer list of codes: an error that the runtime raised on a connection by itself is a link failure, one raised in a call by this program is not.

--- a/src/peers/forward-links.ts
+++ b/src/peers/forward-links.ts
@@ -4,7 +4,7 @@
  */
 import { Code, ConnectError, createClient } from '@connectrpc/connect';
 import type { Client, Interceptor } from '@connectrpc/connect';
-import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 import type {
   ForwardLinks,
   ForwardListener,
@@ -15,7 +15,9 @@
 import { createAsyncQueue } from '../utils/async-queue.js';
 import type { AsyncQueue } from '../utils/async-queue.js';
 import { decodeForwardResponse, encodeForwardRequest } from './encode-forwarding.js';
-import { PEER_SECRET_HEADER, PING_INTERVAL_MS } from './peer-outbox.js';
+import { PEER_SECRET_HEADER } from './peer-outbox.js';
+import { createPeerSessions } from './peer-sessions.js';
+import type { PeerSessions } from './peer-sessions.js';
 
 const IDLE_TIMEOUT_MS = 15_000;
 /** Range of the timers of the runtime. */
@@ -27,7 +29,7 @@
 
 export function createForwardLinks({ secret }: ForwardLinksOptions): ForwardLinks {
   const clients = new Map<string, Client<typeof PeerService>>();
-  const managers = new Set<Http2SessionManager>();
+  const allSessions = new Set<PeerSessions>();
   let isClosed = false;
 
   const addSecret: Interceptor = (next) => (request) => {
@@ -38,18 +40,15 @@
   function getClient(address: string): Client<typeof PeerService> {
     const known = clients.get(address);
     if (known !== undefined) return known;
-    const sessionManager = new Http2SessionManager(`http://${address}`, {
-      pingIntervalMs: PING_INTERVAL_MS,
-      idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
-    });
-    managers.add(sessionManager);
+    const sessions = createPeerSessions(address, IDLE_TIMEOUT_MS);
+    allSessions.add(sessions);
     const transport = createConnectTransport({
       baseUrl: `http://${address}`,
       httpVersion: '2',
       interceptors: [addSecret],
       // Bodies of calls, which are often compressed already.
       acceptCompression: [],
-      sessionManager,
+      sessionManager: sessions,
     });
     const client = createClient(PeerService, transport);
     clients.set(address, client);
@@ -101,8 +100,8 @@
     renew: (address) => clients.delete(address),
     close() {
       isClosed = true;
-      for (const manager of managers) manager.abort();
-      managers.clear();
+      for (const sessions of allSessions) sessions.abort();
+      allSessions.clear();
       clients.clear();
     },
   };
--- a/src/peers/link-failure.ts
+++ b/src/peers/link-failure.ts
@@ -1,4 +1,4 @@
-/** Recognises uncaught errors of connections to peers. */
+/** Recognises uncaught errors of connections. */
 import { Code, ConnectError } from '@connectrpc/connect';
 
 const LINK_CODES: readonly Code[] = [
@@ -22,12 +22,26 @@
   return error instanceof Error && syscall !== undefined && SOCKET_CODES.includes(code ?? '');
 }
 
+/** Errors that the runtime raises on a connection, which have no system call. */
+const CONNECTION_CODE_PATTERN = /^ERR_(HTTP2|SOCKET|STREAM)_/;
+/** A frame of a stack in a file, other than those of the runtime itself. */
+const OWN_FRAME_PATTERN = /^\s+at (?!.*\(?node:)/m;
+
+/** Whether the runtime raised the error on an event of a connection, not in a call by this program. */
+function isRaisedByRuntime(error: unknown): boolean {
+  if (!(error instanceof Error) || error instanceof TypeError || error instanceof RangeError)
+    return false;
+  const { code, stack = '' } = error as NodeJS.ErrnoException;
+  return CONNECTION_CODE_PATTERN.test(code ?? '') && !OWN_FRAME_PATTERN.test(stack);
+}
+
 /**
- * Whether an uncaught error comes from a connection to a peer. Guards against a process exit: a
- * session aborted while connecting can emit an error after the connect library has removed its
- * listeners. The next message opens a new connection.
+ * Whether an uncaught error comes from a connection only. The owners of connections listen for their
+ * errors; this guards against a process exit where one is missed. Told by the origin of the error: a
+ * failed call to a peer, a system call on a socket, or an event that the runtime handled by itself. An
+ * error in a call by this program is of unknown effect, whatever its code.
  */
 export function isLinkFailure(error: unknown): boolean {
   if (error instanceof ConnectError) return LINK_CODES.includes(error.code);
-  return isSocketFailure(error);
+  return isSocketFailure(error) || isRaisedByRuntime(error);
 }
--- a/src/peers/peer-outbox.test.ts
+++ b/src/peers/peer-outbox.test.ts
@@ -72,6 +72,30 @@
   });
 });
 
+/** An error as of a connection, raised in the runtime or, with `frame`, in a call by this program. */
+function buildConnectionError(code: string, frame = ''): Error {
+  const error = Object.assign(new Error(code), { code });
+  error.stack = `Error [${code}]\n${frame}    at TLSSocket.onClose (node:internal/http2/core:9:1)`;
+  return error;
+}
+
+describe('errors of connections without a system call', ({ it }) => {
+  // Guards against a process exit on what the runtime finds on a connection.
+  it('are link failures if the runtime raised them', (t) => {
+    ['ERR_SOCKET_CLOSED', 'ERR_HTTP2_ERROR', 'ERR_STREAM_PREMATURE_CLOSE'].forEach((code) =>
+      t.true(isLinkFailure(buildConnectionError(code)), code),
+    );
+  });
+
+  // Guards against a fault of this program that is taken for one of a connection.
+  it('are of unknown effect if a call by this program raised them', (t) => {
+    const frame = '    at sendHead (file:///srv/router-bundle.cjs:10:2)\n';
+    t.false(isLinkFailure(buildConnectionError('ERR_STREAM_WRITE_AFTER_END', frame)));
+    t.false(isLinkFailure(buildConnectionError('ERR_HTTP2_INVALID_STREAM', frame)));
+    t.false(isLinkFailure(buildConnectionError('ERR_ASSERTION')));
+  });
+});
+
 describe('peer outbox', ({ it }) => {
   // Guards against messages stuck on a half-open connection, and against its errors ending the
   // process.
--- a/src/peers/peer-outbox.ts
+++ b/src/peers/peer-outbox.ts
@@ -5,13 +5,15 @@
  */
 import { createClient } from '@connectrpc/connect';
 import type { Client, Interceptor } from '@connectrpc/connect';
-import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 import { PeerService } from '../gen/peer_pb.js';
 import type { PeerMessage } from '../gen/peer_pb.js';
 import { METRIC } from '../runtime/metrics.js';
 import type { Metrics } from '../runtime/metrics.js';
 import { parseVerdict } from './attempt-verdict.js';
 import type { PeerLinks } from './peer-links.js';
+import { createPeerSessions } from './peer-sessions.js';
+import type { PeerSessions } from './peer-sessions.js';
 
 const QUEUE_MAX = 4096;
 const BATCH_MAX = 256;
@@ -20,11 +22,6 @@
 const FETCH_CONFIGURATION_TIMEOUT_MS = 3000;
 /** Other peers are asked after it; instances that start on small machines take several hundred. */
 const FETCH_KNOWLEDGE_TIMEOUT_MS = 1000;
-/**
- * Disables the HTTP/2 pings of the library, whose timeout is an uncaught error if the connection has
- * been closed meanwhile. A batch or knowledge query that fails closes the connection instead.
- */
-export const PING_INTERVAL_MS = 2 ** 31 - 1;
 const IDLE_TIMEOUT_MS = 60_000;
 
 /** Holds the peer secret as a bearer token. */
@@ -46,7 +43,7 @@
 
 interface PeerLink {
   readonly client: Client<typeof PeerService>;
-  readonly sessions: Http2SessionManager;
+  readonly sessions: PeerSessions;
   queue: PeerMessage['body'][];
   isSending: boolean;
 }
@@ -67,10 +64,7 @@
   function getLink(address: string): PeerLink {
     const known = links.get(address);
     if (known !== undefined) return known;
-    const sessions = new Http2SessionManager(`http://${address}`, {
-      pingIntervalMs: PING_INTERVAL_MS,
-      idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
-    });
+    const sessions = createPeerSessions(address, IDLE_TIMEOUT_MS);
     const transport = createConnectTransport({
       baseUrl: `http://${address}`,
       httpVersion: '2',
