--- a/src/knowledge/table-mirror.ts
+++ b/src/knowledge/table-mirror.ts
@@ -59,7 +59,9 @@
 
   /** A row's own revision is the same on every instance; that of a response is not. */
   function applyRow(row: FeedRow, responseRevision: number): void {
-    const { key, revision = responseRevision } = row;
+    const { key } = row;
+    // Guards against hiding earlier changes that the response lacks: a later page of a list may be newer.
+    const revision = Math.min(row.revision ?? responseRevision, responseRevision);
     contentRevision = Math.max(contentRevision, revision);
     if (row.value === undefined) {
       removeRow(key, revision);
