An answer of one feed ends the outage of that feed alone

Whether the source is lost was kept once for both feeds. While the endpoint feed failed and that of the configuration answered, each answer made the instance take the source for back until the next failed try: it fetched no endpoints from peers that knew newer ones, so that calls went on to an endpoint that leaves.

Each feed has an outage of its own now, in a module of its own. The registry counts as out of reach until a call for the endpoints is answered. A failed call for the configuration still makes the endpoints count as lost until their next answer, since entries that lapsed in an outage would otherwise be removed at once where no call for them failed in it. Events of the log keep their names; where both feeds fail, each says when it is back.

--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -11,6 +11,7 @@
 import { startFeedWatcher } from '../knowledge/feed-watcher.js';
 import type { ResponseMetadata } from '../knowledge/feed-watcher.js';
 import { createSourceClock } from '../knowledge/source-clock.js';
+import { createSourceOutage } from '../knowledge/source-outage.js';
 import { createSuspensionDetector } from '../knowledge/suspension-detector.js';
 import type { MirroredRow } from '../knowledge/table-mirror.js';
 import type { WatchRole } from '../knowledge/watch-role.js';
@@ -92,7 +93,6 @@
   const endpointLagDetector = createFeedLagDetector();
   const configurationLagDetector = createFeedLagDetector();
   let trustedSinceMs = -Infinity;
-  let isSourceLost = false;
   let role: WatchRole = { kind: 'follow' };
   const getNow = (): number => timers.clock.monotonicMs();
 
@@ -119,21 +119,16 @@
     return sourceClock.computeAge(sourceMs, getNow());
   }
 
-  function handleSourceLost(feed: string, reason: string): void {
-    if (isSourceLost) return;
-    isSourceLost = true;
-    log.write({ event: 'source_lost', feed, reason, knowledgeAgeMs: Math.round(computeAge()) });
-    endpoints.apply({ kind: 'source_lost' }, 'source');
-    // The connection of the other feed may have failed too.
-    if (feed === 'configuration') endpointWatcher.restart();
-  }
-
-  function handleSourceAnswer(feed: string): void {
-    if (!isSourceLost) return;
-    isSourceLost = false;
-    log.write({ event: 'source_back', feed });
-    endpoints.apply({ kind: 'source_back' }, 'source');
-  }
+  const outage = createSourceOutage({
+    log,
+    computeAge,
+    onEndpointsLost(feed) {
+      endpoints.apply({ kind: 'source_lost' }, 'source');
+      // The connection of the other feed may have failed too.
+      if (feed === 'configuration') endpointWatcher.restart();
+    },
+    onEndpointsBack: () => endpoints.apply({ kind: 'source_back' }, 'source'),
+  });
 
   /** Records one row; `knownAtMs` as in `ConfigurationReport`. */
   function recordConfigurationRow(
@@ -170,7 +165,7 @@
   }
 
   function handleConfigurationList(rows: readonly FeedRow[], revision: number): void {
-    handleSourceAnswer('configuration');
+    outage.recordAnswer('configuration');
     // Guards against accepting a revoked key from a stale list: a list does not confirm that its rows are
     // the newest.
     recordSourceRows(rows, revision, -Infinity);
@@ -181,7 +176,7 @@
     times: ResponseMetadata,
     isNewest: boolean,
   ): void {
-    handleSourceAnswer('configuration');
+    outage.recordAnswer('configuration');
     // An answer to a request sent before a suspension confirms nothing.
     if (times.sentMs < trustedSinceMs) return;
     sourceClock.record(times);
@@ -209,7 +204,7 @@
     listener: {
       onListed: (rows, answer) => handleConfigurationList(rows, answer.revision),
       onChanged: handleConfigurationAnswer,
-      onLost: (reason) => handleSourceLost('configuration', reason),
+      onLost: (reason) => outage.recordLost('configuration', reason),
     },
   });
   const endpointWatcher = startFeedWatcher({
@@ -221,14 +216,14 @@
     isPaused: true,
     listener: {
       onListed(rows, answer) {
-        handleSourceAnswer('endpoints');
+        outage.recordAnswer('endpoints');
         endpoints.applyList(rows, answer);
       },
       onChanged(rows, answer) {
-        handleSourceAnswer('endpoints');
+        outage.recordAnswer('endpoints');
         endpoints.applyChanges(rows, answer);
       },
-      onLost: (reason) => handleSourceLost('endpoints', reason),
+      onLost: (reason) => outage.recordLost('endpoints', reason),
     },
   });
 
@@ -262,8 +257,7 @@
   function stopWatching(): void {
     configurationWatcher.pause();
     endpointWatcher.pause();
-    // From now on peers report whether the source is available.
-    handleSourceAnswer('peers');
+    outage.recordPeers();
   }
 
   /** Restarts a feed that lags behind those of peers; returns whether that of the configuration did. */
@@ -320,8 +314,10 @@
         endpointsRevision + (summary.endpointsUnchanged ?? 0),
       );
       const isFeedLagging = checkLag(summary);
-      const isPeerAhead = isNewer || endpointsRevision > endpoints.getContentRevision();
-      return isPeerAhead && (role.kind === 'follow' || isSourceLost || isFeedLagging);
+      const areEndpointsNewer = endpointsRevision > endpoints.getContentRevision();
+      if (!isNewer && !areEndpointsNewer) return false;
+      if (role.kind === 'follow' || isFeedLagging) return true;
+      return isNewer ? outage.isAnyLost() : outage.isLost('endpoints');
     },
     buildResponse(request) {
       const configuration = buildConfigurationTable(request.configurationRevision);
@@ -348,7 +344,8 @@
       if (sourceNowMs !== undefined) sourceClock.record({ sourceNowMs, sentMs });
       if (configuration !== undefined) applyConfigurationTable(configuration, peer);
       // The feed of this instance takes precedence while it answers.
-      const isNeeded = role.kind === 'follow' || isSourceLost || endpoints.getRevision() === 0;
+      const isNeeded =
+        role.kind === 'follow' || outage.isLost('endpoints') || endpoints.getRevision() === 0;
       if (isNeeded && endpointTable !== undefined)
         endpoints.applyTable(endpointTable, renewalLeftMs, peer);
     },
