Fix: every instance counts with the time for which callers try

A stream was joined if its caller tries for longer than ten seconds: only the instance that began it recorded the caller's time limit. Owners dropped the binding after ten seconds, and a take-up elsewhere concluded over ten seconds and the time for which old views serve.

Evidence, the failing output before (registry-gaps):

is not passed over by one that does not know how long the caller tries Difference: kind 'bound', expected 'unknown'

A take-up records its caller's limit before it is resolved, so a conclusion covers it. What instances tell, ask and reply has their longest life in new optional fields (a few bytes each); owners keep bindings for as long. Only lives of own callers are told, and only own and told ones replied, so that no life goes round among instances for ever.

Tests: the two harnesses pass the life of streams as one object; checks are unchanged. New ones for the kept binding and for the messages.

--- a/src/gateway/call-streams.ts
+++ b/src/gateway/call-streams.ts
@@ -106,10 +106,9 @@
     getRegistryRevision: options.getRegistryRevision,
     getChangeRevision: options.getChangeRevision,
     startLook,
-    getStreamLifeMs: () => life.get(),
+    life,
     getCoveredMs,
     resolveStored: (key, pool) => stored.resolve(key, pool),
-    onLimit: (limitMs) => life.recordLimit(limitMs),
     send: sendMessage,
     observer: options.observer,
   });
--- a/src/peers/encode-streams.ts
+++ b/src/peers/encode-streams.ts
@@ -52,26 +52,42 @@
 
 export function encodeStreams(groups: readonly BindingGroup[]): TellStreams {
   return create(TellStreamsSchema, {
-    groups: groups.map(({ pool, version, keys }) =>
-      create(StreamGroupSchema, { pool, version, keys: encodeKeys(keys) }),
+    groups: groups.map(({ pool, version, keys, lifeMs = 0 }) =>
+      create(StreamGroupSchema, {
+        pool,
+        version,
+        keys: encodeKeys(keys),
+        lifeMs: encodeUint32(lifeMs),
+      }),
     ),
   });
 }
 
 export function decodeStreams({ groups }: TellStreams): BindingGroup[] {
-  return groups.map(({ pool, version, keys }) => ({ pool, version, keys: decodeKeys(keys) }));
+  return groups.map(({ pool, version, keys, lifeMs }) => ({
+    pool,
+    version,
+    keys: decodeKeys(keys),
+    lifeMs,
+  }));
 }
 
-export function encodeStreamQuery({ key, pool, conclude }: BindingQuery): QueryStream {
-  return create(QueryStreamSchema, { key: encodeKeys([key]), pool, conclude: conclude === true });
+export function encodeStreamQuery({ key, pool, conclude, lifeMs = 0 }: BindingQuery): QueryStream {
+  return create(QueryStreamSchema, {
+    key: encodeKeys([key]),
+    pool,
+    conclude: conclude === true,
+    lifeMs: encodeUint32(lifeMs),
+  });
 }
 
-export function decodeStreamQuery({ key, pool, conclude }: QueryStream): BindingQuery {
-  return { key: decodeKeys(key)[0] ?? '', pool, conclude };
+export function decodeStreamQuery({ key, pool, conclude, lifeMs }: QueryStream): BindingQuery {
+  return { key: decodeKeys(key)[0] ?? '', pool, conclude, lifeMs };
 }
 
 export function encodeStreamReply(reply: BindingReply): StreamReply {
   const { key, answer, pool, version, ageMs, coveredMs, checked, registryRevision } = reply;
+  const { lifeMs = 0 } = reply;
   return create(StreamReplySchema, {
     key: encodeKeys([key]),
     answer: WIRE_ANSWER[answer],
@@ -81,6 +97,7 @@
     coveredMs: encodeUint32(coveredMs),
     checked: checked === true,
     registryRevision: registryRevision ?? 0,
+    lifeMs: encodeUint32(lifeMs),
   });
 }
 
@@ -93,6 +110,7 @@
   coveredMs,
   checked,
   registryRevision,
+  lifeMs,
 }: StreamReply): BindingReply {
   return {
     key: decodeKeys(key)[0] ?? '',
@@ -103,5 +121,6 @@
     coveredMs,
     checked,
     registryRevision,
+    lifeMs,
   };
 }
--- a/src/stream-versions/binding-messages.ts
+++ b/src/stream-versions/binding-messages.ts
@@ -9,6 +9,11 @@
    * @default false
    */
   readonly conclude?: boolean;
+  /**
+   * Longest time for which callers of the asking instance try.
+   * @default 0
+   */
+  readonly lifeMs?: number;
 }
 
 /** What an asked instance knows of the stream. */
@@ -40,6 +45,11 @@
    * @default 0
    */
   readonly registryRevision?: number;
+  /**
+   * Longest time for which callers of the sender, or of those that told it of streams, try.
+   * @default 0
+   */
+  readonly lifeMs?: number;
 }
 
 /** A message to another instance, by name. */
--- a/src/stream-versions/query-replies.ts
+++ b/src/stream-versions/query-replies.ts
@@ -14,6 +14,8 @@
   readonly conclusions: Pick<VersionConclusions, 'resolve'>;
   /** Time before the query that a conclusion covers. */
   readonly getCoveredMs: () => number;
+  /** Longest time for which callers try, as far as this instance was told. */
+  readonly getToldLifeMs: () => number;
   /** Revision of the last change of the registry that is known. */
   readonly getChangeRevision: () => number;
   readonly send: (reply: BindingReply, to: string) => void;
@@ -39,7 +41,8 @@
     const registryRevision = options.getChangeRevision();
     const version = UNSURE_VERSION;
     const answer = BINDING_ANSWER.Unknown;
-    return { key, answer, pool, version, ageMs: 0, coveredMs: 0, registryRevision };
+    const lifeMs = options.getToldLifeMs();
+    return { key, answer, pool, version, ageMs: 0, coveredMs: 0, registryRevision, lifeMs };
   }
 
   function buildBound({ key }: BindingQuery): BindingReply | undefined {
@@ -49,7 +52,8 @@
     const registryRevision = options.getChangeRevision();
     const ageMs = getNow() - recordedMs;
     const answer = BINDING_ANSWER.Bound;
-    return { key, answer, pool, version, ageMs, coveredMs: 0, registryRevision };
+    const lifeMs = options.getToldLifeMs();
+    return { key, answer, pool, version, ageMs, coveredMs: 0, registryRevision, lifeMs };
   }
 
   /** Undefined while a look is under way. */
@@ -61,7 +65,8 @@
     const { version, revision: registryRevision } = concluded;
     const coveredMs = options.getCoveredMs();
     const answer = BINDING_ANSWER.Only;
-    return { key, answer, pool, version, ageMs: 0, coveredMs, checked: true, registryRevision };
+    const sight = { coveredMs, checked: true, registryRevision, lifeMs: options.getToldLifeMs() };
+    return { key, answer, pool, version, ageMs: 0, ...sight };
   }
 
   function runPending(entry: PendingQuery): boolean {
--- a/src/stream-versions/registry-gaps.test.ts
+++ b/src/stream-versions/registry-gaps.test.ts
@@ -111,10 +111,9 @@
       const removed = rows.filter(({ value }) => value === undefined).map(({ key }) => key);
       onEnded({ revision: registry.getRevision(), present, removed, sentMs: nowMs });
     },
-    getStreamLifeMs: () => life.get(),
+    life,
     getCoveredMs: () => life.get() + SERVING_MAX_MS,
     resolveStored: () => ({ kind: 'unknown' }),
-    onLimit: (limitMs) => life.recordLimit(limitMs),
     send: (message) => sent.push(message),
     observer: SILENT_STREAM_OBSERVER,
   });
--- a/src/stream-versions/stream-binding.ts
+++ b/src/stream-versions/stream-binding.ts
@@ -23,6 +23,11 @@
 /** Bindings with a pool and version in common, as sent between instances. */
 export interface BindingGroup extends StreamBinding {
   readonly keys: readonly StreamKey[];
+  /**
+   * Longest time for which callers of the sender try.
+   * @default 0
+   */
+  readonly lifeMs?: number;
 }
 
 /** Never `UNSURE_VERSION`, whatever the text. */
--- a/src/stream-versions/stream-inquiries.ts
+++ b/src/stream-versions/stream-inquiries.ts
@@ -7,6 +7,7 @@
 import { createBindingQueries } from './binding-queries.js';
 import type { AskedInstance, OwnConclusion, QueryRecord, Resolution } from './binding-queries.js';
 import type { PoolKey, StreamKey } from './stream-binding.js';
+import type { StreamLife } from './stream-life.js';
 import type { Inquiry, VersionConclusions } from './version-conclusions.js';
 
 /** More than are told, since two instances may see slightly different fleets. */
@@ -31,6 +32,8 @@
   readonly conclusions: Pick<VersionConclusions, 'resolve' | 'isFailing'>;
   /** Time before a take-up that a conclusion must cover. */
   readonly getCoveredMs: () => number;
+  /** How long callers try. */
+  readonly life: Pick<StreamLife, 'getOwn' | 'recordReplied'>;
   /** Resolves a stream that no instance knows by what was stored. */
   readonly resolveStored: (key: StreamKey, pool: PoolKey) => Resolution;
   readonly send: (message: BindingMessage) => void;
@@ -54,8 +57,9 @@
   }
 
   function sendQueries(key: StreamKey, pool: PoolKey, asked: readonly AskedInstance[]): void {
+    const lifeMs = options.life.getOwn();
     for (const { name: to, isConcluding: conclude } of asked)
-      options.send({ kind: 'query', to, query: { key, pool, conclude } });
+      options.send({ kind: 'query', to, query: { key, pool, conclude, lifeMs } });
   }
 
   function startQuery(key: StreamKey, pool: PoolKey): void {
@@ -106,7 +110,10 @@
       if (resolution.kind !== 'unknown') return { resolution, source: 'asked', lookRevision };
       return { resolution: options.resolveStored(key, pool), source: 'stored', lookRevision };
     },
-    handleReply: (reply, from) => queries.handle(reply, from, getNow()),
+    handleReply(reply, from) {
+      options.life.recordReplied(reply.lifeMs ?? 0);
+      queries.handle(reply, from, getNow());
+    },
     getRecord: (key) => queries.getRecord(key, getNow()),
     removeExpired() {
       queries.removeExpired(getNow());
--- a/src/stream-versions/stream-life.ts
+++ b/src/stream-versions/stream-life.ts
@@ -13,17 +13,28 @@
 export interface StreamLife {
   /** Records the longest timeout of the routes in force. */
   recordRoutes(timeoutMs: number): void;
-  /** Records the time limit of a caller that gets a stream. */
+  /** Records the time limit of an own caller. */
   recordLimit(limitMs: number): void;
   /** Records the longest life of all stored rows; 0 if there are none. */
   recordStored(lifeMs: number): void;
+  /** Records what an instance that tells or asks of streams counts for its own callers. */
+  recordTold(lifeMs: number): void;
+  /** Records what an asked instance replied. */
+  recordReplied(lifeMs: number): void;
   get(): number;
+  /** The same for own callers alone, so that no life goes round among instances. */
+  getOwn(): number;
+  /** The same for own callers and those of instances that told or asked. */
+  getTold(): number;
 }
 
-export function createStreamLife(getNow: () => number): StreamLife {
-  let routesMs = 0;
-  let hasReadStored = false;
-  /** Largest values named in this period and the one before. */
+/** Largest value of this period and the one before. */
+interface RecentMax {
+  record(ms: number): void;
+  get(): number;
+}
+
+function createRecentMax(getNow: () => number): RecentMax {
   let currentMs = 0;
   let previousMs = 0;
   let periodStartMs = getNow();
@@ -36,26 +47,52 @@
     periodStartMs = nowMs;
   }
 
-  function recordNamed(ms: number): void {
-    advancePeriod();
-    currentMs = Math.max(currentMs, Math.min(ms, LIFE_MAX_MS));
+  return {
+    record(ms) {
+      advancePeriod();
+      currentMs = Math.max(currentMs, Math.min(ms, LIFE_MAX_MS));
+    },
+    get() {
+      advancePeriod();
+      return Math.max(currentMs, previousMs);
+    },
+  };
+}
+
+export function createStreamLife(getNow: () => number): StreamLife {
+  let routesMs = 0;
+  let hasReadStored = false;
+  const own = createRecentMax(getNow);
+  const told = createRecentMax(getNow);
+  /** Of stored rows and replies. */
+  const heard = createRecentMax(getNow);
+
+  function getOwn(): number {
+    return Math.max(routesMs, own.get());
+  }
+
+  function getTold(): number {
+    return Math.max(getOwn(), told.get());
   }
 
   return {
     recordRoutes(timeoutMs) {
       // Streams that began under the timeouts before live on.
-      recordNamed(routesMs);
+      own.record(routesMs);
       routesMs = timeoutMs;
     },
-    recordLimit: recordNamed,
+    recordLimit: (limitMs) => own.record(limitMs),
     recordStored(lifeMs) {
       hasReadStored = true;
-      recordNamed(lifeMs);
+      heard.record(lifeMs);
     },
+    recordTold: (lifeMs) => told.record(lifeMs),
+    recordReplied: (lifeMs) => heard.record(lifeMs),
     get() {
-      advancePeriod();
       const floorMs = hasReadStored ? LIFE_MIN_MS : LIFE_MAX_MS;
-      return Math.max(floorMs, routesMs, currentMs, previousMs);
+      return Math.max(floorMs, getTold(), heard.get());
     },
+    getOwn,
+    getTold,
   };
 }
--- a/src/stream-versions/stream-versions.test.ts
+++ b/src/stream-versions/stream-versions.test.ts
@@ -8,6 +8,7 @@
 import { createRandom } from '../utils/random.js';
 import type { BindingMessage } from './binding-messages.js';
 import { UNSURE_VERSION, hashVersion } from './stream-binding.js';
+import { createStreamLife } from './stream-life.js';
 import { createStreamVersions } from './stream-versions.js';
 import type { StreamVersions } from './stream-versions.js';
 
@@ -39,6 +40,8 @@
   let nowMs = 0;
   let isConfirmed = true;
   let endpoints = registered;
+  const life = createStreamLife(() => nowMs);
+  life.recordStored(0);
   const names = alone ? ['self'] : ['self', 'other'];
   const streams = createStreamVersions({
     self: 'self',
@@ -52,10 +55,9 @@
     getChangeRevision: () => 1,
     startLook: (revision, onEnded) =>
       onEnded({ revision, present: [], removed: [], sentMs: nowMs }),
-    getStreamLifeMs: () => 10_000,
+    life,
     getCoveredMs: () => 10_000,
     resolveStored: () => ({ kind: 'unknown' }),
-    onLimit: () => undefined,
     send: (message) => sent.push(message),
     observer: SILENT_STREAM_OBSERVER,
   });
@@ -171,6 +173,28 @@
     t.is(streams.resolve(NEXT).kind, 'unknown');
   });
 
+  // Guards against owners that drop a stream while its caller still tries.
+  it('are kept for as long as callers of an instance that tells or asks of streams try', (t) => {
+    const { sent, streams: teller, advanceTo: advanceTeller } = createSetup([], false);
+    teller.recordStarted({ ...FIRST, callerTimeoutMs: 40_000 }, buildEndpoint('f', 'v2'));
+    advanceTeller(100);
+    const [told] = sent;
+    t.is(told?.kind, 'told');
+    if (told?.kind !== 'told') return;
+    const owner = createSetup([old]);
+    owner.streams.handleTold(told.groups, 'other');
+    owner.advanceTo(39_000);
+    t.deepEqual(owner.streams.resolve(NEXT), { kind: 'bound', version: hashVersion('v2') });
+    const asked = createSetup([old], false);
+    const key = told.groups[0]?.keys[0] ?? '';
+    asked.streams.handleQuery({ key, pool: 0, lifeMs: 40_000 }, 'other');
+    asked.streams.recordStarted(FIRST, old);
+    asked.advanceTo(39_000);
+    t.deepEqual(asked.streams.resolve(NEXT), { kind: 'bound', version: hashVersion('v1') });
+    const [reply] = asked.sent;
+    t.is(reply?.kind === 'reply' ? reply.reply.lifeMs : undefined, 40_000);
+  });
+
   it('do not concern calls that are no streams', (t) => {
     const { streams } = createSetup([old]);
     const plain = { ...NEXT, route: { ...NEXT.route, kind: CALL_KIND.Idempotent } };
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -25,6 +25,7 @@
   VersionKey,
 } from './stream-binding.js';
 import type { HeldClaim, StoredRead } from './stored-streams.js';
+import type { StreamLife } from './stream-life.js';
 import type { EndpointChanges } from './stream-row.js';
 import { buildToldMessages } from './told-messages.js';
 import { createVersionConclusions } from './version-conclusions.js';
@@ -88,13 +89,11 @@
     onEnded: (changes: EndpointChanges | undefined) => void,
   ) => void;
   /** Longest time from a stream's first event to the last try of its caller. */
-  readonly getStreamLifeMs: () => number;
+  readonly life: Omit<StreamLife, 'recordRoutes' | 'recordStored'>;
   /** Time before a take-up in which a version that was registered can have begun the stream. */
   readonly getCoveredMs: () => number;
   /** Resolves a stream that no instance knows by what was stored. */
   readonly resolveStored: (key: StreamKey, pool: PoolKey) => Resolution;
-  /** Receives the time limit of a caller whose stream began. */
-  readonly onLimit: (limitMs: number) => void;
   readonly send: (message: BindingMessage) => void;
   readonly observer: StreamObserver;
 }
@@ -131,7 +130,7 @@
 }
 
 export function createStreamVersions(options: StreamVersionsOptions): StreamVersions {
-  const { self, getNow, observer } = options;
+  const { self, getNow, life, observer } = options;
   const ledger = createBindingLedger();
   const owners = createOwnerChooser();
   const endedMs = new Map<EndpointKey, number>();
@@ -147,12 +146,18 @@
     ledger,
     conclusions,
     getCoveredMs: options.getCoveredMs,
+    getToldLifeMs: () => life.getTold(),
     getChangeRevision: options.getChangeRevision,
     send: (reply, to) => options.send({ kind: 'reply', to, reply }),
   });
 
   const inquiries = createStreamInquiries({ ...options, owners, conclusions });
 
+  /** The caller of a stream tries for as long as it names, wherever it is taken up. */
+  function recordLimit({ callerTimeoutMs }: RoutedCall): void {
+    if (callerTimeoutMs !== undefined) life.recordLimit(callerTimeoutMs);
+  }
+
   /** Enough to decide who must be told, not to go on with a stream. */
   function findOnly(pool: PoolKey): VersionKey | undefined {
     return options.isViewConfirmed() ? conclusions.findRemembered(pool) : undefined;
@@ -222,7 +227,8 @@
     const alive = options.listAlive();
     const listOthers = (key: StreamKey): string[] =>
       owners.choose(key, alive, OWNERS_TOLD).filter((name) => name !== self);
-    for (const message of buildToldMessages(untold, listOthers)) options.send(message);
+    for (const message of buildToldMessages(untold, listOthers, life.getOwn()))
+      options.send(message);
     observer.onTold(untold.length);
   }
 
@@ -238,12 +244,13 @@
   return {
     resolve(call) {
       if (!isStream(call.route.kind) || !isResumed(call)) return { kind: 'any' };
+      recordLimit(call);
       return resolveResumed(call);
     },
     computeVersion,
     recordStarted(call, endpoint) {
       if (!isStream(call.route.kind)) return;
-      if (call.callerTimeoutMs !== undefined) options.onLimit(call.callerTimeoutMs);
+      recordLimit(call);
       const { pool } = buildBinding(endpoint);
       const key = getStreamKey(call);
       ledger.record(key, { pool, version: computeVersion(endpoint) }, getNow());
@@ -253,8 +260,14 @@
     recordEnded(start) {
       if (!endedMs.has(start)) endedMs.set(start, getNow());
     },
-    handleTold: (groups, from) => ledger.merge(groups, from, getNow()),
-    handleQuery: (query, from) => replies.handle(query, from),
+    handleTold(groups, from) {
+      for (const { lifeMs = 0 } of groups) life.recordTold(lifeMs);
+      ledger.merge(groups, from, getNow());
+    },
+    handleQuery(query, from) {
+      life.recordTold(query.lifeMs ?? 0);
+      replies.handle(query, from);
+    },
     handleReply: (reply, from) => inquiries.handleReply(reply, from),
     listUnconcluded: () => ledger.listOwn(createToldCheck()),
     listOnly() {
@@ -271,7 +284,7 @@
       conclusions.record(false);
       sendTold();
       inquiries.removeExpired();
-      ledger.removeBefore(nowMs - options.getStreamLifeMs());
+      ledger.removeBefore(nowMs - life.get());
       removeEnded(nowMs);
     },
     advanceLooks() {
--- a/src/stream-versions/told-messages.ts
+++ b/src/stream-versions/told-messages.ts
@@ -12,19 +12,20 @@
   readonly keys: StreamKey[];
 }
 
-function buildGroupMessages({ to, binding, keys }: ToldGroup): BindingMessage[] {
+function buildGroupMessages({ to, binding, keys }: ToldGroup, lifeMs: number): BindingMessage[] {
   const messages: BindingMessage[] = [];
   for (let from = 0; from < keys.length; from += DATAGRAM_KEYS_MAX) {
-    const group = { ...binding, keys: keys.slice(from, from + DATAGRAM_KEYS_MAX) };
+    const group = { ...binding, keys: keys.slice(from, from + DATAGRAM_KEYS_MAX), lifeMs };
     messages.push({ kind: 'told', to, groups: [group] });
   }
   return messages;
 }
 
-/** `listOwnersOf` returns the instances to tell of a stream. */
+/** `listOwnersOf` returns the instances to tell of a stream, whose callers try for `lifeMs` at most. */
 export function buildToldMessages(
   untold: readonly UntoldBinding[],
   listOwnersOf: (key: StreamKey) => readonly string[],
+  lifeMs: number,
 ): BindingMessage[] {
   const groups = new Map<string, ToldGroup>();
   for (const { key, binding } of untold) {
@@ -35,5 +36,5 @@
       groups.set(name, group);
     }
   }
-  return [...groups.values()].flatMap(buildGroupMessages);
+  return [...groups.values()].flatMap((group) => buildGroupMessages(group, lifeMs));
 }
--- a/src/test/stream-fleet.ts
+++ b/src/test/stream-fleet.ts
@@ -8,6 +8,8 @@
 import { encodeStreamQuery, encodeStreamReply, encodeStreams } from '../peers/encode-streams.js';
 import type { BindingMessage } from '../stream-versions/binding-messages.js';
 import { hashVersion } from '../stream-versions/stream-binding.js';
+import { createStreamLife } from '../stream-versions/stream-life.js';
+import type { StreamLife } from '../stream-versions/stream-life.js';
 import { createStreamVersions } from '../stream-versions/stream-versions.js';
 import type { StreamChoice, StreamVersions } from '../stream-versions/stream-versions.js';
 import { CALL_KIND } from '../types/traffic.js';
@@ -212,6 +214,13 @@
     });
   }
 
+  /** The stored rows are read. */
+  function createSimulatedLife(): StreamLife {
+    const life = createStreamLife(() => nowMs);
+    life.recordStored(0);
+    return life;
+  }
+
   const instances = contacts.map(({ name }, index) =>
     createStreamVersions({
       self: name,
@@ -225,10 +234,9 @@
       getRegistryRevision: () => views[index]?.getRevision() ?? 0,
       getChangeRevision: () => views[index]?.getRevision() ?? 0,
       startLook: (revision, onEnded) => startLook(index, revision, onEnded),
-      getStreamLifeMs: () => STREAM_LIFE_MS,
+      life: createSimulatedLife(),
       getCoveredMs: () => STREAM_LIFE_MS + SERVING_MAX_MS,
       resolveStored: () => ({ kind: 'unknown' }),
-      onLimit: () => undefined,
       send: (message) => send(index, message),
       observer: SILENT_STREAM_OBSERVER,
     }),
