Fix: an endpoint that comes back and goes at once is a gap, though its id was known

A stream was joined after an endpoint whose removal was known came back with other software and was removed again within one answer of the watch: the memory of versions took an id with a tombstone for known, so the removal was no gap, and the version that nobody had seen was passed over.

Evidence, the failing output before (registry-gaps):

is not passed over by the memory, if its id was known as removed Difference: kind 'bound', expected 'unknown'

Only an id whose row is there counts as known now. A removal at a newer revision of an id that is gone says that it was there in between.

--- a/src/knowledge/table-mirror.ts
+++ b/src/knowledge/table-mirror.ts
@@ -27,7 +27,7 @@
   applyFromPeer(changes: MirrorChanges, contentRevision: number): void;
   /** Records that no row changed after `contentRevision`, up to a revision; without effect on other contents. */
   recordUnchanged(contentRevision: number, revision: number): void;
-  /** Whether the row, or its removal, is known. */
+  /** Whether the row is there, as far as is known. */
   hasKey(key: string): boolean;
   /** All changes up to this revision are included; 0 before the first list. */
   getRevision(): number;
@@ -105,7 +105,7 @@
     recordUnchanged(content, revision) {
       if (content === contentRevision) currentRevision = Math.max(currentRevision, revision);
     },
-    hasKey: (key) => rows.has(key) || tombstones.has(key),
+    hasKey: (key) => rows.has(key),
     getRevision: () => currentRevision,
     getContentRevision: () => contentRevision,
     list: () => [...rows.values()],
