Fix: a look at the registry leaves endpoints that were changed to the watch

A stream was joined if an endpoint that was known got other software and went, or got its old version again, before the look of a take-up: a look tells only the last change of each endpoint, so neither left a trace.

Evidence, the failing output before (registry-gaps):

is not passed over by a look, if its endpoint has a known id and went is not passed over by a look, if its endpoint has its old version again Difference: kind 'bound', expected 'unknown' (both)

The start and the version of an endpoint that has its old version again are what they were, so that comparing them does not tell. A look concludes only where it has seen no change of the pool. Otherwise it has told up to which change the memory must come, and the take-up waits for the watch, which mostly reports changes one by one: 700 ms at most, from 150 ms on with others asked. A new test shows that streams go on after an endpoint came, was changed or went, and the watch answered 50 ms later. What one answer of the watch passes over by itself remains.

--- a/src/stream-versions/registry-gaps.test.ts
+++ b/src/stream-versions/registry-gaps.test.ts
@@ -19,6 +19,8 @@
 const POOL = 'engines';
 const SETTLED_MS = 40_000;
 const LIFE_MS = 10_000;
+/** Time by which a watch answers later than a look. */
+const UPDATE_LATE_MS = 50;
 const UNREADABLE = 'odd';
 
 function buildEndpoint(id: string, softwareVersion: string): RegisteredEndpoint {
@@ -162,6 +164,14 @@
   return choice;
 }
 
+/** The same, while the watch answers a little later. */
+function takeUpBeforeUpdate(watcher: Watcher): StreamChoice {
+  const call = buildStreamCall({ callId: 'n', lastEventId: '1', resumedCallId: 'elsewhere' });
+  if (watcher.streams.resolve(call).kind === 'wait') watcher.runFor(UPDATE_LATE_MS);
+  watcher.update();
+  return takeUp(watcher);
+}
+
 function startWatched(): { readonly registry: Registry; readonly watcher: Watcher } {
   const registry = createRegistry();
   registry.set('a', 'v1');
@@ -179,6 +189,23 @@
     t.deepEqual(takeUp(watcher), { kind: 'bound', version: hashVersion('v1') });
   });
 
+  // Guards against refusing streams whenever an endpoint comes, is changed or goes.
+  it('leaves it to the watch which of them came and went, if that answers a little later', (t) => {
+    for (const [id, version] of [
+      ['a', undefined],
+      ['a', 'v1'],
+      ['c', 'v1'],
+    ] as const) {
+      const { registry, watcher } = startWatched();
+      registry.set(id, version);
+      const expected = { kind: 'bound', version: hashVersion('v1') } as const;
+      t.deepEqual(takeUpBeforeUpdate(watcher), expected, `${id} ${version}`);
+    }
+    const { registry, watcher } = startWatched();
+    registry.set('c', 'v2');
+    t.deepEqual(takeUpBeforeUpdate(watcher), UNKNOWN);
+  });
+
   // Guards against an endpoint that came back under its id with other software and left before the look.
   it('is not passed over by a look, if its endpoint has a known id and went', (t) => {
     const { registry, watcher } = startWatched();
--- a/src/stream-versions/registry-looks.ts
+++ b/src/stream-versions/registry-looks.ts
@@ -4,9 +4,8 @@
  */
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { hashName } from '../utils/hash.js';
-import type { StreamBinding } from './stream-binding.js';
+import type { PoolKey } from './stream-binding.js';
 import type { EndpointChanges } from './stream-row.js';
-import { listUnchanged } from './version-claim.js';
 
 /** Shortest time between two looks. */
 const LOOK_PERIOD_MS = 25;
@@ -15,7 +14,7 @@
 /** Looks that may be sent earlier than that allows. */
 const LOOKS_AHEAD = 4;
 /** Time without an answer after which a look counts as late: several times an answer of the store. */
-const LOOK_LATE_MS = 150;
+export const LOOK_LATE_MS = 150;
 
 /** What changed in the registry from a revision known to this instance until the look. */
 export interface RegistryLook {
@@ -57,10 +56,15 @@
   advance(): void;
 }
 
-/** Whether the pool had no other version between what was known and the look. */
-export function hasOnlyVersion({ changes, known }: RegistryLook, binding: StreamBinding): boolean {
-  const endpoints = known.map(({ id }) => hashName(id));
-  return listUnchanged({ revision: 0, pools: [binding], endpoints }, changes).length > 0;
+/**
+ * Whether a version can have come and gone in the pool between what was known and the look, which tells only
+ * the last of several changes to an endpoint.
+ */
+export function isPoolChanged({ changes, known }: RegistryLook, pool: PoolKey): boolean {
+  const pools = new Map(known.map((endpoint) => [endpoint.id, hashName(endpoint.pool)]));
+  const isOther = (endpoint: RegisteredEndpoint): boolean =>
+    hashName(endpoint.pool) !== pool && pools.get(endpoint.id) === hashName(endpoint.pool);
+  return changes.removed.length > 0 || !changes.present.every(isOther);
 }
 
 export function createRegistryLooks(options: RegistryLooksOptions): RegistryLooks {
--- a/src/stream-versions/stream-row.ts
+++ b/src/stream-versions/stream-row.ts
@@ -46,6 +46,11 @@
   readonly removed: readonly string[];
   /** When the call was sent, on this process's clock. */
   readonly sentMs: number;
+  /**
+   * Revision of the last of the changes.
+   * @default `revision`
+   */
+  readonly changeRevision?: number;
 }
 
 export interface StreamStore {
--- a/src/stream-versions/version-conclusions.ts
+++ b/src/stream-versions/version-conclusions.ts
@@ -6,8 +6,8 @@
 import { hashName } from '../utils/hash.js';
 import type { OwnConclusion } from './binding-queries.js';
 import { createPoolVersions } from './pool-versions.js';
-import { createRegistryLooks, hasOnlyVersion } from './registry-looks.js';
-import type { LookTicket } from './registry-looks.js';
+import { LOOK_LATE_MS, createRegistryLooks, isPoolChanged } from './registry-looks.js';
+import type { LookTicket, RegistryLook } from './registry-looks.js';
 import type { PoolKey, VersionKey } from './stream-binding.js';
 import type { EndpointChanges, VersionClaim } from './stream-row.js';
 import type { HeldClaim } from './stored-streams.js';
@@ -59,6 +59,8 @@
   readonly revision: number;
 }
 
+/** Longest wait for the memory to have the changes that a look has seen. */
+const CATCH_UP_MAX_MS = 700;
 const NONE: OwnConclusion = { kind: 'none' };
 
 export function createVersionConclusions(options: VersionConclusionsOptions): VersionConclusions {
@@ -120,14 +122,27 @@
     startBridging(claim, sinceMs);
   }
 
+  /** Whether the memory has all changes of the pool that the look has seen. */
+  function isRemembered(look: RegistryLook, pool: PoolKey): boolean {
+    const { revision, changeRevision = revision } = look.changes;
+    return !isPoolChanged(look, pool) || options.getRegistryRevision() >= changeRevision;
+  }
+
+  /** The watch reports changes one by one, mostly, that a look has seen together. */
+  function buildCatchUp({ askedMs }: Inquiry): OwnConclusion {
+    const waitedMs = getNow() - askedMs;
+    if (waitedMs >= CATCH_UP_MAX_MS) return NONE;
+    return { kind: 'wait', isLate: waitedMs >= LOOK_LATE_MS };
+  }
+
   function resolveLook(inquiry: Inquiry, version: VersionKey): OwnConclusion {
     inquiry.ticket ??= looks.request();
     const state = looks.find(inquiry.ticket);
     if (state.kind !== 'seen') return state;
-    const { look } = state;
-    const { revision } = look.changes;
-    const { pool } = inquiry;
-    return hasOnlyVersion(look, { pool, version }) ? { kind: 'only', version, revision } : NONE;
+    const { revision } = state.look.changes;
+    return isRemembered(state.look, inquiry.pool)
+      ? { kind: 'only', version, revision }
+      : buildCatchUp(inquiry);
   }
 
   return {
