Fix: streams of a start that has ended are told before their first event is passed on

A stream was joined if an endpoint came back with other software before the registry noticed: the instance that began the stream there bound it to no version, yet told so only at its next tick of 100 ms. Until then a look at the registry agreed on the old version elsewhere.

Evidence, the failing output before (registry-gaps):

is not concluded by an instance that was not told of it Difference: kind 'bound', expected 'unknown'

Such bindings are told when they are recorded, which is before the event is passed on, and once more at the next tick. There are few of them: a start counts as ended for ten seconds. Where all owners lose both copies, the instance that takes the stream up does not know; that remains.

--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -221,8 +221,8 @@
     };
   }
 
-  function sendTold(): void {
-    const untold = ledger.takeUntold(createToldCheck());
+  function sendTold(isTold: (binding: StreamBinding) => boolean): void {
+    const untold = ledger.takeUntold(isTold);
     if (untold.length === 0) return;
     const alive = options.listAlive();
     const listOthers = (key: StreamKey): string[] =>
@@ -253,7 +253,10 @@
       recordLimit(call);
       const { pool } = buildBinding(endpoint);
       const key = getStreamKey(call);
-      ledger.record(key, { pool, version: computeVersion(endpoint) }, getNow());
+      const version = computeVersion(endpoint);
+      ledger.record(key, { pool, version }, getNow());
+      // Guards against others that conclude from a registry that has not noticed the start's end.
+      if (version === UNSURE_VERSION) sendTold((binding) => binding.version === UNSURE_VERSION);
     },
     isFit: (endpoint, version) => buildBinding(endpoint).version === version && isCurrent(endpoint),
     isCurrent,
@@ -282,7 +285,7 @@
     advance() {
       const nowMs = getNow();
       conclusions.record(false);
-      sendTold();
+      sendTold(createToldCheck());
       inquiries.removeExpired();
       ledger.removeBefore(nowMs - life.get());
       removeEnded(nowMs);
