Fix: the next try of a caller is asked for anew after one that nobody could answer

A caller whose take-up was refused while the registry could not be read was refused at its next try, too, though it could be read again: the query that ended in vain was kept for two seconds.

Evidence, the failing output before (registry-gaps):

goes on at its next try, once it can be read Difference: kind 'unknown', expected 'bound'

A query without a version is kept for its own take-up only; the next call that brings the stream starts another one, with a look of its own. A known version and a query under way are shared as before. Calls that wait for the stored rows do not replace each other's queries.

--- a/src/stream-versions/binding-queries.ts
+++ b/src/stream-versions/binding-queries.ts
@@ -52,6 +52,8 @@
   /** Conclusions of peers that cover less than `neededMs` count for nothing. */
   resolve(key: StreamKey, own: OwnConclusion, neededMs: number, nowMs: number): Resolution;
   getRecord(key: StreamKey, nowMs: number): QueryRecord | undefined;
+  /** Forgets a query, so that it can be started anew. */
+  remove(key: StreamKey): void;
   removeExpired(nowMs: number): void;
 }
 
@@ -190,6 +192,7 @@
       const names = [...new Set(asked.map(({ name }) => name))];
       return { key, asked: names, replies: [...replies.values()], tookMs: nowMs - startedMs };
     },
+    remove: (key) => queries.delete(key),
     removeExpired(nowMs) {
       for (const [key, { startedMs }] of queries) {
         if (nowMs - startedMs < RESULT_KEPT_MS) return;
--- a/src/stream-versions/stream-inquiries.ts
+++ b/src/stream-versions/stream-inquiries.ts
@@ -23,6 +23,20 @@
   readonly lookRevision: number | undefined;
 }
 
+/** A call that brings a stream. */
+export interface TakeUp {
+  readonly call: object;
+  readonly key: StreamKey;
+  readonly pool: PoolKey;
+}
+
+/** An inquiry for a take-up. */
+interface TakenInquiry extends Inquiry {
+  readonly call: object;
+  /** Whether it ended without a version. */
+  isVain: boolean;
+}
+
 export interface StreamInquiriesOptions {
   readonly self: string;
   readonly getNow: () => number;
@@ -40,8 +54,8 @@
 }
 
 export interface StreamInquiries {
-  /** Starts to ask if that has not been done yet. */
-  resolve(key: StreamKey, pool: PoolKey): InquiryResult;
+  /** Starts to ask if that has not been done yet for this take-up, or for one that has not ended in vain. */
+  resolve(takeUp: TakeUp): InquiryResult;
   handleReply(reply: BindingReply, from: string): void;
   getRecord(key: StreamKey): QueryRecord | undefined;
   removeExpired(): void;
@@ -50,7 +64,7 @@
 export function createStreamInquiries(options: StreamInquiriesOptions): StreamInquiries {
   const { self, getNow, conclusions, owners } = options;
   const queries = createBindingQueries();
-  const inquiries = new Map<StreamKey, Inquiry>();
+  const inquiries = new Map<StreamKey, TakenInquiry>();
 
   function listOwners(key: StreamKey, count: number): string[] {
     return owners.choose(key, options.listAlive(), count).filter((name) => name !== self);
@@ -62,8 +76,8 @@
       options.send({ kind: 'query', to, query: { key, pool, conclude, lifeMs } });
   }
 
-  function startQuery(key: StreamKey, pool: PoolKey): void {
-    const inquiry = { pool, askedMs: getNow() };
+  function startQuery({ call, key, pool }: TakeUp): void {
+    const inquiry = { call, pool, askedMs: getNow(), isVain: false };
     const isConcluding = conclusions.resolve(inquiry).kind === 'none';
     const asked = listOwners(key, OWNERS_ASKED).map((name) => ({ name, isConcluding }));
     if (!queries.start(key, pool, asked, getNow())) return;
@@ -101,14 +115,27 @@
     return own;
   }
 
+  /** What could not be known for one try may be known for the next. */
+  function removeVain({ call, key }: TakeUp): void {
+    const inquiry = inquiries.get(key);
+    if (inquiry?.isVain !== true || inquiry.call === call) return;
+    queries.remove(key);
+    inquiries.delete(key);
+  }
+
   return {
-    resolve(key, pool) {
-      if (queries.find(key) === undefined) startQuery(key, pool);
+    resolve(takeUp) {
+      const { key, pool } = takeUp;
+      removeVain(takeUp);
+      if (queries.find(key) === undefined) startQuery(takeUp);
       const own = resolveOwn(key);
       const resolution = queries.resolve(key, own, options.getCoveredMs(), getNow());
       const lookRevision = own.kind === 'only' ? own.revision : undefined;
       if (resolution.kind !== 'unknown') return { resolution, source: 'asked', lookRevision };
-      return { resolution: options.resolveStored(key, pool), source: 'stored', lookRevision };
+      const stored = options.resolveStored(key, pool);
+      const inquiry = inquiries.get(key);
+      if (inquiry !== undefined) inquiry.isVain = stored.kind === 'unknown';
+      return { resolution: stored, source: 'stored', lookRevision };
     },
     handleReply(reply, from) {
       options.life.recordReplied(reply.lifeMs ?? 0);
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -200,7 +200,7 @@
     const pool = hashName(call.pool);
     const known = ledger.find(key);
     if (known === undefined) {
-      const { resolution, ...sight } = inquiries.resolve(key, pool);
+      const { resolution, ...sight } = inquiries.resolve({ call, key, pool });
       return recordResolved(call, resolution, { ageMs: undefined, ...sight });
     }
     const version = known.pool === pool ? known.version : undefined;
