Fix: the age of the registry was taken from the configuration

Callers saw streams of two versions: an instance whose view of the endpoints was old, but whose configuration was young, began streams at a version that others no longer expected, told nobody of them, and could write claims.

Cause: `computeViewAge` and the bound on serving were the configuration's age. The configuration is confirmed by datagrams; endpoints come by a watch and over links of their own, which may be silent meanwhile.

Change: endpoints have an age of their own, on the store's clock: the last newest answer of their watch. Summaries carry it (a new optional field, 0 while unknown) and fetched tables do (a field that was unused for them). A receiver takes it if it knows all changes up to the sender's last one, since no other was made before that moment. What is told, claims and ended starts use it. A new resumable stream of a caller with a key is refused, as not run with Retry-After, when the endpoints are 2.2 s older than keys may be; the 2.2 s are for confirmations of the two tables at different times, so that in an outage of the whole store the keys decide as before. Conclusions cover the same 2.2 s more. Endpoints older than 2.2 s are fetched from two random peers.

A release that does not say counts by the configuration's age, as before: an unknown age would have to be passed on by new instances that hear old ones seldom, and would stop them from beginning streams.

Tests changed: the two of registry-gaps asserted that the instance with the old view begins a stream of v1, which it must not: they now assert that it begins none, while an instance with a young view begins one of v2, and a new one that a view as old as it may be begins v1 and nobody joins it. The simulated fleet confirms a view, and lets it serve, by the age of the view. The test of full load updates fits the new field, too.

--- a/src/calls/call-runner-options.ts
+++ b/src/calls/call-runner-options.ts
@@ -49,6 +49,6 @@
   readonly onStarted: (call: RoutedCall, startedMs: number) => void;
   /** Receives an error thrown while a call was handled; the call is ended, the others go on. */
   readonly onError: (error: unknown) => void;
-  /** Returns a failure if the call must not be sent now. */
-  readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
+  /** Returns a failure if the call must not be sent now; `isBegun`: its stream has begun. */
+  readonly checkSendable: (call: RoutedCall, isBegun: boolean) => RequestFailure | undefined;
 }
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -113,7 +113,10 @@
   ): boolean {
     const isGoingOn = isStream(call.route.kind) && lastEventId !== undefined;
     if (isGoingOn && !options.streams.isCurrent(endpoint)) return false;
-    return options.availability.isAvailable(endpoint) && options.checkSendable(call) === undefined;
+    return (
+      options.availability.isAvailable(endpoint) &&
+      options.checkSendable(call, isGoingOn) === undefined
+    );
   }
 
   /** A stream counts as started at its first event, any other call when it was sent. */
--- a/src/calls/send-decision.ts
+++ b/src/calls/send-decision.ts
@@ -39,8 +39,8 @@
   readonly listRegistered: (pool: string) => readonly RegisteredEndpoint[];
   /** Whether a call that one engine has no room for goes to another before it is refused. */
   readonly triesOtherEngines: (pool: string) => boolean;
-  /** Returns a failure if the call must not be sent now. */
-  readonly checkSendable: (call: RoutedCall) => RequestFailure | undefined;
+  /** Returns a failure if the call must not be sent now; `isBegun`: its stream has begun. */
+  readonly checkSendable: (call: RoutedCall, isBegun: boolean) => RequestFailure | undefined;
   readonly getNow: () => number;
 }
 
@@ -214,7 +214,8 @@
 
   return {
     choose(call, command, history) {
-      const failure = options.checkSendable(call);
+      const isBegun = history.version !== undefined || call.lastEventId !== undefined;
+      const failure = options.checkSendable(call, isBegun);
       if (failure !== undefined) return { kind: 'reject', failure };
       const verdict = options.quarantine.check(call);
       if (verdict.kind === 'wait') return WAIT;
--- a/src/gateway/endpoint-knowledge.ts
+++ b/src/gateway/endpoint-knowledge.ts
@@ -6,6 +6,7 @@
 import type { ResponseMetadata } from '../knowledge/feed-watcher.js';
 import { createTableMirror } from '../knowledge/table-mirror.js';
 import { decodeRows, encodeTable } from '../peers/encode-table.js';
+import { NEVER_CONFIRMED_MS } from '../peers/peer-links.js';
 import type { DecisionLog } from '../observability/decision-log.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 
@@ -41,6 +42,13 @@
   buildTable(knownRevision: number): TableKnowledge | undefined;
   /** Records that no endpoint changed after the last change known to a peer, up to a revision. */
   recordUnchanged(contentRevision: number, revision: number): void;
+  /**
+   * Records that the table was the newest at a time of the source's clock, up to its last change of
+   * that revision; without effect while later changes are known elsewhere only.
+   */
+  recordConfirmed(contentRevision: number, knownAtMs: number): void;
+  /** Latest time on the source's clock at which the table was surely the newest; minus infinity if unknown. */
+  getKnownAt(): number;
   /** All changes up to this revision are included; 0 before the first list. */
   getRevision(): number;
   /** Revision of the last change to any row. */
@@ -53,6 +61,7 @@
   const mirror = createTableMirror();
 
   let hasListed = false;
+  let confirmedAtMs = -Infinity;
 
   function handleStarted(id: string): void {
     const endpoint = directory.find(id);
@@ -148,8 +157,14 @@
     buildTable(knownRevision) {
       const revision = mirror.getContentRevision();
       if (revision === 0) return undefined;
-      return encodeTable(mirror.listSince(knownRevision), revision, undefined);
+      const knownAtMs = Math.max(NEVER_CONFIRMED_MS, confirmedAtMs);
+      return encodeTable(mirror.listSince(knownRevision), revision, knownAtMs);
+    },
+    recordConfirmed(contentRevision, knownAtMs) {
+      const isKnown = contentRevision > 0 && contentRevision <= mirror.getContentRevision();
+      if (isKnown) confirmedAtMs = Math.max(confirmedAtMs, knownAtMs);
     },
+    getKnownAt: () => confirmedAtMs,
     getRevision: () => mirror.getRevision(),
     getContentRevision: () => mirror.getContentRevision(),
   };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import { createSlotShares } from '../slot-shares/slot-shares.js';
 import { FEATURE } from '../types/features.js';
 import type { RequestFailure } from '../types/outcomes.js';
+import { CALL_KIND } from '../types/traffic.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
 import { Err } from '../utils/result.js';
@@ -46,6 +47,11 @@
  * The margin covers the spread of a confirmation to all instances.
  */
 const RECENT_KNOWLEDGE_MAX_MS = LEADING_WATCH_WAIT_MS + 700;
+/**
+ * By how much the registry may be older than keys may be when a stream begins: its confirmations come at
+ * other times than those of the keys, so in an outage of both the age of the keys decides.
+ */
+const REGISTRY_AGE_EXTRA_MS = RECENT_KNOWLEDGE_MAX_MS;
 
 /** Creates a gateway, which immediately starts to contact other instances and the source. */
 export function createGateway(options: GatewayOptions): Gateway {
@@ -209,8 +215,8 @@
     listRegistered: () => knowledge.directory.listAll(),
     findEndpoint: (id) => knowledge.directory.find(id),
     viewAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
-    servingAgeMaxMs: options.keyAgeMaxMs,
-    computeViewAge: () => knowledge.computeAge(),
+    servingAgeMaxMs: options.keyAgeMaxMs + REGISTRY_AGE_EXTRA_MS,
+    computeViewAge: () => knowledge.computeEndpointsAge(),
     getRegistryRevision: () => knowledge.getEndpointsRevision(),
     getChangeRevision: () => knowledge.getSummary().endpointsRevision,
     rowKey: `${options.self.name}/${options.incarnation}`,
@@ -284,6 +290,11 @@
     return isKeyAgeValid(knowledge.computeAge());
   }
 
+  /** Whether other instances still expect streams at the endpoints that this instance knows of. */
+  function isRegistryValid(): boolean {
+    return isKeyAgeValid(knowledge.computeEndpointsAge() - REGISTRY_AGE_EXTRA_MS);
+  }
+
   /** Guards against starting an answer that the end of this process would cut off. */
   function hasTimeFor(call: RoutedCall): boolean {
     const leftMs = drain.computeLeftMs(getNow());
@@ -291,10 +302,16 @@
   }
 
   /** Checked right before each send, since keys and the stage may change while a call waits. */
-  function checkSendable(call: RoutedCall): RequestFailure | undefined {
+  function checkSendable(call: RoutedCall, isBegun: boolean): RequestFailure | undefined {
     if (!hasTimeFor(call)) return createLeavingFailure();
-    if (!call.isAuthenticated || areKeysValid()) return undefined;
-    return createNotReadyFailure('this instance cannot tell whether the key is still valid');
+    if (!call.isAuthenticated) return undefined;
+    if (!areKeysValid())
+      return createNotReadyFailure('this instance cannot tell whether the key is still valid');
+    if (isBegun || call.route.kind !== CALL_KIND.ResumableStream || isRegistryValid())
+      return undefined;
+    return createNotReadyFailure(
+      'this instance cannot tell which endpoints may begin a stream; try another',
+    );
   }
 
   /** Guards against calls that the end of this process would leave without an answer. */
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -15,6 +15,7 @@
 import type { MirroredRow } from '../knowledge/table-mirror.js';
 import type { WatchRole } from '../knowledge/watch-role.js';
 import { decodeRows, encodeTable } from '../peers/encode-table.js';
+import { NEVER_CONFIRMED_MS } from '../peers/peer-links.js';
 import type { KnowledgeSummary } from '../peers/peer-links.js';
 import type { DecisionLog } from '../observability/decision-log.js';
 import type { TimerService } from '../runtime/timer-service.js';
@@ -58,6 +59,8 @@
   getConfiguration(): TrafficConfiguration | undefined;
   /** Returns the time since the current configuration was last confirmed as the newest. */
   computeAge(): number;
+  /** Returns the time since the endpoints were last confirmed as the newest. */
+  computeEndpointsAge(): number;
   getSummary(): KnowledgeSummary;
   /** All changes of the endpoint table up to this revision are known; 0 before its first list. */
   getEndpointsRevision(): number;
@@ -114,6 +117,11 @@
     return sourceClock.computeAge(knowledge.getKnownAt(), getNow());
   }
 
+  function computeEndpointsAge(): number {
+    checkSuspension();
+    return sourceClock.computeAge(endpoints.getKnownAt(), getNow());
+  }
+
   function computeAgeOf(sourceMs: number): number {
     checkSuspension();
     return sourceClock.computeAge(sourceMs, getNow());
@@ -191,6 +199,20 @@
     if (version > 0) knowledge.record({ version, content: undefined, knownAtMs });
   }
 
+  function handleEndpointsAnswer(
+    rows: readonly FeedRow[],
+    times: ResponseMetadata,
+    isNewest: boolean,
+  ): void {
+    handleSourceAnswer('endpoints');
+    endpoints.applyChanges(rows, times);
+    const contentRevision = endpoints.getContentRevision();
+    // An answer from before the last known change was not the newest.
+    if (!isNewest || times.sentMs < trustedSinceMs || times.revision < contentRevision) return;
+    sourceClock.record(times);
+    endpoints.recordConfirmed(contentRevision, times.sourceNowMs);
+  }
+
   function getWaitMs(): number {
     return role.kind === 'watch' && role.isLeading ? LEADING_WATCH_WAIT_MS : STANDBY_WATCH_WAIT_MS;
   }
@@ -224,10 +246,7 @@
         handleSourceAnswer('endpoints');
         endpoints.applyList(rows, answer);
       },
-      onChanged(rows, answer) {
-        handleSourceAnswer('endpoints');
-        endpoints.applyChanges(rows, answer);
-      },
+      onChanged: handleEndpointsAnswer,
       onLost: (reason) => handleSourceLost('endpoints', reason),
     },
   });
@@ -294,6 +313,7 @@
     directory,
     getConfiguration: () => knowledge.get(),
     computeAge,
+    computeEndpointsAge,
     computeAgeOf,
     getSummary() {
       const knownAtMs = knowledge.getKnownAt();
@@ -302,6 +322,7 @@
         endpointsRevision: endpoints.getContentRevision(),
         confirmedAtMs: Number.isFinite(knownAtMs) ? knownAtMs : undefined,
         endpointsUnchanged: endpoints.getRevision() - endpoints.getContentRevision(),
+        endpointsConfirmedAtMs: Math.max(NEVER_CONFIRMED_MS, endpoints.getKnownAt()),
       };
     },
     getEndpointsRevision: () => endpoints.getRevision(),
@@ -319,6 +340,11 @@
         endpointsRevision,
         endpointsRevision + (summary.endpointsUnchanged ?? 0),
       );
+      endpoints.recordConfirmed(
+        endpointsRevision,
+        // Instances of earlier releases confirm both tables by one time.
+        summary.endpointsConfirmedAtMs ?? confirmedAtMs ?? NEVER_CONFIRMED_MS,
+      );
       const isFeedLagging = checkLag(summary);
       const isPeerAhead = isNewer || endpointsRevision > endpoints.getContentRevision();
       return isPeerAhead && (role.kind === 'follow' || isSourceLost || isFeedLagging);
@@ -351,6 +377,11 @@
       const isNeeded = role.kind === 'follow' || isSourceLost || endpoints.getRevision() === 0;
       if (isNeeded && endpointTable !== undefined)
         endpoints.applyTable(endpointTable, renewalLeftMs, peer);
+      if (endpointTable !== undefined)
+        endpoints.recordConfirmed(
+          endpointTable.revision,
+          endpointTable.knownAtMs ?? configuration?.knownAtMs ?? NEVER_CONFIRMED_MS,
+        );
     },
     setRole(nextRole) {
       const previousRole = role;
--- a/src/gateway/leaving-loads.test.ts
+++ b/src/gateway/leaving-loads.test.ts
@@ -64,6 +64,7 @@
       applyResponse: () => undefined,
       applySummary: () => false,
       computeAge: () => 0,
+      computeEndpointsAge: () => 0,
       getSummary: () => ({ configurationRevision: 1, endpointsRevision: 1, confirmedAtMs: 0 }),
       setRole: () => undefined,
     },
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -65,7 +65,12 @@
   readonly shares: Pick<SlotShares, 'takeReports'>;
   readonly knowledge: Pick<
     KnowledgeStore,
-    'applyResponse' | 'applySummary' | 'computeAge' | 'getSummary' | 'setRole'
+    | 'applyResponse'
+    | 'applySummary'
+    | 'computeAge'
+    | 'computeEndpointsAge'
+    | 'getSummary'
+    | 'setRole'
   >;
   /** Knowledge older than this is fetched from peers. */
   readonly knowledgeAgeMaxMs: number;
@@ -240,7 +245,8 @@
   });
   timers.subscribe(WATCH_ROLE_PERIOD_MS, () => {
     advanceWatchRole();
-    if (knowledge.computeAge() > options.knowledgeAgeMaxMs) startKnowledgeFetches();
+    const ageMs = Math.max(knowledge.computeAge(), knowledge.computeEndpointsAge());
+    if (ageMs > options.knowledgeAgeMaxMs) startKnowledgeFetches();
   });
   timers.subscribeOnce(0, advanceWatchRole);
 
--- a/src/peers/encode-load-update.test.ts
+++ b/src/peers/encode-load-update.test.ts
@@ -6,6 +6,7 @@
 import type { EndpointLoadShare } from '../placement/remote-loads.js';
 import { describe } from '../test/describe.js';
 import { decodeLoadUpdate, encodeLoadUpdate } from './encode-load-update.js';
+import { NEVER_CONFIRMED_MS } from './peer-links.js';
 import type { KnowledgeSummary } from './peer-links.js';
 
 const KNOWLEDGE: KnowledgeSummary = {
@@ -33,8 +34,8 @@
   pauseMs: fc.nat(15_000).map((units) => units * 4),
 });
 
-function encodeAndDecode(update: LoadUpdate) {
-  return encodeLoadUpdate(update, 'dc', KNOWLEDGE, TIME).map((load) => {
+function encodeAndDecode(update: LoadUpdate, knowledge = KNOWLEDGE) {
+  return encodeLoadUpdate(update, 'dc', knowledge, TIME).map((load) => {
     const bytes = toBinary(TellLoadSchema, load);
     const status = decodeLoadUpdate('i', fromBinary(TellLoadSchema, bytes));
     if (status === undefined) throw new TypeError('load update with an unknown scope');
@@ -70,6 +71,16 @@
     t.is(part?.status.scope, LOAD_SCOPE.Own);
   });
 
+  // Guards against a table that was never confirmed, taken for that of a release that does not say.
+  it('tell a table of endpoints that was never confirmed from one that nobody speaks of', (t) => {
+    const update = { scope: LOAD_SCOPE.Own, shares: [], heardDataCentres: [] };
+    for (const endpointsConfirmedAtMs of [NEVER_CONFIRMED_MS, 1234.25]) {
+      const knowledge = { ...KNOWLEDGE, endpointsConfirmedAtMs };
+      t.deepEqual(encodeAndDecode(update, knowledge)[0]?.status.knowledge, knowledge);
+    }
+    t.false('endpointsConfirmedAtMs' in (encodeAndDecode(update)[0]?.status.knowledge ?? {}));
+  });
+
   // Guards against IP fragmentation: a fragmented datagram is lost if any of its fragments is.
   it('fit one Ethernet frame per datagram with many busy endpoints', (t) => {
     const shares = Array.from({ length: 180 }, (_, index) => ({
@@ -86,11 +97,8 @@
       pauses: 150,
       pauseMs: 6000,
     }));
-    const parts = encodeAndDecode({
-      scope: LOAD_SCOPE.Others,
-      shares,
-      heardDataCentres: ['a', 'b', 'c'],
-    });
+    const update = { scope: LOAD_SCOPE.Others, shares, heardDataCentres: ['a', 'b', 'c'] };
+    const parts = encodeAndDecode(update, { ...KNOWLEDGE, endpointsConfirmedAtMs: 1234.25 });
     t.is(parts.length, 3);
     for (const { bytes } of parts) {
       t.true(bytes.length <= DATAGRAM_BYTES_MAX, `${bytes.length} bytes`);
--- a/src/peers/encode-load-update.ts
+++ b/src/peers/encode-load-update.ts
@@ -79,7 +79,8 @@
   knowledge: KnowledgeSummary,
   time: PeerTime | undefined,
 ): TellLoad[] {
-  const { configurationRevision, endpointsRevision, confirmedAtMs, endpointsUnchanged } = knowledge;
+  const { configurationRevision, endpointsRevision, endpointsUnchanged } = knowledge;
+  const { confirmedAtMs, endpointsConfirmedAtMs } = knowledge;
   const parts = Math.max(1, Math.ceil(shares.length / SHARES_PER_DATAGRAM_MAX));
   return Array.from({ length: parts }, (_, part) => {
     const partShares = listPartShares(shares, part, parts);
@@ -93,6 +94,7 @@
       endpointsRevision,
       endpointsUnchanged: encodeUint32(endpointsUnchanged ?? 0),
       ...(confirmedAtMs === undefined ? {} : { confirmedAtMs }),
+      ...(endpointsConfirmedAtMs === undefined ? {} : { endpointsConfirmedAtMs }),
       ...(time === undefined ? {} : { trueNow: encodeTime(time) }),
       endpoints: partShares.map(({ endpoint }) => endpoint),
       running: partShares.map(({ running }) => encodeUint32(running)),
@@ -114,6 +116,17 @@
   });
 }
 
+function decodeKnowledge(load: TellLoad): KnowledgeSummary {
+  const { endpointsUnchanged, endpointsConfirmedAtMs } = load;
+  return {
+    configurationRevision: load.configurationVersion,
+    endpointsRevision: load.endpointsRevision,
+    confirmedAtMs: load.confirmedAtMs,
+    ...(endpointsUnchanged === 0 ? {} : { endpointsUnchanged }),
+    ...(endpointsConfirmedAtMs === undefined ? {} : { endpointsConfirmedAtMs }),
+  };
+}
+
 /** Returns undefined for a scope of a newer release. */
 export function decodeLoadUpdate(instance: string, load: TellLoad): PeerStatus | undefined {
   const scope = decodeScope(load.scope);
@@ -124,12 +137,7 @@
     scope,
     part: load.part,
     heardDataCentres: load.heardDataCentres,
-    knowledge: {
-      configurationRevision: load.configurationVersion,
-      endpointsRevision: load.endpointsRevision,
-      confirmedAtMs: load.confirmedAtMs,
-      ...(load.endpointsUnchanged === 0 ? {} : { endpointsUnchanged: load.endpointsUnchanged }),
-    },
+    knowledge: decodeKnowledge(load),
     time: load.trueNow === undefined ? undefined : decodeTime(load.trueNow),
     shares: load.endpoints.map((endpoint, index) => ({
       endpoint,
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -12,6 +12,9 @@
   readonly endpointsRevision: number;
 }
 
+/** Time on the source clock that stands for endpoints that were never confirmed. */
+export const NEVER_CONFIRMED_MS = 0;
+
 /** Knowledge of an instance, as sent to peers. */
 export interface KnowledgeSummary extends KnownRevisions {
   /**
@@ -24,6 +27,11 @@
    * @default 0
    */
   readonly endpointsUnchanged?: number;
+  /**
+   * Latest time on the source clock at which the endpoints are known to have been current, or
+   * `NEVER_CONFIRMED_MS`; undefined from instances of earlier releases.
+   */
+  readonly endpointsConfirmedAtMs?: number;
 }
 
 export interface PeerLinks {
--- a/src/stream-versions/registry-gaps.test.ts
+++ b/src/stream-versions/registry-gaps.test.ts
@@ -279,25 +279,37 @@
 });
 
 describe('streams that an instance begins by an old view of the registry', ({ it }) => {
+  function startLagging(lagMs: number) {
+    const fleet = createStreamFleet({
+      instances: 7,
+      random: createRandom(3),
+      lossProbability: 0,
+    });
+    fleet.setVersions(['v1']);
+    fleet.runFor(SETTLED_MS);
+    fleet.setLag(0, 60_000);
+    fleet.setVersions(['v2']);
+    fleet.runFor(lagMs);
+    const stream = fleet.startAt(0);
+    // Too late to tell: its instance ends at once.
+    fleet.stop(0);
+    fleet.runFor(LIFE_MS - 1000);
+    return { fleet, stream };
+  }
+
   // Guards against the age of the configuration, taken for that of the registry.
   for (const lagMs of [8000, 16_000]) {
     it(`are not joined by others, if only its view of the registry is ${lagMs} ms old`, (t) => {
-      const fleet = createStreamFleet({
-        instances: 7,
-        random: createRandom(3),
-        lossProbability: 0,
-      });
-      fleet.setVersions(['v1']);
-      fleet.runFor(SETTLED_MS);
-      fleet.setLag(0, 60_000);
-      fleet.setVersions(['v2']);
-      fleet.runFor(lagMs);
-      const stream = fleet.startAt(0);
-      t.is(stream?.version, 'v1');
-      // Too late to tell: its instance ends at once.
-      fleet.stop(0);
-      fleet.runFor(LIFE_MS - 1000);
-      if (stream !== undefined) t.is(fleet.resumeAt(1, stream).version, undefined);
+      const { fleet, stream } = startLagging(lagMs);
+      t.is(stream, undefined);
+      t.is(fleet.startAt(1)?.version, 'v2');
     });
   }
+
+  // Guards against a conclusion that covers less than the age of a view that begins streams.
+  it('are not joined by others, if its view of the registry is as old as it may be', (t) => {
+    const { fleet, stream } = startLagging(SERVING_MAX_MS - 100);
+    t.is(stream?.version, 'v1');
+    if (stream !== undefined) t.is(fleet.resumeAt(1, stream).version, undefined);
+  });
 });
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -141,6 +141,7 @@
       applyResponse: () => undefined,
       applySummary: () => false,
       computeAge: () => 0,
+      computeEndpointsAge: () => 0,
       getSummary: () => ({ configurationRevision: 1, endpointsRevision: 1, confirmedAtMs: 0 }),
       setRole: () => undefined,
     },
--- a/src/test/stream-fleet.ts
+++ b/src/test/stream-fleet.ts
@@ -35,7 +35,7 @@
 /** Longest time between two confirmations of a view, and the age up to which it counts as confirmed. */
 const CONFIRMED_PERIOD_MS = 1500;
 const CONFIRMED_MAX_MS = 2200;
-/** Longest time without a contact for which an instance begins streams. */
+/** Longest time without a contact, and greatest age of a view, with which an instance begins streams. */
 export const SERVING_MAX_MS = 4500;
 
 export const VERSIONS = ['v1', 'v2'] as const;
@@ -234,14 +234,14 @@
     }),
   );
 
-  /** The watch of the configuration confirms a view whose watch of the registry may lag. */
+  /** A view is confirmed by the watch of the registry, which may lag behind that of the configuration. */
   function advanceView(index: number): void {
     if (stopped.has(index) || !isInTouch(index)) return;
     contactMs[index] = nowMs;
     const isConfirmedNow =
       nowMs - (confirmedMs[index] ?? 0) >= CONFIRMED_PERIOD_MS || random.next() < 0.01;
-    if (isConfirmedNow) confirmedMs[index] = nowMs;
     if (nowMs - (viewedMs[index] ?? 0) < (lags.get(index) ?? 0)) return;
+    if (isConfirmedNow) confirmedMs[index] = nowMs;
     viewedMs[index] = nowMs;
     const before = views[index]?.getRevision();
     if (before === registry.getRevision()) return;
@@ -337,7 +337,8 @@
     startAt(instance) {
       const known = views[instance]?.list() ?? [];
       const endpoint = known[random.nextIndex(Math.max(1, known.length))];
-      const isServing = nowMs - (contactMs[instance] ?? 0) <= SERVING_MAX_MS;
+      const heardMs = Math.min(contactMs[instance] ?? 0, viewedMs[instance] ?? 0);
+      const isServing = nowMs - heardMs <= SERVING_MAX_MS;
       if (endpoint === undefined || !isServing || stopped.has(instance)) return undefined;
       const call = buildStreamCall({});
       instances[instance]?.recordStarted(call, endpoint);
