--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -16,6 +16,7 @@
 import type { MirroredRow } from '../knowledge/table-mirror.js';
 import type { WatchRole } from '../knowledge/watch-role.js';
 import { decodeRows, encodeTable } from '../peers/encode-table.js';
+import { NEVER_CONFIRMED_MS } from '../peers/peer-links.js';
 import type { KnowledgeSummary } from '../peers/peer-links.js';
 import type { DecisionLog } from '../observability/decision-log.js';
 import type { TimerService } from '../runtime/timer-service.js';
@@ -59,6 +60,8 @@
   getConfiguration(): TrafficConfiguration | undefined;
   /** Returns the time since the current configuration was last confirmed as the newest. */
   computeAge(): number;
+  /** Returns the time since the endpoints were last confirmed as the newest. */
+  computeEndpointsAge(): number;
   getSummary(): KnowledgeSummary;
   /** All changes of the endpoint table up to this revision are known; 0 before its first list. */
   getEndpointsRevision(): number;
@@ -114,6 +117,11 @@
     return sourceClock.computeAge(knowledge.getKnownAt(), getNow());
   }
 
+  function computeEndpointsAge(): number {
+    checkSuspension();
+    return sourceClock.computeAge(endpoints.getKnownAt(), getNow());
+  }
+
   function computeAgeOf(sourceMs: number): number {
     checkSuspension();
     return sourceClock.computeAge(sourceMs, getNow());
@@ -186,6 +194,20 @@
     if (version > 0) knowledge.record({ version, content: undefined, knownAtMs });
   }
 
+  function handleEndpointsAnswer(
+    rows: readonly FeedRow[],
+    times: ResponseMetadata,
+    isNewest: boolean,
+  ): void {
+    outage.recordAnswer('endpoints');
+    endpoints.applyChanges(rows, times);
+    const contentRevision = endpoints.getContentRevision();
+    // An answer from before the last known change was not the newest.
+    if (!isNewest || times.sentMs < trustedSinceMs || times.revision < contentRevision) return;
+    sourceClock.record(times);
+    endpoints.recordConfirmed(contentRevision, times.sourceNowMs);
+  }
+
   function getWaitMs(): number {
     return role.kind === 'watch' && role.isLeading ? LEADING_WATCH_WAIT_MS : STANDBY_WATCH_WAIT_MS;
   }
@@ -219,10 +241,7 @@
         outage.recordAnswer('endpoints');
         endpoints.applyList(rows, answer);
       },
-      onChanged(rows, answer) {
-        outage.recordAnswer('endpoints');
-        endpoints.applyChanges(rows, answer);
-      },
+      onChanged: handleEndpointsAnswer,
       onLost: (reason) => outage.recordLost('endpoints', reason),
     },
   });
@@ -288,6 +307,7 @@
     directory,
     getConfiguration: () => knowledge.get(),
     computeAge,
+    computeEndpointsAge,
     computeAgeOf,
     getSummary() {
       const knownAtMs = knowledge.getKnownAt();
@@ -296,6 +316,7 @@
         endpointsRevision: endpoints.getContentRevision(),
         confirmedAtMs: Number.isFinite(knownAtMs) ? knownAtMs : undefined,
         endpointsUnchanged: endpoints.getRevision() - endpoints.getContentRevision(),
+        endpointsConfirmedAtMs: Math.max(NEVER_CONFIRMED_MS, endpoints.getKnownAt()),
       };
     },
     getEndpointsRevision: () => endpoints.getRevision(),
@@ -313,6 +334,11 @@
         endpointsRevision,
         endpointsRevision + (summary.endpointsUnchanged ?? 0),
       );
+      endpoints.recordConfirmed(
+        endpointsRevision,
+        // Instances of earlier releases confirm both tables by one time.
+        summary.endpointsConfirmedAtMs ?? confirmedAtMs ?? NEVER_CONFIRMED_MS,
+      );
       const isFeedLagging = checkLag(summary);
       const areEndpointsNewer = endpointsRevision > endpoints.getContentRevision();
       if (!isNewer && !areEndpointsNewer) return false;
@@ -348,6 +374,11 @@
         role.kind === 'follow' || outage.isLost('endpoints') || endpoints.getRevision() === 0;
       if (isNeeded && endpointTable !== undefined)
         endpoints.applyTable(endpointTable, renewalLeftMs, peer);
+      if (endpointTable !== undefined)
+        endpoints.recordConfirmed(
+          endpointTable.revision,
+          endpointTable.knownAtMs ?? configuration?.knownAtMs ?? NEVER_CONFIRMED_MS,
+        );
     },
     setRole(nextRole) {
       const previousRole = role;
