An entry of the registry that cannot be read keeps its reader from concluding a version

What could happen: an endpoint whose entry this release cannot read serves at another instance, begins a stream there, and this instance, which passes over the entry, takes the stream up at the only version that it knows.

Now the directory knows which entries could not be read, and while there is one the memory of versions is not continuous.

--- a/src/directory/endpoint-directory.test.ts
+++ b/src/directory/endpoint-directory.test.ts
@@ -37,6 +37,26 @@
     });
   });
 
+  block('with entries that cannot be read', ({ it }) => {
+    // Guards against one that counts for ever, or is forgotten while it is there.
+    it('knows of them until they can be read, are removed or missing from a list', (t) => {
+      const directory = createEndpointDirectory();
+      const apply = (message: DirectoryMessage): boolean => {
+        directory.handle(message, 0);
+        return directory.hasUnreadable();
+      };
+      t.true(apply({ kind: 'unreadable', id: 'a' }));
+      t.true(apply({ kind: 'tick' }));
+      t.true(apply({ kind: 'removed', id: 'b' }));
+      t.false(apply({ kind: 'registered', endpoint: buildEndpoint('a') }));
+      t.true(apply({ kind: 'unreadable', id: 'a' }));
+      t.false(apply({ kind: 'removed', id: 'a' }));
+      t.true(apply({ kind: 'unreadable', id: 'a' }));
+      t.true(apply({ kind: 'listed', endpoints: [] }));
+      t.false(apply({ kind: 'listed', endpoints: [] }));
+    });
+  });
+
   block('during and after a registry outage', ({ it }) => {
     // Guards against refusing every call after a registry outage that lost all entries, before the
     // endpoints have had time to renew them.
--- a/src/directory/endpoint-directory.ts
+++ b/src/directory/endpoint-directory.ts
@@ -42,6 +42,8 @@
   /** Whether a start of an endpoint is registered, by its key. */
   hasStart(start: EndpointKey): boolean;
   listAll(): readonly RegisteredEndpoint[];
+  /** Whether an entry exists that could not be read. */
+  hasUnreadable(): boolean;
   /** Whether the registry is out of reach and no peer has reported its state since. */
   isSourceLost(): boolean;
   /**
@@ -86,6 +88,9 @@
   let openByPool = new Map<string, RegisteredEndpoint[]>();
   let servingByPool = new Map<string, RegisteredEndpoint[]>();
   let startKeys: ReadonlySet<EndpointKey> = new Set();
+  let unreadable = new Set<string>();
+  /** Told since the last message of another kind. */
+  const listedUnreadable = new Set<string>();
   let isSourceLost = false;
   let renewalEndMs = -Infinity;
   let changes: DirectoryChange[] = [];
@@ -124,6 +129,19 @@
     removeEntry(entry);
   }
 
+  /** Those that a list has are told right before it. */
+  function recordUnreadable(message: DirectoryMessage): void {
+    if (message.kind === 'unreadable') {
+      unreadable.add(message.id);
+      listedUnreadable.add(message.id);
+      return;
+    }
+    if (message.kind === 'registered') unreadable.delete(message.endpoint.id);
+    if (message.kind === 'removed') unreadable.delete(message.id);
+    if (message.kind === 'listed') unreadable = new Set(listedUnreadable);
+    listedUnreadable.clear();
+  }
+
   /** Not kept like a lapsed entry: it was overwritten with something that is not an endpoint. */
   function handleUnreadable(id: string): void {
     const entry = entries.get(id);
@@ -194,6 +212,7 @@
   return {
     handle(message, nowMs) {
       changes = [];
+      recordUnreadable(message);
       applyMessage(message, nowMs);
       if (message.kind !== 'tick' || changes.length > 0) updateOpen();
       return changes;
@@ -202,6 +221,7 @@
     listServing: (pool) => servingByPool.get(pool) ?? [],
     hasStart: (start) => startKeys.has(start),
     find: (id) => entries.get(id)?.endpoint,
+    hasUnreadable: () => unreadable.size > 0,
     isSourceLost: () => isSourceLost,
     computeRenewalLeft: (nowMs) => (isSourceLost ? 0 : Math.max(0, renewalEndMs - nowMs)),
     listAll: () => [...entries.values()].map(({ endpoint }) => endpoint),
--- a/src/gateway/call-streams.ts
+++ b/src/gateway/call-streams.ts
@@ -29,6 +29,8 @@
   readonly datagrams: Pick<Datagrams, 'sendStreams' | 'sendStreamQuery' | 'sendStreamReply'>;
   readonly peers: Pick<PeerExchange, 'listPeers' | 'findAddress'>;
   readonly listRegistered: () => readonly RegisteredEndpoint[];
+  /** Whether an entry of the registry exists that could not be read. */
+  readonly hasUnreadable: () => boolean;
   readonly findEndpoint: (id: string) => RegisteredEndpoint | undefined;
   /** Age of a view of the registry that counts as confirmed. */
   readonly viewAgeMaxMs: number;
@@ -102,7 +104,8 @@
     listRegistered: options.listRegistered,
     find: options.findEndpoint,
     isViewConfirmed,
-    isViewContinuous: () => options.getRegistryRevision() > 0,
+    // An entry that cannot be read may be of any pool and version.
+    isViewContinuous: () => options.getRegistryRevision() > 0 && !options.hasUnreadable(),
     getRegistryRevision: options.getRegistryRevision,
     getChangeRevision: options.getChangeRevision,
     startLook,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -213,6 +213,7 @@
     datagrams: options.datagrams,
     peers,
     listRegistered: () => knowledge.directory.listAll(),
+    hasUnreadable: () => knowledge.directory.hasUnreadable(),
     findEndpoint: (id) => knowledge.directory.find(id),
     viewAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
     servingAgeMaxMs: options.keyAgeMaxMs + REGISTRY_AGE_EXTRA_MS,
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -55,7 +55,7 @@
 export interface KnowledgeStore {
   readonly directory: Pick<
     EndpointDirectory,
-    'listOpen' | 'listServing' | 'find' | 'hasStart' | 'listAll'
+    'listOpen' | 'listServing' | 'find' | 'hasStart' | 'listAll' | 'hasUnreadable'
   >;
   getConfiguration(): TrafficConfiguration | undefined;
   /** Returns the time since the current configuration was last confirmed as the newest. */
--- a/src/stream-versions/registry-gaps.test.ts
+++ b/src/stream-versions/registry-gaps.test.ts
@@ -100,7 +100,7 @@
     listRegistered: () => knowledge.directory.listAll(),
     find: (id) => knowledge.directory.find(id),
     isViewConfirmed: () => true,
-    isViewContinuous: () => knowledge.getRevision() > 0,
+    isViewContinuous: () => knowledge.getRevision() > 0 && !knowledge.directory.hasUnreadable(),
     getRegistryRevision: () => knowledge.getRevision(),
     getChangeRevision: () => knowledge.getContentRevision(),
     startLook(since, onEnded) {
--- a/src/stream-versions/stream-versions.ts
+++ b/src/stream-versions/stream-versions.ts
@@ -77,7 +77,7 @@
   readonly find: (id: string) => RegisteredEndpoint | undefined;
   /** Whether the view of the registry was lately confirmed as the newest. */
   readonly isViewConfirmed: () => boolean;
-  /** Whether all changes of the registry since its first list are known. */
+  /** Whether all changes of the registry since its first list are known, and all entries can be read. */
   readonly isViewContinuous: () => boolean;
   /** Revision of the registry up to which all changes are known; 0 before its first list. */
   readonly getRegistryRevision: () => number;
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -216,6 +216,7 @@
     datagrams: network.createDatagrams(self),
     peers: exchange,
     listRegistered: listOpen,
+    hasUnreadable: () => false,
     findEndpoint: (id) => listOpen().find((endpoint) => endpoint.id === id),
     viewAgeMaxMs: 0,
     servingAgeMaxMs: 0,
