--- a/src/memory/joined-bytes.ts
+++ b/src/memory/joined-bytes.ts
@@ -8,7 +8,7 @@
 /** Smallest block, so that single bytes do not take one each. */
 const BLOCK_BYTES_MIN = 1024;
 /** Largest block that is taken ahead of its bytes. */
-const BLOCK_BYTES_MAX = 256 * 1024;
+const BLOCK_BYTES_MAX = 64 * 1024;
 
 export interface JoinedBytes {
   /** Copies a piece, so that it is not kept. */
--- a/src/request-bodies/body-budget.ts
+++ b/src/memory/memory-budget.ts
@@ -1,29 +1,35 @@
 /**
- * Shares the memory for request bodies that are read or held between organisations. Performs no I/O.
+ * Shares the memory for bodies of requests and of responses that are read or held between
+ * organisations. Performs no I/O.
  *
  * Guards against one organisation whose bodies take the whole memory of the process, which is then
  * killed with the calls of all others.
  */
 
 /** Largest body that may use the reserve. */
-const SMALL_BODY_BYTES = 64 * 1024;
+export const SMALL_BODY_BYTES = 64 * 1024;
+/** What a body costs beside its bytes: the objects that it is read with. */
+export const ITEM_BYTES = 1024;
 /** Share of the total that is left to small bodies. */
 const RESERVE_SHARE = 0.15;
 /** Share of the rest, and of the reserve, that one organisation may use. */
 const OWNER_SHARE_MAX = 0.75;
 
 /** Memory taken for one body. */
-export interface BodyTicket {
+export interface MemoryTicket {
   /** Takes more for the same body; false if there is no room. */
   grow(bytes: number): boolean;
+  /** Gives all back; does nothing the second time. */
   release(): void;
 }
 
-export interface BodyBudget {
+export interface MemoryBudget {
   /** Takes memory for a body on behalf of an organisation; undefined if there is no room. */
-  take(owner: string, bytes: number): BodyTicket | undefined;
+  take(owner: string, bytes: number): MemoryTicket | undefined;
   /** Bytes that are taken. */
   getUsed(): number;
+  /** `onReleased` is called whenever memory was given back. */
+  subscribe(onReleased: () => void): void;
 }
 
 interface Pool {
@@ -52,22 +58,25 @@
   else pool.usedByOwner.delete(owner);
 }
 
-/** `totalBytes`: memory for all bodies of the process. */
-export function createBodyBudget(totalBytes: number): BodyBudget {
+/** `totalBytes`: memory for all bodies that a process holds. */
+export function createMemoryBudget(totalBytes: number): MemoryBudget {
   const reserve = createPool(totalBytes * RESERVE_SHARE);
   const rest = createPool(totalBytes * (1 - RESERVE_SHARE));
+  const listeners: (() => void)[] = [];
 
   function choosePool(bytes: number): Pool {
-    return bytes <= SMALL_BODY_BYTES ? reserve : rest;
+    return bytes <= SMALL_BODY_BYTES + ITEM_BYTES ? reserve : rest;
   }
 
   return {
     take(owner, bytes) {
-      let pool = choosePool(bytes);
-      let taken = bytes;
-      if (!takeFrom(pool, owner, bytes)) return undefined;
+      let taken = bytes + ITEM_BYTES;
+      let pool = choosePool(taken);
+      let isReleased = false;
+      if (!takeFrom(pool, owner, taken)) return undefined;
       return {
         grow(more) {
+          if (isReleased) return false;
           const next = choosePool(taken + more);
           const needed = next === pool ? more : taken + more;
           if (!takeFrom(next, owner, needed)) return false;
@@ -77,11 +86,14 @@
           return true;
         },
         release() {
+          if (isReleased) return;
+          isReleased = true;
           releaseTo(pool, owner, taken);
-          taken = 0;
+          for (const onReleased of listeners) onReleased();
         },
       };
     },
     getUsed: () => reserve.used + rest.used,
+    subscribe: (onReleased) => listeners.push(onReleased),
   };
 }
--- a/src/request-bodies/read-body.ts
+++ b/src/request-bodies/read-body.ts
@@ -1,6 +1,6 @@
 /** Reads the body of a request within a bound of its own and the memory that is left for bodies. */
 import type { IncomingMessage } from 'node:http';
-import type { BodyBudget, BodyTicket } from './body-budget.js';
+import type { MemoryBudget, MemoryTicket } from '../memory/memory-budget.js';
 
 const INTEGER_PATTERN = /^\d+$/;
 /** A body that is not kept is read to its end up to this multiple of the bound, so that its caller reads the answer. */
@@ -8,7 +8,7 @@
 
 export interface ReadBodyOptions {
   readonly bytesMax: number;
-  readonly budget: BodyBudget;
+  readonly budget: MemoryBudget;
   /** Organisation on whose behalf memory is taken. */
   readonly owner: string;
 }
@@ -51,7 +51,7 @@
   const { bytesMax, budget, owner } = options;
   const length = parseLength(request);
   let refusal: Exclude<ReadBody['kind'], 'whole'> | undefined;
-  let ticket: BodyTicket | undefined;
+  let ticket: MemoryTicket | undefined;
   let parts: BodyParts | undefined;
   let bytes = 0;
 
