Calls: an exchange can be held, directly and through peers

ExchangeFlow is passed through EndpointExchanges.open for both ways and for ways that change before anything is sent. A held exchange through a peer reads no more of the peer's stream, so that HTTP/2's flow control holds the peer back and its response queue the endpoint. Holds are kept by reason (exchange-holds); while one holds, the call state machine takes no stall, and the path ledger no silence. Nothing holds yet, but a caller's side may, by pause and resume of a running call.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -106,6 +106,9 @@
       readonly hasData: boolean;
       readonly bytes: Buffer;
     }
+  /** This instance reads no more of the response for now, so that its silence says nothing. */
+  | { readonly kind: 'held'; readonly attempt: number }
+  | { readonly kind: 'resumed'; readonly attempt: number }
   | { readonly kind: 'ended'; readonly attempt: number; readonly end: AttemptEnd }
   | { readonly kind: 'caller_left' }
   /** This instance stops before the call can end; `failure` is for a call that has not run. */
--- a/src/calls/call-run.ts
+++ b/src/calls/call-run.ts
@@ -5,6 +5,7 @@
 import type { VersionKey } from '../stream-versions/stream-binding.js';
 import type { CallSink, RoutedCall } from './call-messages.js';
 import type { CallStateMachine } from './call-state-machine.js';
+import type { ExchangeHolds } from './exchange-holds.js';
 
 export interface Run {
   readonly call: RoutedCall;
@@ -12,6 +13,10 @@
   readonly stateMachine: CallStateMachine;
   readonly triedEndpointIds: string[];
   closeExchange: (() => void) | undefined;
+  /** Holds of the current attempt. */
+  holds: ExchangeHolds | undefined;
+  /** The caller has yet to read what it was sent. */
+  isCallerBehind: boolean;
   ticket: LoadTicket | undefined;
   watch: AttemptWatch | undefined;
   slot: SlotTicket | undefined;
@@ -32,6 +37,8 @@
     stateMachine,
     triedEndpointIds: [],
     closeExchange: undefined,
+    holds: undefined,
+    isCallerBehind: false,
     ticket: undefined,
     watch: undefined,
     slot: undefined,
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -21,6 +21,7 @@
 import { createCallStateMachine } from './call-state-machine.js';
 import { computeConnectionsMax } from './connection-limit.js';
 import { createRun } from './call-run.js';
+import { HOLD_REASON, createExchangeHolds } from './exchange-holds.js';
 import type { CallRunnerOptions } from './call-runner-options.js';
 import type { Run } from './call-run.js';
 import type {
@@ -42,6 +43,10 @@
 const PLACEMENT_INTERVAL_MS = 25;
 
 export interface RunningCall {
+  /** The caller reads more slowly than the endpoint answers: nothing more is read for it. */
+  pause(): void;
+  /** The caller has read enough to get more. */
+  resume(): void;
   /** Called when the caller disconnects. */
   close(): void;
 }
@@ -151,6 +156,10 @@
     run.slot = slot;
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
+    const holds = createExchangeHolds((isHeld) =>
+      advanceRun(run, { kind: isHeld ? 'held' : 'resumed', attempt }),
+    );
+    run.holds = holds;
     const expected = { callId: call.callId, isStream: isStream(call.route.kind), lastEventId };
     const reader = createAttemptReader(expected, {
       onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
@@ -159,6 +168,7 @@
       onStreamStarted(head) {
         watch.recordStarted();
         advanceRun(run, { kind: 'stream_started', attempt, head });
+        if (run.isCallerBehind) holds.hold(HOLD_REASON.CallerBehind);
       },
       onEvent(event) {
         ticket.recordEvent(getNow());
@@ -201,6 +211,7 @@
         onEnd: () => reader.readEnd(),
         onError: (isSent, reason) => reader.readError(isSent, reason),
       },
+      holds.flow,
     );
   }
 
@@ -350,7 +361,17 @@
       runs.add(run);
       tickTimer.start();
       advanceRun(run, { kind: 'start' });
-      return { close: () => advanceRun(run, { kind: 'caller_left' }) };
+      return {
+        pause() {
+          run.isCallerBehind = true;
+          run.holds?.hold(HOLD_REASON.CallerBehind);
+        },
+        resume() {
+          run.isCallerBehind = false;
+          run.holds?.release(HOLD_REASON.CallerBehind);
+        },
+        close: () => advanceRun(run, { kind: 'caller_left' }),
+      };
     },
     count: () => runs.size,
     closeAll(failure) {
--- a/src/calls/call-state-machine.test.ts
+++ b/src/calls/call-state-machine.test.ts
@@ -187,6 +187,20 @@
       t.like(moved[1], { kind: 'attempt', lastEventId: '3' });
     });
 
+    // Guards against taking an endpoint for silent whose answer nobody reads.
+    it('are not resumed elsewhere while this instance holds them back', (t) => {
+      const { send } = createHarness(CALL_KIND.ResumableStream);
+      send({ kind: 'start' });
+      send({ kind: 'stream_started', attempt: 1, head: HEAD }, 100);
+      send({ kind: 'held', attempt: 1 }, 200);
+      t.deepEqual(send({ kind: 'tick' }, 200 + 2 * STREAM_IDLE_TIMEOUT_MS), []);
+      const resumedMs = 300 + 2 * STREAM_IDLE_TIMEOUT_MS;
+      send({ kind: 'resumed', attempt: 1 }, resumedMs);
+      t.deepEqual(send({ kind: 'tick' }, resumedMs + STREAM_IDLE_TIMEOUT_MS - 1), []);
+      const moved = send({ kind: 'tick' }, resumedMs + STREAM_IDLE_TIMEOUT_MS);
+      t.like(moved[0], { kind: 'cancel', reason: 'stalled' });
+    });
+
     // Guards against a truncated stream that looks complete to the caller.
     it('that cannot be resumed end with an error visible to the caller', (t) => {
       const { send } = createHarness(CALL_KIND.Stream);
--- a/src/calls/call-state-machine.ts
+++ b/src/calls/call-state-machine.ts
@@ -67,6 +67,8 @@
   /** An attempt was requested and has not ended. */
   let isAttemptPending = false;
   let isDispatched = false;
+  /** The response of the current attempt is held back by this instance. */
+  let isHeld = false;
   /** When the current attempt was sent or last received data. */
   let lastActivityMs = 0;
   let mayHaveRun = false;
@@ -105,6 +107,7 @@
     sentAttempts += 1;
     isAttemptPending = true;
     isDispatched = false;
+    isHeld = false;
     hasResponseStarted = false;
     lastActivityMs = nowMs;
     commands.push({ kind: 'attempt', attempt, lastEventId });
@@ -238,7 +241,8 @@
     const timeoutMs = hasResponseStarted
       ? options.streamIdleTimeoutMs
       : options.firstResponseTimeoutMs;
-    const isStalled = isAttemptPending && isDispatched && nowMs - lastActivityMs >= timeoutMs;
+    const isAwaited = isAttemptPending && isDispatched && !isHeld;
+    const isStalled = isAwaited && nowMs - lastActivityMs >= timeoutMs;
     if (!isStalled || !isRepeatAllowed() || !options.takeRetry()) return;
     mayHaveRun = true;
     cancelAttempt('stalled');
@@ -283,6 +287,13 @@
         recordPlace(message);
         commands.push({ kind: 'deliver_event', bytes: message.bytes });
         break;
+      case 'held':
+        isHeld = true;
+        break;
+      case 'resumed':
+        isHeld = false;
+        lastActivityMs = nowMs;
+        break;
       case 'ended':
         handleAttemptEnd(message.end, nowMs);
         break;
--- a/src/calls/endpoint-exchanges.ts
+++ b/src/calls/endpoint-exchanges.ts
@@ -4,6 +4,7 @@
 import type {
   EndpointConnections,
   EndpointRequest,
+  ExchangeFlow,
   ExchangeListener,
 } from './endpoint-connections.js';
 
@@ -17,8 +18,11 @@
 }
 
 export interface EndpointExchanges {
-  /** Starts an exchange; the returned function ends it without further notifications. */
-  open(exchange: OutgoingExchange, listener: ExchangeListener): () => void;
+  /**
+   * Starts an exchange; the returned function ends it without further notifications. `flow`: its
+   * functions are set to hold the response back, whichever way it takes.
+   */
+  open(exchange: OutgoingExchange, listener: ExchangeListener, flow?: ExchangeFlow): () => void;
 }
 
 /** Exchanges over this instance's own connections alone. */
@@ -27,12 +31,13 @@
   getNow: () => number,
 ): EndpointExchanges {
   return {
-    open: ({ call, endpoint, connectionsMax, buildRequest }, listener) =>
+    open: ({ call, endpoint, connectionsMax, buildRequest }, listener, flow) =>
       connections.open(
         endpoint.address,
         connectionsMax,
         buildRequest(call.deadlineMs - getNow()),
         listener,
+        flow,
       ),
   };
 }
--- a/src/forwarding/cut-fleet.test.ts
+++ b/src/forwarding/cut-fleet.test.ts
@@ -88,6 +88,8 @@
           else listener.onResponse({ kind: 'accepted' });
         });
       },
+      pause: () => undefined,
+      resume: () => undefined,
       close: () => undefined,
     }),
     renew: () => undefined,
--- a/src/forwarding/forward-messages.ts
+++ b/src/forwarding/forward-messages.ts
@@ -67,6 +67,9 @@
 /** A stream to a peer that carries one exchange. */
 export interface ForwardStream {
   send(request: ForwardRequest): void;
+  /** Reads no more of what the peer sends, so that it is held back. */
+  pause(): void;
+  resume(): void;
   /** Ends it without further notifications. */
   close(): void;
 }
--- a/src/forwarding/forwarded-exchanges.ts
+++ b/src/forwarding/forwarded-exchanges.ts
@@ -17,7 +17,7 @@
 import { CALL_KIND } from '../types/traffic.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { assertNever } from '../utils/assert-never.js';
-import type { Forwarder } from './forwarder.js';
+import type { ForwardedWay, Forwarder } from './forwarder.js';
 import { PATH_STATE } from './path-ledger.js';
 import type { PathChange, PathLedger, PathTicket } from './path-ledger.js';
 
@@ -54,6 +54,22 @@
   readonly isTrial: boolean;
 }
 
+/** Holds as the exchange itself, and keeps its silence while it is held from counting. */
+function createWatchedFlow(flow: ExchangeFlow, ticket: PathTicket): ExchangeFlow {
+  const watched: ExchangeFlow = { pause: () => undefined, resume: () => undefined };
+  Object.assign(flow, {
+    pause() {
+      ticket.recordHeld();
+      watched.pause();
+    },
+    resume() {
+      ticket.recordResumed();
+      watched.resume();
+    },
+  });
+  return watched;
+}
+
 /** An exchange that is carried for a peer. */
 export type CarriedOptions = Pick<DirectOptions, 'endpoint' | 'connectionsMax' | 'request'>;
 
@@ -148,7 +164,7 @@
           listener.onError(isSent, reason, isUnreachable);
         },
       },
-      flow,
+      flow === undefined ? undefined : createWatchedFlow(flow, ticket),
     );
     return () => {
       if (!isOver) close();
@@ -160,7 +176,7 @@
     exchange: OutgoingExchange,
     listener: ExchangeListener,
     onUnavailable: () => void,
-    owners?: readonly string[],
+    { flow, owners }: ForwardedWay,
   ): () => void {
     const { startId } = exchange.endpoint;
     return forwarder.open(
@@ -173,12 +189,16 @@
           onUnavailable();
         },
       },
-      owners,
+      { flow, owners },
     );
   }
 
   /** Runs an exchange that may change its way before anything is sent. */
-  function runExchange(exchange: OutgoingExchange, listener: ExchangeListener): () => void {
+  function runExchange(
+    exchange: OutgoingExchange,
+    listener: ExchangeListener,
+    flow?: ExchangeFlow,
+  ): () => void {
     const { call, endpoint } = exchange;
     const { startId } = endpoint;
     let ways = 0;
@@ -201,7 +221,7 @@
     }
 
     function runForwarded(onUnavailable: () => void): void {
-      setCurrent(() => openForwarded(exchange, listener, onUnavailable));
+      setCurrent(() => openForwarded(exchange, listener, onUnavailable, { flow }));
     }
 
     function handleUnreachable(reason: string, isForwardable: boolean): void {
@@ -224,6 +244,7 @@
               else listener.onError(isSent, reason);
             },
           },
+          flow,
         ),
       );
     }
@@ -235,7 +256,9 @@
     const owners = options.listOwners(endpoint);
     if (owners !== undefined) {
       const reason = 'no slot of the endpoint is free for this instance';
-      setCurrent(() => openForwarded(exchange, listener, () => closeUnsent(reason), owners));
+      setCurrent(() =>
+        openForwarded(exchange, listener, () => closeUnsent(reason), { flow, owners }),
+      );
       return close;
     }
     const choice = ledger.choose(startId, isRepeatable(call));
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -3,7 +3,7 @@
  * it, and to another peer only if it was provably not sent.
  */
 import type { OutgoingExchange } from '../calls/endpoint-exchanges.js';
-import type { ExchangeListener } from '../calls/endpoint-connections.js';
+import type { ExchangeFlow, ExchangeListener } from '../calls/endpoint-connections.js';
 import type { RoutedCall } from '../calls/call-messages.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { TimerService, Unsubscribe } from '../runtime/timer-service.js';
@@ -76,16 +76,16 @@
   onUnavailable(isEndpointDown: boolean): void;
 }
 
+export interface ForwardedWay {
+  /** Its functions are set to hold the peer back. */
+  readonly flow?: ExchangeFlow | undefined;
+  /** Only these are asked, for a slot of their shares. */
+  readonly owners?: readonly string[] | undefined;
+}
+
 export interface Forwarder {
-  /**
-   * Starts an exchange; the returned function ends it without further notifications. `owners`: only
-   * these are asked, for a slot of their shares.
-   */
-  open(
-    exchange: OutgoingExchange,
-    listener: ForwardedListener,
-    owners?: readonly string[],
-  ): () => void;
+  /** Starts an exchange; the returned function ends it without further notifications. */
+  open(exchange: OutgoingExchange, listener: ForwardedListener, way?: ForwardedWay): () => void;
 }
 
 /** How far an exchange has come with one peer. */
@@ -114,7 +114,7 @@
   function open(
     exchange: OutgoingExchange,
     listener: ForwardedListener,
-    owners?: readonly string[],
+    { flow, owners }: ForwardedWay = {},
   ): () => void {
     const { call, endpoint } = exchange;
     const asked = new Set<string>();
@@ -253,6 +253,9 @@
         onResponse: handleResponse,
         onClosed: handleClosed,
       });
+      if (flow !== undefined) {
+        Object.assign(flow, { pause: () => stream.pause(), resume: () => stream.resume() });
+      }
       stopTimer = timers.subscribeOnce(OFFER_TIMEOUT_MS, () => {
         links.renew(peer.address);
         handleClosed(false, `no reply within ${OFFER_TIMEOUT_MS} ms`);
--- a/src/forwarding/path-ledger.test.ts
+++ b/src/forwarding/path-ledger.test.ts
@@ -133,6 +133,20 @@
       t.is(ledger.choose('a', true).kind, 'direct');
     });
 
+    // Guards against taking an endpoint for silent whose answer nobody reads.
+    it('does not doubt an endpoint whose answers are held back', (t) => {
+      const { ledger, changes, runFor } = createHarness();
+      const ticket = ledger.start('a', PATIENCE_MS, false);
+      ticket.recordHeard();
+      ticket.recordHeld();
+      runFor(10_000);
+      t.deepEqual(changes, []);
+      t.is(ticket.computeSilence(), 0);
+      ticket.recordResumed();
+      runFor(10_000);
+      t.like(changes[0], { start: 'a', state: PATH_STATE.Doubted });
+    });
+
     it('is patient with calls that usually take longer', (t) => {
       const { ledger, changes, runFor } = createHarness();
       ledger.start('a', 3000, false);
--- a/src/forwarding/path-ledger.ts
+++ b/src/forwarding/path-ledger.ts
@@ -82,7 +82,10 @@
   /** No connection could be made. */
   recordUnreachable(): void;
   recordEnd(): void;
-  /** Time since the exchange was sent or last heard of. */
+  /** This instance reads no more of the response for now, so that its silence says nothing. */
+  recordHeld(): void;
+  recordResumed(): void;
+  /** Time since the exchange was sent or last heard of; 0 while it is held. */
   computeSilence(): number;
 }
 
@@ -115,6 +118,7 @@
 interface Exchange {
   readonly patienceMs: number;
   silentSinceMs: number;
+  isHeld: boolean;
 }
 
 interface Path {
@@ -249,7 +253,8 @@
 
   function isOverdue(path: Path, silenceMaxMs: number, nowMs: number): boolean {
     return [...path.exchanges].some(
-      ({ patienceMs, silentSinceMs }) =>
+      ({ patienceMs, silentSinceMs, isHeld }) =>
+        !isHeld &&
         nowMs - Math.max(silentSinceMs, path.heardMs) >= Math.max(silenceMaxMs, patienceMs),
     );
   }
@@ -295,7 +300,7 @@
     },
     start(start, patienceMs, isTrial) {
       const path = getPath(start);
-      const exchange: Exchange = { patienceMs, silentSinceMs: getNow() };
+      const exchange: Exchange = { patienceMs, silentSinceMs: getNow(), isHeld: false };
       path.exchanges.add(exchange);
       let isHeard = false;
       return {
@@ -314,7 +319,14 @@
           const isTrialLost = isTrial && !isHeard && path.state === PATH_STATE.Returning;
           if (isTrialLost) setLost(start, path, PATH_EVIDENCE.TrialFailed);
         },
-        computeSilence: () => getNow() - exchange.silentSinceMs,
+        recordHeld() {
+          exchange.isHeld = true;
+        },
+        recordResumed() {
+          exchange.isHeld = false;
+          exchange.silentSinceMs = getNow();
+        },
+        computeSilence: () => (exchange.isHeld ? 0 : getNow() - exchange.silentSinceMs),
       };
     },
     recordChecked(start, isAccepted) {
--- a/src/peers/forward-links.ts
+++ b/src/peers/forward-links.ts
@@ -14,6 +14,8 @@
 import type { ForwardRequest as EncodedRequest } from '../gen/peer_pb.js';
 import { createAsyncQueue } from '../utils/async-queue.js';
 import type { AsyncQueue } from '../utils/async-queue.js';
+import { createGate } from '../utils/gate.js';
+import type { Gate } from '../utils/gate.js';
 import { decodeForwardResponse, encodeForwardRequest } from './encode-forwarding.js';
 import { PEER_SECRET_HEADER } from './peer-outbox.js';
 import { createPeerSessions } from './peer-sessions.js';
@@ -59,10 +61,9 @@
     address: string,
     requests: AsyncQueue<EncodedRequest>,
     timeoutMs: number,
-    abort: AbortController,
+    { signal, gate }: { readonly signal: AbortSignal; readonly gate: Gate },
     listener: ForwardListener,
   ): Promise<void> {
-    const { signal } = abort;
     try {
       for await (const encoded of getClient(address).forward(requests, {
         signal,
@@ -71,6 +72,7 @@
         if (signal.aborted) return;
         const response = decodeForwardResponse(encoded);
         if (response !== undefined) listener.onResponse(response);
+        if (gate.isClosed()) await gate.waitOpened();
       }
       if (!signal.aborted) listener.onClosed(false, 'the peer ended the stream');
     } catch (error) {
@@ -84,15 +86,20 @@
     open(address, timeoutMs, listener): ForwardStream {
       const requests = createAsyncQueue<EncodedRequest>();
       const abort = new AbortController();
+      const { signal } = abort;
+      const gate = createGate();
       if (!isClosed) {
         // Never rejects: errors are reported to the listener.
-        runStream(address, requests, timeoutMs, abort, listener).catch(() => undefined);
+        runStream(address, requests, timeoutMs, { signal, gate }, listener).catch(() => undefined);
       }
       return {
         send: (request) => requests.add(encodeForwardRequest(request)),
+        pause: () => gate.close(),
+        resume: () => gate.open(),
         close() {
           requests.close();
           abort.abort();
+          gate.open();
         },
       };
     },
--- a/src/test/simulated-forward-links.ts
+++ b/src/test/simulated-forward-links.ts
@@ -2,6 +2,7 @@
 import type { ForwardLinks, ForwardRequest } from '../forwarding/forward-messages.js';
 import type { CallForwarding } from '../gateway/call-forwarding.js';
 import { createAsyncQueue } from '../utils/async-queue.js';
+import { createGate } from '../utils/gate.js';
 
 export interface SimulatedForwardLinksOptions {
   readonly findCarrier: (address: string) => CallForwarding['runCarried'] | undefined;
@@ -17,6 +18,7 @@
     open(address, _timeoutMs, listener) {
       const requests = createAsyncQueue<ForwardRequest>();
       const abort = new AbortController();
+      const gate = createGate();
 
       async function run(): Promise<void> {
         const runCarried = findCarrier(address);
@@ -28,6 +30,7 @@
           runLater(() => {
             if (!abort.signal.aborted) listener.onResponse(response);
           });
+          if (gate.isClosed()) await gate.waitOpened();
         }
       }
 
@@ -36,8 +39,11 @@
       });
       return {
         send: (request) => runLater(() => requests.add(request)),
+        pause: () => gate.close(),
+        resume: () => gate.open(),
         close() {
           abort.abort();
+          gate.open();
           requests.close();
         },
       };
