Answers kept whole take their memory from one budget, and wait for it

What callers saw: an endpoint that writes a body without end to 40 calls at once ends the process (chunks of one byte: SIGABRT) or takes 658 to 706 MB, which a machine of 250 MB does not have. Cause: an answer that is no stream was kept as an array of the pieces that came, each an object that keeps the 64 KB alive that its connection was read into, up to 16 MB of bytes for each call, and nothing bounded the sum of all calls.

Now pieces are joined as they come, and answers take what they hold from the budget that bodies of requests have. Without room their exchange is held back; the one that waits longest goes on within a set-aside part of the size of the largest answer, organisations in turn. Memory counts until the answer is written out or its caller has gone; the answer of an order whose caller has left is read and not kept.

--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -1,8 +1,9 @@
 import { describe } from '../test/describe.js';
+import { openAnswer } from '../test/open-answer.js';
 import { NOT_BRITTLE } from '../slot-shares/brittle-reading.js';
 import { NO_NOTICE } from '../endpoint-availability/availability-notice.js';
 import { createAttemptReader } from './attempt-reader.js';
-import type { DecodedHead } from './attempt-reader.js';
+import type { AttemptListener, DecodedHead } from './attempt-reader.js';
 import type { AttemptEnd } from './call-messages.js';
 
 const HEAD: DecodedHead = {
@@ -17,11 +18,15 @@
   headers: [],
 };
 
+/** What a connection is read into at once. */
+const READ_BYTES = 64 * 1024;
+const SMALL_PIECES = 4000;
+
 function createHarness(isStream = false, lastEventId: string | undefined = undefined) {
   const ends: AttemptEnd[] = [];
   const events: string[] = [];
   const expected = { callId: 'mine', isStream, lastEventId };
-  const reader = createAttemptReader(expected, {
+  const listener: AttemptListener = {
     onRateLimit: ({ kind }) => {
       if (kind !== 'none') events.push(kind);
     },
@@ -32,11 +37,25 @@
     onStreamStarted: () => events.push('head'),
     onEvent: ({ bytes }) => events.push(bytes.toString()),
     onEnded: (end) => ends.push(end),
-  });
+  };
+  const reader = createAttemptReader(expected, listener, openAnswer());
   return { reader, ends, events };
 }
 
 describe('attempt reader', ({ it }) => {
+  // Guards against pieces of which each keeps the buffer alive that its connection was read into.
+  it('keeps no more memory than a body has bytes, however small its pieces', (t) => {
+    const { reader, ends } = createHarness();
+    reader.readHead(200, HEAD);
+    const before = process.memoryUsage().arrayBuffers;
+    for (let index = 0; index < SMALL_PIECES; index += 1)
+      reader.readData(Buffer.allocUnsafeSlow(READ_BYTES).subarray(0, 1).fill('x'));
+    const growth = process.memoryUsage().arrayBuffers - before;
+    t.true(growth < (SMALL_PIECES * READ_BYTES) / 2, `${growth} bytes more`);
+    reader.readEnd();
+    t.like(ends[0], { kind: 'answered', body: Buffer.alloc(SMALL_PIECES, 'x') });
+  });
+
   // Guards against delivering a late response to an earlier call of the same connection.
   it('rejects a response to another call', (t) => {
     const { reader, ends } = createHarness();
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -4,6 +4,7 @@
  */
 import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type { RateLimitReading } from '../endpoint-limits/rate-limit.js';
+import type { HeldAnswer } from '../memory/answer-memory.js';
 import type { BrittleReading } from '../slot-shares/brittle-reading.js';
 import { REJECTION } from './call-messages.js';
 import type { AttemptEnd, HeaderField, RejectionReason, ResponseHead } from './call-messages.js';
@@ -72,13 +73,14 @@
   return notice.rest.kind === 'rest' ? REJECTION.Resting : REJECTION.Full;
 }
 
+/** `answer`: memory for a response that is no stream. */
 export function createAttemptReader(
   { callId, isStream, lastEventId }: ExpectedResponse,
   listener: AttemptListener,
+  answer: Pick<HeldAnswer, 'add' | 'build'>,
 ): AttemptReader {
   const splitter = createEventSplitter();
   const order = createEventOrder(lastEventId);
-  const chunks: Buffer[] = [];
   let bytesRead = 0;
   let head: ResponseHead | undefined;
   let mode: 'none' | 'stream' | 'whole' | 'rejected' | 'ended' = 'none';
@@ -114,10 +116,13 @@
   }
 
   function readBody(bytes: Buffer): boolean {
-    chunks.push(bytes);
     bytesRead += bytes.length;
-    if (bytesRead <= RESPONSE_BYTES_MAX) return true;
-    close({ kind: 'broken', reason: 'response body exceeds the size limit' });
+    const isTooLarge = bytesRead > RESPONSE_BYTES_MAX;
+    if (!isTooLarge && answer.add(bytes)) return true;
+    const reason = isTooLarge
+      ? 'response body exceeds the size limit'
+      : 'no memory is left for the response';
+    close({ kind: 'broken', reason });
     return false;
   }
 
@@ -174,7 +179,7 @@
       if (mode === 'stream') readStreamEnd();
       else if (mode === 'rejected') close({ kind: 'rejected', reason: rejection });
       else if (mode === 'whole' && head !== undefined) {
-        close({ kind: 'answered', head, body: Buffer.concat(chunks) });
+        close({ kind: 'answered', head, body: answer.build() });
       }
     },
     readError(isSent, reason) {
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -1,5 +1,6 @@
 /** Types of a routed call, its response, and the inputs and commands of the call state machine. */
 import type { Route } from '../types/traffic.js';
+import type { HeldAnswer } from '../memory/answer-memory.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import type { ContentId } from './content-id.js';
 
@@ -135,12 +136,15 @@
   | { readonly kind: 'break_answer'; readonly reason: string }
   | { readonly kind: 'fail'; readonly failure: RequestFailure };
 
+/** Memory of a response that is on its way to its caller; it is released once the caller has it or is gone. */
+export type AnswerDelivery = Pick<HeldAnswer, 'startDelivery' | 'release'>;
+
 /** Receives the response of a call; every method except `onHead` and `onEvent` is final. */
 export interface CallSink {
   onHead(head: ResponseHead): void;
   onEvent(bytes: Buffer): void;
   onEnd(): void;
-  onResponse(head: ResponseHead, body: Buffer): void;
+  onResponse(head: ResponseHead, body: Buffer, delivery: AnswerDelivery): void;
   onBroken(): void;
   onFailure(failure: RequestFailure): void;
 }
--- a/src/calls/call-run.ts
+++ b/src/calls/call-run.ts
@@ -1,4 +1,5 @@
 /** State of one running call at the call runner. */
+import type { HeldAnswer } from '../memory/answer-memory.js';
 import type { LoadTicket } from '../placement/endpoint-loads.js';
 import type { AttemptWatch } from '../quarantine/quarantine.js';
 import type { SlotTicket } from '../slot-shares/slot-shares.js';
@@ -17,6 +18,8 @@
   holds: ExchangeHolds | undefined;
   /** The caller has yet to read what it was sent. */
   isCallerBehind: boolean;
+  /** Responses of its attempts that are in memory. */
+  readonly answers: Set<HeldAnswer>;
   ticket: LoadTicket | undefined;
   watch: AttemptWatch | undefined;
   slot: SlotTicket | undefined;
@@ -39,6 +42,7 @@
     closeExchange: undefined,
     holds: undefined,
     isCallerBehind: false,
+    answers: new Set(),
     ticket: undefined,
     watch: undefined,
     slot: undefined,
--- a/src/calls/call-runner-options.ts
+++ b/src/calls/call-runner-options.ts
@@ -2,6 +2,7 @@
 import type { RetryBounds } from '../attempts/shared-retry-budget.js';
 import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
 import type { SendLimits } from '../endpoint-limits/send-limits.js';
+import type { AnswerMemory } from '../memory/answer-memory.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import type { Placer } from '../placement/placer.js';
 import type { Quarantine } from '../quarantine/quarantine.js';
@@ -20,6 +21,8 @@
   readonly features: EnabledFeatures;
   readonly exchanges: EndpointExchanges;
   readonly protocol: EndpointProtocol;
+  /** Memory for responses that are no streams. */
+  readonly answers: Pick<AnswerMemory, 'open' | 'advance'>;
   readonly loads: EndpointLoads;
   readonly placer: Placer;
   readonly retryBounds: RetryBounds;
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,5 +1,6 @@
 /** Executes the commands of call state machines: places attempts, talks to endpoints, delivers responses. */
 import { createPoolRetryBudgets } from '../attempts/pool-retry-budgets.js';
+import type { HeldAnswer } from '../memory/answer-memory.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
 import { compareWaiting } from '../placement/admission-decision.js';
@@ -18,15 +19,18 @@
   isStream,
 } from './attempt-policy.js';
 import { createAttemptReader } from './attempt-reader.js';
+import type { AttemptListener } from './attempt-reader.js';
 import { createCallStateMachine } from './call-state-machine.js';
 import { computeConnectionsMax } from './connection-limit.js';
 import { createRun } from './call-run.js';
 import { HOLD_REASON, createExchangeHolds } from './exchange-holds.js';
+import type { ExchangeHolds } from './exchange-holds.js';
 import type { CallRunnerOptions } from './call-runner-options.js';
 import type { Run } from './call-run.js';
 import type {
   CallCommand,
   CallMessage,
+  AnswerDelivery,
   CancelReason,
   CallSink,
   RoutedCall,
@@ -41,6 +45,8 @@
 const TICK_MS = 100;
 /** Interval at which placement of waiting calls is retried. */
 const PLACEMENT_INTERVAL_MS = 25;
+/** Owner of the answers of public routes. */
+const NO_ORGANISATION = '';
 
 export interface RunningCall {
   /** The caller reads more slowly than the endpoint answers: nothing more is read for it. */
@@ -161,7 +167,8 @@
     );
     run.holds = holds;
     const expected = { callId: call.callId, isStream: isStream(call.route.kind), lastEventId };
-    const reader = createAttemptReader(expected, {
+    const answer = openAnswer(run, holds);
+    const attemptListener: AttemptListener = {
       onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
       onBrittle: (reading) => options.shares.recordAnswer(endpoint, reading),
       onNotice: (notice) => options.availability.recordAnswer(endpoint, notice),
@@ -187,12 +194,14 @@
         if (!isNotRun(end)) recordNonStreamStarted(run);
         run.closeExchange = undefined;
         watch.recordEnd(end);
+        if (end.kind !== 'answered') closeAnswer(run, answer);
         advanceRun(run, { kind: 'ended', attempt, end });
       },
-    });
+    };
+    const reader = createAttemptReader(expected, attemptListener, answer);
     observer.onAttempt(record);
     advanceRun(run, { kind: 'dispatched', attempt });
-    run.closeExchange = exchanges.open(
+    const closeExchange = exchanges.open(
       {
         call,
         endpoint,
@@ -213,6 +222,10 @@
       },
       holds.flow,
     );
+    run.closeExchange = () => {
+      closeExchange();
+      closeAnswer(run, answer);
+    };
   }
 
   /** Sends or rejects the requested attempt; false if it has to wait. */
@@ -252,6 +265,38 @@
     }
   }
 
+  function openAnswer(run: Run, holds: ExchangeHolds): HeldAnswer {
+    const answer = options.answers.open(run.call.organisation ?? NO_ORGANISATION, {
+      hold: () => holds.hold(HOLD_REASON.NoMemory),
+      resume: () => holds.release(HOLD_REASON.NoMemory),
+    });
+    run.answers.add(answer);
+    return answer;
+  }
+
+  function closeAnswer(run: Run, answer: HeldAnswer): void {
+    run.answers.delete(answer);
+    answer.release();
+  }
+
+  function closeAnswers(run: Run): void {
+    for (const answer of [...run.answers]) closeAnswer(run, answer);
+  }
+
+  /** Passes the memory of the run on to the sink. */
+  function takeDelivery(run: Run): AnswerDelivery {
+    const answers = [...run.answers];
+    run.answers.clear();
+    return {
+      startDelivery(close) {
+        for (const answer of answers) answer.startDelivery(close);
+      },
+      release() {
+        for (const answer of answers) answer.release();
+      },
+    };
+  }
+
   function cancelAttempt(run: Run, reason: CancelReason): void {
     waitingAttempts.delete(run);
     if (run.closeExchange !== undefined) recordNonStreamStarted(run);
@@ -281,7 +326,7 @@
         run.sink.onEnd();
         break;
       case 'deliver_answer':
-        run.sink.onResponse(command.head, command.body);
+        run.sink.onResponse(command.head, command.body, takeDelivery(run));
         break;
       case 'break_answer':
         run.sink.onBroken();
@@ -301,6 +346,8 @@
     if (isOver) waitingAttempts.delete(run);
     for (const command of commands) runCommand(run, command);
     if (!isOver) return;
+    // Also of an order that goes on without its caller: its answer is read and not kept.
+    closeAnswers(run);
     const tookMs = getNow() - run.call.receivedMs;
     observer.onEnded({
       call: run.call,
@@ -321,6 +368,7 @@
       runs.delete(run);
       waitingAttempts.delete(run);
       run.closeExchange?.();
+      closeAnswers(run);
       run.slot?.release(true);
       run.watch?.recordCancelled();
       run.ticket?.recordEnd(ENDPOINT_VERDICT.None, getNow());
@@ -334,6 +382,7 @@
     return waitingAttempts.size > 0;
   });
   const tickTimer = createActiveTimer(timers, TICK_MS, () => {
+    options.answers.advance();
     for (const run of [...runs]) runSafely(run, () => advanceRun(run, { kind: 'tick' }));
     return runs.size > 0;
   });
--- a/src/calls/stream-path.test.ts
+++ b/src/calls/stream-path.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import { describe } from '../test/describe.js';
+import { openAnswer } from '../test/open-answer.js';
 import { NO_NOTICE } from '../endpoint-availability/availability-notice.js';
 import { NOT_BRITTLE } from '../slot-shares/brittle-reading.js';
 import { CALL_KIND } from '../types/traffic.js';
@@ -75,6 +76,7 @@
         onEvent: (event) => messages.push({ kind: 'event', attempt, ...event }),
         onEnded: (end) => messages.push({ kind: 'ended', attempt, end }),
       },
+      openAnswer(),
     );
     const rest = buildRest(lastEventId);
     const cut = cuts[attempt - 1];
--- a/src/gateway/gateway-api.ts
+++ b/src/gateway/gateway-api.ts
@@ -16,6 +16,7 @@
 import type { FetchKnowledgeRequest, FetchKnowledgeResponse, PeerMessage } from '../gen/peer_pb.js';
 import type { ForwardLinks } from '../forwarding/forward-messages.js';
 import type { KnownPath } from '../forwarding/path-ledger.js';
+import type { AnswerMemory } from '../memory/answer-memory.js';
 import type { FeedReader } from '../knowledge/feed.js';
 import type { DrainTimes } from '../lifecycle/drain.js';
 import type { Contact } from '../membership/membership-messages.js';
@@ -70,6 +71,8 @@
   /** Checks whether connections to an endpoint's address are accepted. */
   readonly checkConnection: (address: string) => Promise<ConnectionResult>;
   readonly protocol: EndpointProtocol;
+  /** Memory for responses that are no streams. */
+  readonly answers: AnswerMemory;
   readonly observer: CallObserver;
   readonly quarantineObserver: QuarantineObserver;
   readonly limitObserver: SendLimitsObserver;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -264,6 +264,7 @@
     features: options.features,
     exchanges: forwarding.exchanges,
     protocol: options.protocol,
+    answers: options.answers,
     loads,
     placer,
     retryBounds: options.retryBounds,
--- a/src/memory/joined-bytes.ts
+++ b/src/memory/joined-bytes.ts
@@ -9,6 +9,8 @@
 const BLOCK_BYTES_MIN = 1024;
 /** Largest block that is taken ahead of its bytes. */
 const BLOCK_BYTES_MAX = 64 * 1024;
+/** Largest blocks that are kept for use again, since the garbage collector frees them late. */
+const SPARE_BLOCKS_MAX = 256;
 
 export interface JoinedBytes {
   /** Copies a piece, so that it is not kept. */
@@ -29,6 +31,18 @@
   used: number;
 }
 
+const spareBlocks: Buffer[] = [];
+
+function takeBlock(size: number): Buffer {
+  const spare = size === BLOCK_BYTES_MAX ? spareBlocks.pop() : undefined;
+  return spare ?? Buffer.allocUnsafeSlow(size);
+}
+
+function releaseBlock(bytes: Buffer): void {
+  if (bytes.length === BLOCK_BYTES_MAX && spareBlocks.length < SPARE_BLOCKS_MAX)
+    spareBlocks.push(bytes);
+}
+
 export function createJoinedBytes(): JoinedBytes {
   let blocks: Block[] = [];
   let length = 0;
@@ -47,21 +61,20 @@
   }
 
   function addBlock(size: number): void {
-    blocks.push({ bytes: Buffer.allocUnsafeSlow(size), used: 0 });
+    blocks.push({ bytes: takeBlock(size), used: 0 });
     held += size;
   }
 
-  /** Copies what fits into the last block; returns how much did. */
-  function addToLast(piece: Uint8Array): number {
+  /** Copies a piece that fits into the last block. */
+  function addToLast(piece: Uint8Array): void {
     const last = blocks.at(-1);
-    if (last === undefined) return 0;
-    const fitting = piece.subarray(0, last.bytes.length - last.used);
-    last.bytes.set(fitting, last.used);
-    last.used += fitting.length;
-    return fitting.length;
+    if (last === undefined) return;
+    last.bytes.set(piece, last.used);
+    last.used += piece.length;
   }
 
   function release(): void {
+    for (const { bytes } of blocks) releaseBlock(bytes);
     blocks = [];
     length = 0;
     held = 0;
@@ -77,13 +90,16 @@
 
   return {
     add(piece) {
+      length += piece.length;
       const growth = computeGrowth(piece.length);
-      const copied = addToLast(piece);
-      if (growth > 0) {
-        addBlock(growth);
-        addToLast(piece.subarray(copied));
+      if (growth === 0) {
+        addToLast(piece);
+        return;
       }
-      length += piece.length;
+      const fitting = countFree();
+      addToLast(piece.subarray(0, fitting));
+      addBlock(growth);
+      addToLast(piece.subarray(fitting));
     },
     getLength: () => length,
     getHeld: () => held,
@@ -93,6 +109,7 @@
       if (first === undefined) return Buffer.alloc(0);
       if (blocks.length > 1) return buildFromBlocks();
       const whole = first.bytes.subarray(0, length);
+      blocks = [];
       release();
       return whole;
     },
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -11,6 +11,7 @@
 import { parseRetryAfter } from '../endpoint-availability/availability-notice.js';
 import type { AvailabilityNotice } from '../endpoint-availability/availability-notice.js';
 import type { EndpointDeclaration } from '../types/declarations.js';
+import { createJoinedBytes } from '../memory/joined-bytes.js';
 import type { AttemptEnding } from '../requests/request-messages.js';
 import { readText } from '../utils/read-text.js';
 
@@ -302,8 +303,7 @@
     listener: ServiceListener,
   ): () => void {
     let head: ResponseHead = { statusCode: 0, headers: {} };
-    const chunks: Buffer[] = [];
-    let bytesRead = 0;
+    const joined = createJoinedBytes();
     const closeWith = (ending: AttemptEnding): void => listener.onEnded({ kind: 'ended', ending });
     return connections.open(
       new URL(endpoint.url).origin,
@@ -325,13 +325,12 @@
           return true;
         },
         onData(bytes) {
-          chunks.push(bytes);
-          bytesRead += bytes.length;
-          if (bytesRead <= SERVICE_BODY_BYTES_MAX) return true;
+          joined.add(bytes);
+          if (joined.getLength() <= SERVICE_BODY_BYTES_MAX) return true;
           closeWith('error');
           return false;
         },
-        onEnd: () => listener.onEnded(buildServiceResult(head, Buffer.concat(chunks).toString())),
+        onEnd: () => listener.onEnded(buildServiceResult(head, joined.build().toString())),
         onError: (isSent) => closeWith(isSent ? 'broken' : 'unsent'),
       },
     );
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -32,6 +32,10 @@
   readonly countBrittleEndpoints: () => number;
   readonly countLostPaths: () => number;
   readonly countCarriedCalls: () => number;
+  /** Memory taken by bodies of requests and responses that are kept whole. */
+  readonly getHeldBytes: () => number;
+  /** Responses that wait for memory. */
+  readonly countHeldBackAnswers: () => number;
   readonly countStreamBindings: () => number;
   /** Expected pause of streams at each engine, in milliseconds; null while unknown. */
   readonly listTimings: () => readonly {
@@ -290,6 +294,16 @@
     'Calls of peers that this instance carries now',
     sources.countCarriedCalls,
   );
+  addGauge(
+    'hyssoptally_held_bytes',
+    'Bytes of memory taken by bodies of requests and responses that are kept whole',
+    sources.getHeldBytes,
+  );
+  addGauge(
+    'hyssoptally_held_back_answers',
+    'Responses of endpoints that are held back until there is memory for them',
+    sources.countHeldBackAnswers,
+  );
   addGauge(
     'hyssoptally_stream_bindings',
     'Streams of which this instance keeps the version that began them',
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -16,6 +16,7 @@
 import { createPeerExchange } from '../gateway/peer-exchange.js';
 import type { PeerExchange } from '../gateway/peer-exchange.js';
 import type { Contact } from '../membership/membership-messages.js';
+import { createRoomyAnswerMemory } from './open-answer.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { hashStartId } from '../placement/remote-loads.js';
 import { createPlacer } from '../placement/placer.js';
@@ -232,6 +233,7 @@
     features: options.features ?? ALL_FEATURES,
     exchanges: forwarding.exchanges,
     protocol: PROTOCOL,
+    answers: createRoomyAnswerMemory(),
     loads,
     placer: createPlacer({
       loads,
--- a/src/utils/read-text.ts
+++ b/src/utils/read-text.ts
@@ -1,4 +1,5 @@
 /** Reads bodies of responses whose size nobody vouches for. */
+import { createJoinedBytes } from '../memory/joined-bytes.js';
 
 /** Far above every answer that is used; a body without end is given up here. */
 export const TEXT_BYTES_MAX = 16 * 1024 * 1024;
@@ -8,13 +9,11 @@
   body: AsyncIterable<Uint8Array>,
   bytesMax = TEXT_BYTES_MAX,
 ): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const joined = createJoinedBytes();
   for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > bytesMax)
+    if (joined.getLength() + chunk.length > bytesMax)
       throw new Error(`the body exceeds ${bytesMax} bytes; check what answers at this address`);
-    chunks.push(chunk);
+    joined.add(chunk);
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return joined.build().toString('utf8');
 }
