--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,5 +1,6 @@
 /** Executes the commands of call state machines: places attempts, talks to endpoints, delivers responses. */
 import { createPoolRetryBudgets } from '../attempts/pool-retry-budgets.js';
+import type { HeldAnswer } from '../memory/answer-memory.js';
 import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
 import { compareWaiting } from '../placement/admission-decision.js';
@@ -18,14 +19,18 @@
   isStream,
 } from './attempt-policy.js';
 import { createAttemptReader } from './attempt-reader.js';
+import type { AttemptListener } from './attempt-reader.js';
 import { createCallStateMachine } from './call-state-machine.js';
 import { computeConnectionsMax } from './connection-limit.js';
 import { createRun } from './call-run.js';
+import { HOLD_REASON, createExchangeHolds } from './exchange-holds.js';
+import type { ExchangeHolds } from './exchange-holds.js';
 import type { CallRunnerOptions } from './call-runner-options.js';
 import type { Run } from './call-run.js';
 import type {
   CallCommand,
   CallMessage,
+  AnswerDelivery,
   CancelReason,
   CallSink,
   RoutedCall,
@@ -40,8 +45,14 @@
 const TICK_MS = 100;
 /** Interval at which placement of waiting calls is retried. */
 const PLACEMENT_INTERVAL_MS = 25;
+/** Owner of the answers of public routes. */
+const NO_ORGANISATION = '';
 
 export interface RunningCall {
+  /** The caller reads more slowly than the endpoint answers: nothing more is read for it. */
+  pause(): void;
+  /** The caller has read enough to get more. */
+  resume(): void;
   /** Called when the caller disconnects. */
   close(): void;
 }
@@ -151,14 +162,20 @@
     run.slot = slot;
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
+    const holds = createExchangeHolds((isHeld) =>
+      advanceRun(run, { kind: isHeld ? 'held' : 'resumed', attempt }),
+    );
+    run.holds = holds;
     const expected = { callId: call.callId, isStream: isStream(call.route.kind), lastEventId };
-    const reader = createAttemptReader(expected, {
+    const answer = openAnswer(run, holds);
+    const attemptListener: AttemptListener = {
       onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
       onBrittle: (reading) => options.shares.recordAnswer(endpoint, reading),
       onNotice: (notice) => options.availability.recordAnswer(endpoint, notice),
       onStreamStarted(head) {
         watch.recordStarted();
         advanceRun(run, { kind: 'stream_started', attempt, head });
+        if (run.isCallerBehind) holds.hold(HOLD_REASON.CallerBehind);
       },
       onEvent(event) {
         ticket.recordEvent(getNow());
@@ -177,12 +194,14 @@
         if (!isNotRun(end)) recordNonStreamStarted(run);
         run.closeExchange = undefined;
         watch.recordEnd(end);
+        if (end.kind !== 'answered') closeAnswer(run, answer);
         advanceRun(run, { kind: 'ended', attempt, end });
       },
-    });
+    };
+    const reader = createAttemptReader(expected, attemptListener, answer);
     observer.onAttempt(record);
     advanceRun(run, { kind: 'dispatched', attempt });
-    run.closeExchange = exchanges.open(
+    const closeExchange = exchanges.open(
       {
         call,
         endpoint,
@@ -201,7 +220,12 @@
         onEnd: () => reader.readEnd(),
         onError: (isSent, reason) => reader.readError(isSent, reason),
       },
+      holds.flow,
     );
+    run.closeExchange = () => {
+      closeExchange();
+      closeAnswer(run, answer);
+    };
   }
 
   /** Sends or rejects the requested attempt; false if it has to wait. */
@@ -241,6 +265,38 @@
     }
   }
 
+  function openAnswer(run: Run, holds: ExchangeHolds): HeldAnswer {
+    const answer = options.answers.open(run.call.organisation ?? NO_ORGANISATION, {
+      hold: () => holds.hold(HOLD_REASON.NoMemory),
+      resume: () => holds.release(HOLD_REASON.NoMemory),
+    });
+    run.answers.add(answer);
+    return answer;
+  }
+
+  function closeAnswer(run: Run, answer: HeldAnswer): void {
+    run.answers.delete(answer);
+    answer.release();
+  }
+
+  function closeAnswers(run: Run): void {
+    for (const answer of [...run.answers]) closeAnswer(run, answer);
+  }
+
+  /** Passes the memory of the run on to the sink. */
+  function takeDelivery(run: Run): AnswerDelivery {
+    const answers = [...run.answers];
+    run.answers.clear();
+    return {
+      startDelivery(close) {
+        for (const answer of answers) answer.startDelivery(close);
+      },
+      release() {
+        for (const answer of answers) answer.release();
+      },
+    };
+  }
+
   function cancelAttempt(run: Run, reason: CancelReason): void {
     waitingAttempts.delete(run);
     if (run.closeExchange !== undefined) recordNonStreamStarted(run);
@@ -270,7 +326,7 @@
         run.sink.onEnd();
         break;
       case 'deliver_answer':
-        run.sink.onResponse(command.head, command.body);
+        run.sink.onResponse(command.head, command.body, takeDelivery(run));
         break;
       case 'break_answer':
         run.sink.onBroken();
@@ -290,6 +346,8 @@
     if (isOver) waitingAttempts.delete(run);
     for (const command of commands) runCommand(run, command);
     if (!isOver) return;
+    // Also of an order that goes on without its caller: its answer is read and not kept.
+    closeAnswers(run);
     const tookMs = getNow() - run.call.receivedMs;
     observer.onEnded({
       call: run.call,
@@ -310,6 +368,7 @@
       runs.delete(run);
       waitingAttempts.delete(run);
       run.closeExchange?.();
+      closeAnswers(run);
       run.slot?.release(true);
       run.watch?.recordCancelled();
       run.ticket?.recordEnd(ENDPOINT_VERDICT.None, getNow());
@@ -323,6 +382,7 @@
     return waitingAttempts.size > 0;
   });
   const tickTimer = createActiveTimer(timers, TICK_MS, () => {
+    options.answers.advance();
     for (const run of [...runs]) runSafely(run, () => advanceRun(run, { kind: 'tick' }));
     return runs.size > 0;
   });
@@ -350,7 +410,17 @@
       runs.add(run);
       tickTimer.start();
       advanceRun(run, { kind: 'start' });
-      return { close: () => advanceRun(run, { kind: 'caller_left' }) };
+      return {
+        pause() {
+          run.isCallerBehind = true;
+          run.holds?.hold(HOLD_REASON.CallerBehind);
+        },
+        resume() {
+          run.isCallerBehind = false;
+          run.holds?.release(HOLD_REASON.CallerBehind);
+        },
+        close: () => advanceRun(run, { kind: 'caller_left' }),
+      };
     },
     count: () => runs.size,
     closeAll(failure) {
