--- a/src/calls/call-run.ts
+++ b/src/calls/call-run.ts
@@ -1,10 +1,12 @@
 /** State of one running call at the call runner. */
+import type { HeldAnswer } from '../memory/answer-memory.js';
 import type { LoadTicket } from '../placement/endpoint-loads.js';
 import type { AttemptWatch } from '../quarantine/quarantine.js';
 import type { SlotTicket } from '../slot-shares/slot-shares.js';
 import type { VersionKey } from '../stream-versions/stream-binding.js';
 import type { CallSink, RoutedCall } from './call-messages.js';
 import type { CallStateMachine } from './call-state-machine.js';
+import type { ExchangeHolds } from './exchange-holds.js';
 
 export interface Run {
   readonly call: RoutedCall;
@@ -12,6 +14,12 @@
   readonly stateMachine: CallStateMachine;
   readonly triedEndpointIds: string[];
   closeExchange: (() => void) | undefined;
+  /** Holds of the current attempt. */
+  holds: ExchangeHolds | undefined;
+  /** The caller has yet to read what it was sent. */
+  isCallerBehind: boolean;
+  /** Responses of its attempts that are in memory. */
+  readonly answers: Set<HeldAnswer>;
   ticket: LoadTicket | undefined;
   watch: AttemptWatch | undefined;
   slot: SlotTicket | undefined;
@@ -32,6 +40,9 @@
     stateMachine,
     triedEndpointIds: [],
     closeExchange: undefined,
+    holds: undefined,
+    isCallerBehind: false,
+    answers: new Set(),
     ticket: undefined,
     watch: undefined,
     slot: undefined,
