--- a/src/calls/answer-pieces.test.ts
+++ b/src/calls/answer-pieces.test.ts
@@ -14,11 +14,12 @@
 } from '../test/answer-arbitraries.js';
 import type { Answer } from '../test/answer-arbitraries.js';
 import { describe } from '../test/describe.js';
+import { openAnswer } from '../test/open-answer.js';
 import { resolveFuzzOptions } from '../test/fuzz-options.js';
 import { MUTATIONS, applyMutations } from '../test/mutate-bytes.js';
 import { listPieces, sendPieces } from '../test/send-pieces.js';
 import { createAttemptReader } from './attempt-reader.js';
-import type { DecodedHead } from './attempt-reader.js';
+import type { AttemptListener, DecodedHead } from './attempt-reader.js';
 import type { AttemptEnd, HeaderField } from './call-messages.js';
 import { createEndpointConnections } from './endpoint-connections.js';
 
@@ -79,7 +80,7 @@
     let events = '';
     await new Promise<void>((resolve) => {
       const expected = { callId: CALL_ID, isStream, lastEventId: undefined };
-      const reader = createAttemptReader(expected, {
+      const listener: AttemptListener = {
         onRateLimit: () => undefined,
         onBrittle: () => undefined,
         onNotice: () => undefined,
@@ -91,7 +92,8 @@
           ends.push(end);
           resolve();
         },
-      });
+      };
+      const reader = createAttemptReader(expected, listener, openAnswer());
       connections.open(address, 8, request, {
         isSendAllowed: () => true,
         onWithheld: () => reader.readWithheld(),
