Connections to endpoints: limits of bytes that are no answer, and turns of the event loop

One read of a socket brings 64 KB, all of which undici parses at once, and each head or chunk costs a call into the handler; nothing bounded it.

Now each socket is read in pieces. A piece is handed to undici only while the connection has time left in this turn of the event loop (2 ms, measured by what the handling took); those beyond it share 5 ms of each later turn, in order. Pieces shrink while they are costly. And a connection is closed after 16 heads of status 1xx, after 256 KB (and 16 bytes a byte of the body) that are no body, and at the first byte that no request asked for. Both decisions are modules without I/O.

--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -5,6 +5,9 @@
 import { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import type { Dispatcher } from 'undici';
+import type { AnswerFault } from '../connections/answer-guard.js';
+import { createGuardedLink, findAnswerFault, isRefusal } from '../connections/guarded-link.js';
+import type { GuardedLink } from '../connections/guarded-link.js';
 import type { HeaderField } from './call-messages.js';
 import { isUnproven, readFraming } from './response-framing.js';
 import type { ResponseFraming } from './response-framing.js';
@@ -41,9 +44,9 @@
   onEnd(): void;
   /**
    * `isSent`: bytes of the request may have reached the endpoint. `isUnreachable`: no connection
-   * could be made.
+   * could be made. `isRefused`: this instance closed the connection because of what the endpoint sent.
    */
-  onError(isSent: boolean, reason: string, isUnreachable?: boolean): void;
+  onError(isSent: boolean, reason: string, isUnreachable?: boolean, isRefused?: boolean): void;
 }
 
 /** Lets the receiver of a response hold it back; the functions have no effect outside of one. */
@@ -76,6 +79,7 @@
 
 interface Connection {
   readonly client: Client;
+  readonly link: GuardedLink;
   readonly address: string;
   wasConnected: boolean;
   isBusy: boolean;
@@ -100,6 +104,8 @@
 export interface EndpointConnectionsOptions {
   /** Address that connections are made from; chosen by the system by default. */
   readonly sourceHost?: string | undefined;
+  /** A connection was closed because of what its endpoint sent. */
+  readonly onAnswerFault?: (address: string, fault: AnswerFault) => void;
 }
 
 /**
@@ -121,6 +127,7 @@
 /** Creates a pool that opens connections on demand. */
 export function createEndpointConnections({
   sourceHost,
+  onAnswerFault,
 }: EndpointConnectionsOptions = {}): EndpointConnections {
   const connectionsByAddress = new Map<string, Set<Connection>>();
   const connector = buildConnector({ timeout: CONNECTOR_TIMEOUT_MS });
@@ -139,6 +146,7 @@
   }
 
   function createConnection(address: string): Connection {
+    const link = createGuardedLink();
     const connection: Connection = {
       client: new Client(buildOrigin(address), {
         pipelining: 1,
@@ -160,11 +168,15 @@
               connection.wasReset = true;
             });
             if (error !== null) callback(error, null);
-            else callback(null, socket);
+            else {
+              link.addSocket(socket);
+              callback(null, socket);
+            }
           });
           if (connecting instanceof Socket) startConnectTimer(connecting);
         },
       }),
+      link,
       address,
       wasConnected: false,
       isBusy: false,
@@ -174,7 +186,11 @@
       connection.wasConnected = true;
       openedCount += 1;
     });
-    connection.client.on('disconnect', () => removeConnection(connection));
+    connection.client.on('disconnect', (_, __, error) => {
+      const fault = findAnswerFault(error);
+      if (fault !== undefined) onAnswerFault?.(address, fault);
+      removeConnection(connection);
+    });
     const connections = connectionsByAddress.get(address) ?? new Set();
     connections.add(connection);
     connectionsByAddress.set(address, connections);
@@ -223,6 +239,7 @@
       {
         onRequestStart(controller) {
           requestController = controller;
+          connection.link.startAnswer();
           if (flow !== undefined) {
             Object.assign(flow, {
               pause: () => controller.pause(),
@@ -236,6 +253,7 @@
           }
         },
         onResponseStart(controller, responseStatus) {
+          connection.link.recordHead(responseStatus);
           if (isFinished || responseStatus <= INFORMATIONAL_STATUS_MAX) return;
           const headers = parseRawHeaders(controller.rawHeaders);
           status = responseStatus;
@@ -245,12 +263,14 @@
         onResponseData(_, bytes) {
           if (isFinished) return;
           bodyBytes += bytes.length;
+          connection.link.recordBody(bytes.length);
           if (!listener.onData(bytes)) close();
         },
         onResponseEnd() {
           if (isFinished) return;
           isFinished = true;
           connection.isBusy = false;
+          connection.link.endAnswer();
           if (framing?.closesConnection === true) removeFromPool(connection);
           if (connection.wasReset) listener.onError(true, 'connection reset by the endpoint');
           else if (framing !== undefined && isUnproven(framing, status, bodyBytes))
@@ -262,7 +282,8 @@
           isFinished = true;
           const { wasConnected } = connection;
           removeConnection(connection);
-          listener.onError(requestController !== undefined, error.message, !wasConnected);
+          const isSent = requestController !== undefined;
+          listener.onError(isSent, error.message, !wasConnected, isRefusal(error));
         },
       },
     );
