Answers that an instance breaks off: counted, logged once a minute, no evidence of a crash; memory and loop as metrics

What operators saw: no line named an endpoint whose bytes are no answer, and nothing showed the memory of the process (resident) or the delay of its event loop. A call whose answer this instance broke off counted as interrupted, so that an endpoint that was then replaced made it one that crashes endpoints.

Now connections closed for what their server sent are counted by kind (hyssoptally_answer_faults_total), with one line a minute for each address and kind (answer_refused); such an end is marked (isRefused) and no evidence for the quarantine. hyssoptally_resident_memory_bytes, hyssoptally_event_loop_delay_seconds, and a line when the memory passes 80% of the machine's (memory_changed).

Evidence: refused-answers.test.ts with the mark ignored counts one crash in place of 0, with each result of the connection check. Through a peer the mark is not passed on yet.

--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -58,8 +58,11 @@
   readData(bytes: Buffer): boolean;
   /** The response ended. */
   readEnd(): void;
-  /** The exchange failed; `isSent`: bytes of the request may have reached the endpoint. */
-  readError(isSent: boolean, reason: string): void;
+  /**
+   * The exchange failed; `isSent`: bytes of the request may have reached the endpoint. `isRefused`: this
+   * instance broke it off, while the endpoint went on.
+   */
+  readError(isSent: boolean, reason: string, isRefused?: boolean): void;
   /** The request was not sent, since the endpoint takes none any more. */
   readWithheld(): void;
 }
@@ -177,12 +180,12 @@
         close({ kind: 'answered', head, body: Buffer.concat(chunks) });
       }
     },
-    readError(isSent, reason) {
+    readError(isSent, reason, isRefused = false) {
       if (mode === 'ended') return;
       // The head of a rejection proves that the call did not run, even if the body is incomplete.
       if (mode === 'rejected') close({ kind: 'rejected', reason: rejection });
       else if (!isSent) close({ kind: 'unsent' });
-      else close({ kind: 'broken', reason });
+      else close({ kind: 'broken', reason, isRefused });
     },
     readWithheld: () => close({ kind: 'withheld' }),
   };
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -88,8 +88,11 @@
   | { readonly kind: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
   /** The event stream completed. */
   | { readonly kind: 'stream_ended' }
-  /** The connection failed or the response is invalid or incomplete; the call may have run. */
-  | { readonly kind: 'broken'; readonly reason: string };
+  /**
+   * The connection failed or the response is invalid or incomplete; the call may have run. `isRefused`: it
+   * exceeds a limit, and this instance broke it off, while the endpoint went on.
+   */
+  | { readonly kind: 'broken'; readonly reason: string; readonly isRefused?: boolean };
 
 /** Input of the call state machine. */
 export type CallMessage =
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -209,7 +209,7 @@
         onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
         onData: (bytes) => reader.readData(bytes),
         onEnd: () => reader.readEnd(),
-        onError: (isSent, reason) => reader.readError(isSent, reason),
+        onError: (isSent, reason, _, isRefused) => reader.readError(isSent, reason, isRefused),
       },
       holds.flow,
     );
--- a/src/connections/guarded-link.ts
+++ b/src/connections/guarded-link.ts
@@ -72,6 +72,7 @@
   const readSocket = socket.read.bind(socket);
   socket.read = (size?: number): unknown => {
     if (size !== undefined) return readSocket(size);
+    if (socket.destroyed) return null;
     if (socket.readableLength === 0) {
       reader.recordDrained();
       return readSocket();
--- a/src/forwarding/forwarded-exchanges.ts
+++ b/src/forwarding/forwarded-exchanges.ts
@@ -158,10 +158,10 @@
           recordOver();
           listener.onEnd();
         },
-        onError(isSent, reason, isUnreachable = false) {
+        onError(isSent, reason, isUnreachable = false, isRefused = false) {
           if (isUnreachable) ticket.recordUnreachable();
           recordOver();
-          listener.onError(isSent, reason, isUnreachable);
+          listener.onError(isSent, reason, isUnreachable, isRefused);
         },
       },
       flow === undefined ? undefined : createWatchedFlow(flow, ticket),
@@ -239,9 +239,9 @@
           { endpoint, connectionsMax, request, patienceMs, isTrial },
           {
             ...listener,
-            onError(isSent, reason, isUnreachable = false) {
+            onError(isSent, reason, isUnreachable = false, isRefused = false) {
               if (isUnreachable) handleUnreachable(reason, isForwardable);
-              else listener.onError(isSent, reason);
+              else listener.onError(isSent, reason, false, isRefused);
             },
           },
           flow,
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -22,6 +22,9 @@
   readonly countInstances: () => number;
   readonly countCalls: () => number;
   readonly countConnectionsMade: () => number;
+  readonly getResidentBytes: () => number;
+  /** By how much the event loop was late at most since the last call. */
+  readonly takeLoopDelaySeconds: () => number;
   /** Fencing number of the duty lease; 0 if this instance does not hold it. */
   readonly getDutyFence: () => number;
   readonly countUnsentWindows: () => number;
@@ -83,6 +86,8 @@
   recordRefusal(failure: string): void;
   /** Records an error that a task of this process threw. */
   recordTaskFailure(): void;
+  /** Records a connection that was closed because of what its server sent. */
+  recordAnswerFault(source: string, fault: string): void;
   /** Records a value of a newer release. */
   recordUnknown(place: string): void;
   /** Records a call to the platform made on behalf of the fleet. */
@@ -182,6 +187,12 @@
     help: 'Errors that tasks of this process threw; each is a fault of the router',
     registers,
   });
+  const answerFaults = new Counter({
+    name: 'hyssoptally_answer_faults_total',
+    help: 'Connections closed because of what their server sent, by kind of server and fault',
+    labelNames: ['source', 'fault'],
+    registers,
+  });
   const unknownValues = new Counter({
     name: 'hyssoptally_unknown_values_total',
     help: 'Words of a newer release that this one does not know, by where they were read',
@@ -255,6 +266,16 @@
     sources.countConnectionsMade,
   );
 
+  addGauge(
+    'hyssoptally_resident_memory_bytes',
+    'Memory of this process that the machine holds for it',
+    sources.getResidentBytes,
+  );
+  addGauge(
+    'hyssoptally_event_loop_delay_seconds',
+    'By how much the event loop was late at most since the last scrape',
+    sources.takeLoopDelaySeconds,
+  );
   addGauge(
     'hyssoptally_duty_fence',
     'Fencing number under which this instance holds the duties of the fleet, 0 where it does not',
@@ -347,6 +368,7 @@
     recordCarried: (result) => carriedCalls.inc({ result }),
     recordRefusal: (failure) => refusals.inc({ failure }),
     recordTaskFailure: () => taskFailures.inc(),
+    recordAnswerFault: (source, fault) => answerFaults.inc({ source, fault }),
     recordUnknown: (place) => unknownValues.inc({ place }),
     recordDuty: (duty, outcome) => dutyCalls.inc({ duty, outcome }),
     format: () => registry.metrics(),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -276,6 +276,23 @@
       readonly outcome: string;
     }
   | { readonly event: 'duty_failed'; readonly reason: string }
+  | {
+      /** Connections were closed because of what their server sent; once a minute for each fault. */
+      readonly event: 'answer_refused';
+      readonly source: string;
+      readonly address: string;
+      readonly fault: string;
+      readonly reason: string;
+      /** Connections since the last such line, this one included. */
+      readonly connections: number;
+    }
+  | {
+      /** The memory of this process has become high for its machine, or low again. */
+      readonly event: 'memory_changed';
+      readonly isHigh: boolean;
+      readonly residentBytes: number;
+      readonly machineBytes: number;
+    }
   | ({
       /** A value of a newer release; logged once per value. */
       readonly event: 'unknown_value';
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -269,7 +269,8 @@
         stopTrials(trialCases, !isNotRun(end));
         switch (end.kind) {
           case 'broken':
-            recordInterrupted();
+            // An answer that this instance broke off says nothing of a crash.
+            if (end.isRefused !== true) recordInterrupted();
             break;
           case 'answered':
           case 'stream_ended':
