Store and other services: their answers are read under the limits of endpoints' answers

What callers saw: a store that answers with heads of status 1xx, or a status line, without end kept the process busy until the time limit of each of its calls, and a duty call was kept from its end.

Now the clients of the store, the instance list, the signed services and src/node's control calls are made by one factory, whose connections are read in turns with all others of the process and closed after 16 heads of status 1xx or 256 KB that are no body; duty calls count their heads.

--- a/src/connections/read-turns.ts
+++ b/src/connections/read-turns.ts
@@ -13,8 +13,8 @@
 const PIECE_BYTES_MIN = 1024;
 const PIECE_BYTES_MAX = 64 * 1024;
 /** A piece that takes longer is followed by one of half its size, a faster one by one of twice its size. */
-const SLOW_PIECE_MS = 0.5;
-const FAST_PIECE_MS = 0.2;
+const SLOW_PIECE_MS = 0.3;
+const FAST_PIECE_MS = 0.1;
 
 export interface ReadTurnsOptions {
   /** In milliseconds; never decreases. */
--- a/src/node/endpoint-client.ts
+++ b/src/node/endpoint-client.ts
@@ -5,7 +5,8 @@
 import { Readable } from 'node:stream';
 import { StringDecoder } from 'node:string_decoder';
 import { createParser } from 'eventsource-parser';
-import { Pool } from 'undici';
+import type { Pool } from 'undici';
+import { createGuardedPool } from '../connections/guarded-client.js';
 import { createEndpointConnections } from '../calls/endpoint-connections.js';
 import type { HeaderField } from '../calls/call-messages.js';
 import { parseRetryAfter } from '../endpoint-availability/availability-notice.js';
@@ -212,7 +213,7 @@
     const { origin } = new URL(url);
     const existing = pools.get(origin);
     if (existing !== undefined) return existing;
-    const pool = new Pool(origin, {
+    const pool = createGuardedPool(origin, {
       connections: CONNECTIONS_MAX,
       connectTimeout: CONNECT_TIMEOUT_MS,
       keepAliveTimeout: KEEP_ALIVE_MS,
--- a/src/storage/instance-list-client.ts
+++ b/src/storage/instance-list-client.ts
@@ -1,6 +1,7 @@
 /** Client of the platform's instance list, which is eventually consistent. */
 import { request } from 'undici';
 import { z } from 'zod';
+import { createGuardedAgent } from '../connections/guarded-client.js';
 import { Err, Ok } from '../utils/result.js';
 import type { Result } from '../utils/result.js';
 import { PLATFORM_FAILURE, createPlatformError } from './platform-error.js';
@@ -43,6 +44,7 @@
 }
 
 export function createInstanceListClient(url: string, token: string): InstanceListClient {
+  const dispatcher = createGuardedAgent();
   const headers = { authorization: `Bearer ${token}`, 'content-type': 'application/json' };
 
   async function send(
@@ -52,7 +54,8 @@
   ): Promise<Result<string, PlatformError>> {
     try {
       const signal = AbortSignal.timeout(LIST_TIMEOUT_MS);
-      const response = await request(`${url}${path}`, { method, headers, body, signal });
+      const options = { method, headers, body, signal, dispatcher };
+      const response = await request(`${url}${path}`, options);
       const text = await readText(response.body);
       if (response.statusCode === 200) return Ok(text);
       return Err(
--- a/src/storage/signed-client.ts
+++ b/src/storage/signed-client.ts
@@ -1,6 +1,6 @@
 /** HTTP client of the platform with AWS signature version 4 and a timeout on every call. */
 import aws4 from 'aws4';
-import { Pool } from 'undici';
+import { createGuardedPool } from '../connections/guarded-client.js';
 import { Err, Ok } from '../utils/result.js';
 import type { Result } from '../utils/result.js';
 import { PLATFORM_FAILURE, createPlatformError } from './platform-error.js';
@@ -48,7 +48,10 @@
 export function createSignedClient(options: SignedClientOptions): SignedClient {
   const { origin, host } = new URL(options.url);
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
-  const pool = new Pool(origin, { connections: CONNECTIONS_MAX, connectTimeout: timeoutMs });
+  const pool = createGuardedPool(origin, {
+    connections: CONNECTIONS_MAX,
+    connectTimeout: timeoutMs,
+  });
 
   function buildHeaders(request: SignedRequest): Record<string, string> {
     const signed = aws4.sign(
