Streams: events of one piece are joined, comments bounded, slow callers hold their endpoint

Callers of any route got nothing, or an answer seconds late, while endpoints sent streams without end: each small event was an object, a write and several buffers on its way, a caller that reads slowly was broken off only at 1 MB of them, and comments were passed on without bound.

- Events are split in linear time, whatever the pieces, and those of one piece go on as one, cut only between events; order, ids and the place to go on are those of the single events.
- Time for which a stream was held is no pause of its endpoint.

The splitter's test takes the bytes of an event by getBytes now, since events share a buffer.

--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -8,9 +8,8 @@
 import { REJECTION } from './call-messages.js';
 import type { AttemptEnd, HeaderField, RejectionReason, ResponseHead } from './call-messages.js';
 import { REJECTION_BYTES_MAX, RESPONSE_BYTES_MAX } from './response-limits.js';
-import { createEventOrder } from './event-order.js';
-import { createEventSplitter } from './event-splitter.js';
-import type { StreamEvent } from './event-splitter.js';
+import { createStreamReader } from './stream-reader.js';
+import type { JoinedEvents } from './stream-reader.js';
 
 /** Status and headers of a response, decoded by the endpoint protocol. */
 export interface DecodedHead {
@@ -39,7 +38,8 @@
   /** Called for each response of the endpoint with what it says of its availability. */
   onNotice(notice: AvailabilityNotice): void;
   onStreamStarted(head: ResponseHead): void;
-  onEvent(event: StreamEvent): void;
+  /** Called with complete events, those of one piece of the response at once. */
+  onEvent(events: JoinedEvents): void;
   /** Called once, last. */
   onEnded(end: AttemptEnd): void;
 }
@@ -76,8 +76,7 @@
   { callId, isStream, lastEventId }: ExpectedResponse,
   listener: AttemptListener,
 ): AttemptReader {
-  const splitter = createEventSplitter();
-  const order = createEventOrder(lastEventId);
+  const stream = createStreamReader(lastEventId);
   const chunks: Buffer[] = [];
   let bytesRead = 0;
   let head: ResponseHead | undefined;
@@ -90,27 +89,17 @@
   }
 
   function readStream(bytes: Buffer): boolean {
-    const events = splitter.add(bytes);
-    if (events === undefined) {
-      close({ kind: 'broken', reason: 'event exceeds the size limit' });
-      return false;
-    }
-    const outOfOrder = events.findIndex(({ id }) => !order.record(id));
-    const inOrder = outOfOrder === -1 ? events : events.slice(0, outOfOrder);
-    for (const event of inOrder) listener.onEvent(event);
-    if (outOfOrder === -1) return true;
-    close({ kind: 'broken', reason: `event ${events[outOfOrder]?.id} comes again or too late` });
+    const { joined, fault } = stream.add(bytes);
+    for (const events of joined) listener.onEvent(events);
+    if (fault === undefined) return true;
+    close({ kind: 'broken', reason: fault });
     return false;
   }
 
   function readStreamEnd(): void {
-    if (splitter.hasPartialEvent()) {
-      close({ kind: 'broken', reason: 'stream ended within an event' });
-      return;
-    }
-    const bytes = splitter.takeBlankLines();
-    if (bytes.length > 0) listener.onEvent({ id: undefined, hasData: false, bytes });
-    close({ kind: 'stream_ended' });
+    const { joined, fault } = stream.takeEnd();
+    for (const events of joined) listener.onEvent(events);
+    close(fault === undefined ? { kind: 'stream_ended' } : { kind: 'broken', reason: fault });
   }
 
   function readBody(bytes: Buffer): boolean {
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -99,6 +99,7 @@
   /** The requested attempt is being sent to an endpoint; until then it was queued. */
   | { readonly kind: 'dispatched'; readonly attempt: number }
   | { readonly kind: 'stream_started'; readonly attempt: number; readonly head: ResponseHead }
+  /** Complete events; `id` is the last that they name, `hasData` whether one has data. */
   | {
       readonly kind: 'event';
       readonly attempt: number;
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -156,9 +156,10 @@
     run.slot = slot;
     const watch = options.quarantine.startWatch(call, endpoint);
     run.watch = watch;
-    const holds = createExchangeHolds((isHeld) =>
-      advanceRun(run, { kind: isHeld ? 'held' : 'resumed', attempt }),
-    );
+    const holds = createExchangeHolds((isHeld) => {
+      ticket.recordHeld(isHeld, getNow());
+      advanceRun(run, { kind: isHeld ? 'held' : 'resumed', attempt });
+    });
     run.holds = holds;
     const expected = { callId: call.callId, isStream: isStream(call.route.kind), lastEventId };
     const reader = createAttemptReader(expected, {
@@ -170,13 +171,14 @@
         advanceRun(run, { kind: 'stream_started', attempt, head });
         if (run.isCallerBehind) holds.hold(HOLD_REASON.CallerBehind);
       },
-      onEvent(event) {
-        ticket.recordEvent(getNow());
+      onEvent(joined) {
+        const { id, hasData, bytes, events } = joined;
+        ticket.recordEvent(getNow(), events);
         watch.recordEvent();
         run.firstMs ??= getNow() - call.receivedMs;
         recordStarted(run, getNow());
         recordVersion(run, endpoint);
-        advanceRun(run, { kind: 'event', attempt, ...event });
+        advanceRun(run, { kind: 'event', attempt, id, hasData, bytes });
       },
       onEnded(end) {
         ticket.recordEnd(computeEndpointVerdict(end), getNow());
--- a/src/calls/event-splitter.test.ts
+++ b/src/calls/event-splitter.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { describe } from '../test/describe.js';
 import { EVENT_BYTES_MAX } from './response-limits.js';
-import { createEventSplitter } from './event-splitter.js';
+import { createEventSplitter, getBytes } from './event-splitter.js';
 
 describe('event splitter', ({ it }) => {
   // Guards against joining a partial event to the first event of a resumed stream.
@@ -16,7 +16,7 @@
         const events = sorted.flatMap(
           (cut, index) => splitter.add(stream.subarray(sorted[index - 1] ?? 0, cut)) ?? [],
         );
-        const joined = Buffer.concat(events.map(({ bytes }) => bytes));
+        const joined = Buffer.concat(events.map((event) => getBytes(event)));
         return (
           joined.equals(stream) &&
           !splitter.hasPartialEvent() &&
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -66,8 +66,10 @@
 
 /** Records the progress of one call at an endpoint. */
 export interface LoadTicket {
-  /** Records an event of the answer, or the whole answer. */
-  recordEvent(nowMs: number): void;
+  /** Records events of the answer that came at once, or the whole answer. */
+  recordEvent(nowMs: number, events?: number): void;
+  /** This instance stops or starts to read the answer, which is no pause of the endpoint. */
+  recordHeld(isHeld: boolean, nowMs: number): void;
   recordEnd(verdict: EndpointVerdict, nowMs: number): void;
   /** Timing of the answer's events so far. */
   getStream(): StreamRecord;
@@ -141,6 +143,8 @@
 /** Endpoints without running calls are left out of load updates below these sums. */
 const REPORTED_FAILURES_MIN = 0.1;
 const REPORTED_READ_MS_MIN = 50;
+/** Events that came at once and are counted as pauses; more say no more of the endpoint. */
+const JOINED_EVENTS_MAX = 32;
 
 interface LoadState {
   running: number;
@@ -304,6 +308,7 @@
     let unread = unreadTokens;
     const stream = createStreamTimes();
     let loadAtLast = before;
+    let heldMs = startedMs;
     let isEnded = false;
     const urgent = loadClass === LOAD_CLASS.Urgent ? 1 : 0;
     const preemptible = loadClass === LOAD_CLASS.Preemptible ? 1 : 0;
@@ -329,15 +334,25 @@
       state.prefill.add(buildPrefillSample(aheadTokens, tookMs, speed), nowMs);
     }
 
+    function recordPause(pauseMs: number, running: number, nowMs: number): void {
+      pool.pauses.add(pauseMs, running, nowMs);
+      state.pauses.add({ pauses: 1, pauseMs }, nowMs);
+    }
+
     return {
-      recordEvent(nowMs) {
+      recordEvent(nowMs, events = 1) {
         if (stream.get().events === 0) recordFirstEvent(nowMs - startedMs, nowMs);
         const running = Math.min(slots, loadAtLast.running);
         loadAtLast = getLoad(startId);
-        const pauseMs = stream.recordEvent(nowMs, loadAtLast);
-        if (pauseMs === undefined) return;
-        pool.pauses.add(pauseMs, running, nowMs);
-        state.pauses.add({ pauses: 1, pauseMs }, nowMs);
+        const pauseMs = stream.recordEvent(nowMs, loadAtLast, events);
+        if (pauseMs !== undefined) recordPause(pauseMs, running, nowMs);
+        const joined = Math.min(events, JOINED_EVENTS_MAX) - 1;
+        for (let index = 0; index < joined; index += 1)
+          recordPause(0, Math.min(slots, loadAtLast.running), nowMs);
+      },
+      recordHeld(isHeld, nowMs) {
+        if (isHeld) heldMs = nowMs;
+        else stream.recordUnread(nowMs - heldMs);
       },
       getStream: () => stream.get(),
       recordEnd(verdict, nowMs) {
--- a/src/placement/stream-times.ts
+++ b/src/placement/stream-times.ts
@@ -18,10 +18,12 @@
 
 export interface StreamTimes {
   /**
-   * Records an event and the load of the engine from then on. Returns the pause before the event,
-   * in milliseconds; undefined for the first event.
+   * Records events that came at once, and the load of the engine from then on. Returns the pause before
+   * them, in milliseconds; undefined before the first event.
    */
-  recordEvent(nowMs: number, load: EndpointLoad): number | undefined;
+  recordEvent(nowMs: number, load: EndpointLoad, joined?: number): number | undefined;
+  /** The stream was not read for this time, which is no pause of its endpoint. */
+  recordUnread(unreadMs: number): void;
   get(): StreamRecord;
 }
 
@@ -39,15 +41,19 @@
   }
 
   return {
-    recordEvent(nowMs, load) {
+    recordEvent(nowMs, load, joined = 1) {
       const pauseMs = events === 0 ? undefined : nowMs - lastMs;
       if (pauseMs === undefined) firstMs = nowMs;
       else recordPause(pauseMs);
-      events += 1;
+      events += joined;
       lastMs = nowMs;
       loadAtLast = load;
       return pauseMs;
     },
+    recordUnread(unreadMs) {
+      firstMs += unreadMs;
+      lastMs += unreadMs;
+    },
     get: () => ({
       events,
       meanPauseMs: events > 1 ? (lastMs - firstMs) / (events - 1) : 0,
