A planned stop answers every pipelined request that was read

Callers saw: an order that was pipelined behind another ran, and its connection closed after the first answer, without a word on the second.

Cause: each answer of a leaving instance said 'Connection: close', and the runtime ends a connection after the first answer that says so; idle connections were ended after any answer, also while others were open; the 413 of a body that was read to its end did the same without a stop.

Now only an answer that is alone on its connection says 'close', and no later request of that connection is served; otherwise the connection ends once it owes no answer.

--- a/src/lifecycle/open-responses.test.ts
+++ b/src/lifecycle/open-responses.test.ts
@@ -65,4 +65,43 @@
     t.regex(text, /second$/);
     t.is(server.openResponses.count(), 0);
   });
+
+  // Guards against a connection that closes after one answer while a request behind it waits for its turn.
+  it('are closed after the answers of all pipelined requests', async (t) => {
+    const server = await startServer();
+    t.teardown(() => server.stop());
+    const socket = await server.openConnection();
+    let text = '';
+    socket.on('data', (bytes: Buffer) => {
+      text += bytes.toString();
+    });
+    socket.write(REQUEST + REQUEST);
+    await server.waitForRequest(2);
+    server.openResponses.closeIdle();
+    const [first, second] = server.responses;
+    first?.end('first');
+    await once(socket, 'data');
+    second?.end('second');
+    await once(socket, 'end');
+    t.regex(text, /first[^]*second$/);
+  });
+
+  // Guards against a last answer that is told as such while another is open, and a request served after it.
+  it('are closed by the word of the answer that is last on its connection', async (t) => {
+    const server = await startServer();
+    t.teardown(() => server.stop());
+    const socket = await server.openConnection();
+    socket.resume();
+    socket.write(REQUEST + REQUEST);
+    await server.waitForRequest(2);
+    const { openResponses, responses } = server;
+    const [first, second] = responses as [ServerResponse, ServerResponse];
+    t.false(openResponses.closeAfter(second), 'the first would not be answered');
+    t.false(openResponses.closeAfter(first), 'the second would not be answered');
+    first.end('first');
+    await once(first, 'close');
+    t.false(openResponses.isClosing(second.req.socket));
+    t.true(openResponses.closeAfter(second));
+    t.true(openResponses.isClosing(second.req.socket));
+  });
 });
--- a/src/lifecycle/open-responses.ts
+++ b/src/lifecycle/open-responses.ts
@@ -7,6 +7,16 @@
   count(): number;
   /** Responses without a head whose request has not come in whole. */
   listUnread(): ServerResponse[];
+  /**
+   * Closes the connection of a response after its last answer; call it before the head is written.
+   * Returns whether this answer is the last, so that it must say `Connection: close`: the runtime closes
+   * the connection after an answer that says so, also while requests behind it have no answer yet.
+   */
+  closeAfter(response: ServerResponse): boolean;
+  /** Closes the connection once it has no open response, without a word in an answer. */
+  closeOnceIdle(response: ServerResponse): void;
+  /** Whether no further request of this connection may be served, since its last answer is written. */
+  isClosing(socket: Socket): boolean;
   /**
    * Closes each connection as soon as it has no open response; from now on none is kept for a next
    * request. The server's own `close` and `closeIdleConnections` destroy connections whose response was
@@ -15,16 +25,30 @@
   closeIdle(): void;
 }
 
-/** Follows the connections and responses of a server from now on. */
+/** Follows the connections and responses of a server; create it before the listener of the requests. */
 export function createOpenResponses(server: Server): OpenResponses {
   const open = new Map<ServerResponse, IncomingMessage>();
+  const openBySocket = new Map<Socket, Set<ServerResponse>>();
   const idle = new Set<Socket>();
-  let isClosing = false;
+  /** Connections that end once they are idle. */
+  const ending = new WeakSet<Socket>();
+  /** Connections whose last answer is written. */
+  const closing = new WeakSet<Socket>();
+  let isClosingAll = false;
+
+  function closeConnection(socket: Socket): void {
+    closing.add(socket);
+    socket.end();
+  }
 
   function recordClosed(response: ServerResponse, { socket }: IncomingMessage): void {
     open.delete(response);
+    const others = openBySocket.get(socket);
+    others?.delete(response);
+    if (others !== undefined && others.size > 0) return;
+    openBySocket.delete(socket);
     if (socket.destroyed) return;
-    if (isClosing) socket.end();
+    if (isClosingAll || ending.has(socket)) closeConnection(socket);
     else idle.add(socket);
   }
 
@@ -33,8 +57,10 @@
     socket.once('close', () => idle.delete(socket));
   });
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    const { socket } = request;
     open.set(response, request);
-    idle.delete(request.socket);
+    openBySocket.set(socket, (openBySocket.get(socket) ?? new Set()).add(response));
+    idle.delete(socket);
     response.once('close', () => recordClosed(response, request));
   });
 
@@ -44,9 +70,21 @@
       [...open]
         .filter(([response, request]) => !request.complete && !response.headersSent)
         .map(([response]) => response),
+    closeAfter(response) {
+      const { socket } = response.req;
+      ending.add(socket);
+      // No request can follow one that has not been read to its end.
+      const isLast = openBySocket.get(socket)?.size === 1 || !response.req.complete;
+      if (isLast) closing.add(socket);
+      return isLast;
+    },
+    closeOnceIdle(response) {
+      ending.add(response.req.socket);
+    },
+    isClosing: (socket) => closing.has(socket),
     closeIdle() {
-      isClosing = true;
-      for (const socket of idle) socket.end();
+      isClosingAll = true;
+      for (const socket of idle) closeConnection(socket);
       idle.clear();
     },
   };
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -192,6 +192,7 @@
   });
 
   const callersServer = ports.callers.server;
+  const openResponses = createOpenResponses(callersServer);
   ports.callers.start(
     createCallerApi({
       runner: core.runner,
@@ -203,7 +204,6 @@
       getPeerDemand: () => core.getPeerDemand(),
     }),
   );
-  const openResponses = createOpenResponses(callersServer);
   callersServer.headersTimeout = HEADERS_TIMEOUT_MS;
   callersServer.requestTimeout = REQUEST_TIMEOUT_MS;
   callersServer.maxConnections = CONNECTIONS_MAX;
