--- a/src/lifecycle/open-responses.test.ts
+++ b/src/lifecycle/open-responses.test.ts
@@ -11,7 +11,7 @@
 async function startServer() {
   const responses: ServerResponse[] = [];
   const server = createServer((_, response) => responses.push(response));
-  const openResponses = createOpenResponses(server);
+  const openResponses = createOpenResponses(server, () => false);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
--- a/src/lifecycle/open-responses.ts
+++ b/src/lifecycle/open-responses.ts
@@ -25,8 +25,14 @@
   closeIdle(): void;
 }
 
-/** Follows the connections and responses of a server; create it before the listener of the requests. */
-export function createOpenResponses(server: Server): OpenResponses {
+/**
+ * Follows the connections and responses of a server; create it before the listener of the requests.
+ * `hasUnread`: whether bytes of a connection are read that no request was made of yet.
+ */
+export function createOpenResponses(
+  server: Server,
+  hasUnread: (socket: Socket) => boolean,
+): OpenResponses {
   const open = new Map<ServerResponse, IncomingMessage>();
   const openBySocket = new Map<Socket, Set<ServerResponse>>();
   const idle = new Set<Socket>();
@@ -47,7 +53,7 @@
     others?.delete(response);
     if (others !== undefined && others.size > 0) return;
     openBySocket.delete(socket);
-    if (socket.destroyed) return;
+    if (socket.destroyed || hasUnread(socket)) return;
     if (isClosingAll || ending.has(socket)) closeConnection(socket);
     else idle.add(socket);
   }
@@ -74,7 +80,8 @@
       const { socket } = response.req;
       ending.add(socket);
       // No request can follow one that has not been read to its end.
-      const isLast = openBySocket.get(socket)?.size === 1 || !response.req.complete;
+      const isOnly = openBySocket.get(socket)?.size === 1 && !hasUnread(socket);
+      const isLast = isOnly || !response.req.complete;
       if (isLast) closing.add(socket);
       return isLast;
     },
--- a/src/node/router-ports.ts
+++ b/src/node/router-ports.ts
@@ -2,10 +2,13 @@
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { createCallerServer } from '../caller-connections/caller-server.js';
+import type { CallerServer } from '../caller-connections/caller-server.js';
 import { createPeerServer } from '../peers/peer-server.js';
 import type { PeerServer } from '../peers/peer-server.js';
 import type { PortBinder } from '../runtime/bind-port.js';
 import { createRequestGate } from '../runtime/request-gate.js';
+import type { TimerService } from '../runtime/timer-service.js';
 import type { ResolvedRouterConfig } from './settings.js';
 
 /** Larger request headers are answered with status 431. */
@@ -18,7 +21,7 @@
 }
 
 export interface RouterPorts {
-  readonly callers: HeldServer;
+  readonly callers: HeldServer & CallerServer;
   readonly operators: HeldServer;
   readonly peerServer: PeerServer;
   close(): Promise<void>;
@@ -36,16 +39,17 @@
 export async function openRouterPorts(
   config: Pick<ResolvedRouterConfig, 'callers' | 'operators' | 'peers'>,
   binder: PortBinder,
+  timers: TimerService,
 ): Promise<RouterPorts> {
   const callers = createHeldServer(createServer({ maxHeaderSize: HEADER_BYTES_MAX }));
+  const callerServer = createCallerServer(callers.server, timers);
   const operators = createHeldServer(createServer());
   const peerServer = createPeerServer();
 
   async function close(): Promise<void> {
-    for (const { server } of [callers, operators]) {
-      server.close();
-      server.closeAllConnections();
-    }
+    callerServer.close();
+    operators.server.close();
+    operators.server.closeAllConnections();
     await peerServer.close();
   }
 
@@ -53,8 +57,8 @@
     // In the same order in all processes, so that no two wait for each other; callers come last.
     await binder.openServer({ role: 'peers', address: config.peers }, peerServer.server);
     await binder.openServer({ role: 'operators', address: config.operators }, operators.server);
-    await binder.openServer({ role: 'callers', address: config.callers }, callers.server);
-    return { callers, operators, peerServer, close };
+    await binder.openServer({ role: 'callers', address: config.callers }, callerServer.listener);
+    return { callers: { ...callers, ...callerServer }, operators, peerServer, close };
   } catch (error) {
     await close();
     throw error;
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -115,6 +115,7 @@
       onWait: (wait) => logger.warn('a port is held; waiting for it', wait),
       onServerError: (role, error) => logger.error('a server failed', { role, error }),
     }),
+    timers,
   ).catch((error: unknown) => {
     timers.stop();
     throw error;
@@ -192,7 +193,7 @@
   });
 
   const callersServer = ports.callers.server;
-  const openResponses = createOpenResponses(callersServer);
+  const openResponses = createOpenResponses(callersServer, ports.callers.hasUnread);
   ports.callers.start(
     createCallerApi({
       runner: core.runner,
@@ -206,7 +207,7 @@
   );
   callersServer.headersTimeout = HEADERS_TIMEOUT_MS;
   callersServer.requestTimeout = REQUEST_TIMEOUT_MS;
-  callersServer.maxConnections = CONNECTIONS_MAX;
+  ports.callers.listener.maxConnections = CONNECTIONS_MAX;
   callersServer.on('clientError', handleClientError);
   ports.operators.start(
     createOperatorApi({
@@ -217,7 +218,7 @@
       onLeave: () => core.leave(),
     }),
   );
-  const callersPort = getPort(callersServer);
+  const callersPort = getPort(ports.callers.listener);
   const operatorsPort = getPort(ports.operators.server);
 
   async function stop(): Promise<void> {
