--- a/src/request-bodies/read-body.ts
+++ b/src/request-bodies/read-body.ts
@@ -1,6 +1,8 @@
 /** Reads the body of a request within a bound of its own and the memory that is left for bodies. */
 import type { IncomingMessage } from 'node:http';
-import type { BodyBudget, BodyTicket } from './body-budget.js';
+import { createJoinedBytes } from '../memory/joined-bytes.js';
+import type { JoinedBytes } from '../memory/joined-bytes.js';
+import type { MemoryBudget, MemoryTicket } from '../memory/memory-budget.js';
 
 const INTEGER_PATTERN = /^\d+$/;
 /** A body that is not kept is read to its end up to this multiple of the bound, so that its caller reads the answer. */
@@ -8,7 +10,7 @@
 
 export interface ReadBodyOptions {
   readonly bytesMax: number;
-  readonly budget: BodyBudget;
+  readonly budget: MemoryBudget;
   /** Organisation on whose behalf memory is taken. */
   readonly owner: string;
 }
@@ -26,22 +28,19 @@
 }
 
 /** Memory for the parts of a body; one piece if its length is known. */
-interface BodyParts {
-  add(part: Buffer): void;
-  build(): Buffer;
-}
+type BodyParts = Pick<JoinedBytes, 'add' | 'computeGrowth' | 'build'>;
 
 function createParts(length: number | undefined): BodyParts {
-  if (length === undefined) {
-    const parts: Buffer[] = [];
-    return { add: (part) => parts.push(part), build: () => Buffer.concat(parts) };
-  }
+  if (length === undefined) return createJoinedBytes();
   const whole = Buffer.allocUnsafeSlow(length);
   let offset = 0;
   return {
     add(part) {
-      offset += part.copy(whole, offset);
+      whole.set(part, offset);
+      offset += part.length;
     },
+    // It is taken from the start.
+    computeGrowth: () => 0,
     build: () => whole,
   };
 }
@@ -51,7 +50,7 @@
   const { bytesMax, budget, owner } = options;
   const length = parseLength(request);
   let refusal: Exclude<ReadBody['kind'], 'whole'> | undefined;
-  let ticket: BodyTicket | undefined;
+  let ticket: MemoryTicket | undefined;
   let parts: BodyParts | undefined;
   let bytes = 0;
 
@@ -75,7 +74,7 @@
   function addPart(part: Buffer): void {
     if (refusal !== undefined) return;
     if (bytes > bytesMax) refuseBody('too_large');
-    else if (length === undefined && ticket?.grow(part.length) !== true) refuseBody('no_room');
+    else if (ticket?.grow(parts?.computeGrowth(part.length) ?? 0) !== true) refuseBody('no_room');
     else parts?.add(part);
   }
 
