--- a/src/caller-connections/caller-server.ts
+++ b/src/caller-connections/caller-server.ts
@@ -12,7 +12,7 @@
 import { createUnreadBudget } from './unread-budget.js';
 
 /** Bytes of all connections that are read and no request yet. */
-const UNREAD_BYTES_TOTAL = 16 * 1024 * 1024;
+const UNREAD_BYTES_TOTAL = 8 * 1024 * 1024;
 
 export interface CallerServer {
   /** Listens in place of the HTTP server. */
@@ -22,9 +22,35 @@
   close(): void;
 }
 
+/** Answers, and closes, a connection whose bytes are no request. */
+export type ClientErrorHandler = (
+  error: Error & { readonly code?: string },
+  socket: Socket,
+) => void;
+
+const STATUS_BY_CODE: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+const OTHER_STATUS = '400 Bad Request';
+
+/** Answers as the runtime does. */
+function handleClientError(error: Error & { readonly code?: string }, socket: Socket): void {
+  const status = STATUS_BY_CODE[error.code ?? ''] ?? OTHER_STATUS;
+  if (socket.writable) socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  socket.destroy();
+}
+
+export interface CallerServerOptions {
+  readonly timers: Pick<TimerService, 'clock' | 'subscribeOnce'>;
+  /** @default answers with a status and without a body */
+  readonly onClientError?: ClientErrorHandler;
+}
+
 export function createCallerServer(
   server: HttpServer,
-  timers: Pick<TimerService, 'clock' | 'subscribeOnce'>,
+  { timers, onClientError = handleClientError }: CallerServerOptions,
 ): CallerServer {
   const streams = new WeakMap<Socket, CallerStream>();
   const unread = createUnreadBudget<CallerStream>(UNREAD_BYTES_TOTAL);
@@ -40,9 +66,19 @@
   // Starts the checks of slow heads.
   listener.on('listening', () => server.emit('listening'));
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-    const stream = streams.get(request.socket);
-    stream?.addRequest(request);
-    response.once('close', () => stream?.removeRequest());
+    streams.get(request.socket)?.addResponse(response);
+  });
+  server.on('clientError', (error: Error, duplex) => {
+    const socket = duplex as Socket;
+    const stream = streams.get(socket);
+    if (stream === undefined || socket.destroyed) socket.destroy();
+    // Requests that were passed on are answered before the connection closes.
+    else {
+      stream.closeAfterAnswers((hasBegun) => {
+        if (hasBegun) socket.destroy();
+        else onClientError(error, socket);
+      });
+    }
   });
 
   return {
--- a/src/caller-connections/caller-stream.ts
+++ b/src/caller-connections/caller-stream.ts
@@ -1,5 +1,5 @@
 /** The stream that an HTTP server reads and writes in place of a caller's socket. */
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { Duplex } from 'node:stream';
 import { createSlicePlan } from './slice-plan.js';
@@ -17,10 +17,13 @@
 export interface CallerStream {
   /** What the HTTP server takes for the socket. */
   readonly socket: Socket;
-  /** Call it for each request of this stream. */
-  addRequest(request: IncomingMessage): void;
-  /** Call it for each response of this stream that is written out or closed. */
-  removeRequest(): void;
+  /** Follows the response to a request of this stream until it is written out or closed. */
+  addResponse(response: ServerResponse): void;
+  /**
+   * Parses nothing more, and calls `onAnswered` once all requests that were read whole are answered;
+   * `hasBegun` tells whether part of another answer was sent.
+   */
+  closeAfterAnswers(onAnswered: (hasBegun: boolean) => void): void;
   /** Whether bytes are left that no request was made of yet. */
   hasUnread(): boolean;
   close(): void;
@@ -117,7 +120,8 @@
   const plan = createSlicePlan();
   let held: Buffer = Buffer.alloc(0);
   let headBytes = 0;
-  let openCount = 0;
+  const open = new Set<ServerResponse>();
+  let onBrokenOff: ((hasBegun: boolean) => void) | undefined;
   let current: IncomingMessage | undefined;
   let expected: Expected = { kind: 'head' };
   let isReading = false;
@@ -127,19 +131,32 @@
   });
   const stream: CallerStream = {
     socket: duplex as Socket,
-    addRequest(request) {
-      current = request;
-      openCount += 1;
+    addResponse(response) {
+      current = response.req;
+      open.add(response);
       headBytes = 0;
+      response.once('close', () => {
+        open.delete(response);
+        checkBroken();
+        startReading();
+      });
     },
-    removeRequest() {
-      openCount -= 1;
-      startReading();
+    closeAfterAnswers(onAnswered) {
+      if (onBrokenOff !== undefined) return;
+      onBrokenOff = onAnswered;
+      held = Buffer.alloc(0);
+      checkBroken();
     },
     hasUnread: () => held.length > 0,
     close: () => duplex.destroy(),
   };
 
+  function checkBroken(): void {
+    const owed = [...open];
+    if (owed.some(({ req }) => req.complete)) return;
+    onBrokenOff?.(owed.some(({ headersSent }) => headersSent));
+  }
+
   function updateExpected(fedBytes: number): void {
     if (current === undefined) return;
     if (current.complete) {
@@ -152,8 +169,9 @@
   }
 
   function isReadable(): boolean {
-    if (held.length === 0 || duplex.destroyed || duplex.isPaused()) return false;
-    return expected.kind !== 'head' || openCount < OPEN_REQUESTS_MAX;
+    if (held.length === 0 || onBrokenOff !== undefined) return false;
+    if (duplex.destroyed || duplex.isPaused()) return false;
+    return expected.kind !== 'head' || open.size < OPEN_REQUESTS_MAX;
   }
 
   function recordHeld(): void {
@@ -190,13 +208,14 @@
   }
 
   raw.on('data', (bytes: Buffer) => {
+    if (onBrokenOff !== undefined) return;
     held = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
     if (held.length > HELD_BYTES_MAX) raw.pause();
     startReading();
   });
   raw.on('end', () => {
     // Its caller has left before all of it was read.
-    if (held.length > 0) duplex.destroy();
+    if (held.length > 0 || onBrokenOff !== undefined) duplex.destroy();
     else duplex.push(null);
   });
   duplex.on('resume', startReading);
--- a/src/node/router-ports.ts
+++ b/src/node/router-ports.ts
@@ -3,12 +3,11 @@
 import type { RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { createCallerServer } from '../caller-connections/caller-server.js';
-import type { CallerServer } from '../caller-connections/caller-server.js';
+import type { CallerServer, CallerServerOptions } from '../caller-connections/caller-server.js';
 import { createPeerServer } from '../peers/peer-server.js';
 import type { PeerServer } from '../peers/peer-server.js';
 import type { PortBinder } from '../runtime/bind-port.js';
 import { createRequestGate } from '../runtime/request-gate.js';
-import type { TimerService } from '../runtime/timer-service.js';
 import type { ResolvedRouterConfig } from './settings.js';
 
 /** Larger request headers are answered with status 431. */
@@ -39,10 +38,10 @@
 export async function openRouterPorts(
   config: Pick<ResolvedRouterConfig, 'callers' | 'operators' | 'peers'>,
   binder: PortBinder,
-  timers: TimerService,
+  callerOptions: CallerServerOptions,
 ): Promise<RouterPorts> {
   const callers = createHeldServer(createServer({ maxHeaderSize: HEADER_BYTES_MAX }));
-  const callerServer = createCallerServer(callers.server, timers);
+  const callerServer = createCallerServer(callers.server, callerOptions);
   const operators = createHeldServer(createServer());
   const peerServer = createPeerServer();
 
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -115,7 +115,7 @@
       onWait: (wait) => logger.warn('a port is held; waiting for it', wait),
       onServerError: (role, error) => logger.error('a server failed', { role, error }),
     }),
-    timers,
+    { timers, onClientError: handleClientError },
   ).catch((error: unknown) => {
     timers.stop();
     throw error;
@@ -208,7 +208,6 @@
   callersServer.headersTimeout = HEADERS_TIMEOUT_MS;
   callersServer.requestTimeout = REQUEST_TIMEOUT_MS;
   ports.callers.listener.maxConnections = CONNECTIONS_MAX;
-  callersServer.on('clientError', handleClientError);
   ports.operators.start(
     createOperatorApi({
       secret: config.operatorSecret,
