--- a/src/caller-connections/caller-server.test.ts
+++ b/src/caller-connections/caller-connections.test.ts
@@ -8,7 +8,7 @@
 import { createSystemClock } from '../runtime/clock.js';
 import { createTimerService } from '../runtime/timer-service.js';
 import { describe } from '../test/describe.js';
-import { createCallerServer } from './caller-server.js';
+import { createCallerConnections } from './caller-connections.js';
 import { OPEN_REQUESTS_MAX } from './caller-stream.js';
 
 const HEAD = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
@@ -19,12 +19,13 @@
 async function startServer(t: ExecutionContext, handler: Handler) {
   const timers = createTimerService(createSystemClock());
   const server = createServer(handler);
-  const callerServer = createCallerServer(server, { timers });
-  callerServer.listener.listen(0, '127.0.0.1');
-  await once(callerServer.listener, 'listening');
-  const { port } = callerServer.listener.address() as AddressInfo;
+  createCallerConnections(server, { timers });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
   t.teardown(() => {
-    callerServer.close();
+    server.close();
+    server.closeAllConnections();
     timers.stop();
   });
   return {
--- a/src/caller-connections/caller-server.ts
+++ b/src/caller-connections/caller-connections.ts
@@ -1,10 +1,9 @@
 /**
- * The listener of an HTTP server for callers. It bounds what one connection takes of the process, and
- * what all of them hold, before the server parses it.
+ * Bounds what one connection of an HTTP server for callers takes of the process, and what all of them
+ * hold, before the server parses it.
  */
 import type { IncomingMessage, Server as HttpServer, ServerResponse } from 'node:http';
-import { createServer } from 'node:net';
-import type { Server, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { TimerService } from '../runtime/timer-service.js';
 import { createCallerStream } from './caller-stream.js';
 import type { CallerStream } from './caller-stream.js';
@@ -14,12 +13,9 @@
 /** Bytes of all connections that are read and no request yet. */
 const UNREAD_BYTES_TOTAL = 8 * 1024 * 1024;
 
-export interface CallerServer {
-  /** Listens in place of the HTTP server. */
-  readonly listener: Server;
+export interface CallerConnections {
   /** Whether a connection has bytes left that no request was made of yet. */
   hasUnread(socket: Socket): boolean;
-  close(): void;
 }
 
 /** Answers, and closes, a connection whose bytes are no request. */
@@ -42,29 +38,34 @@
   socket.destroy();
 }
 
-export interface CallerServerOptions {
+export interface CallerConnectionsOptions {
   readonly timers: Pick<TimerService, 'clock' | 'subscribeOnce'>;
   /** @default answers with a status and without a body */
   readonly onClientError?: ClientErrorHandler;
 }
 
-export function createCallerServer(
+/** The runtime reads a socket by itself until somebody listens to its bytes. */
+function subscribeToBytes(socket: Socket): void {
+  const ignoreBytes = (): void => undefined;
+  socket.on('data', ignoreBytes);
+  socket.off('data', ignoreBytes);
+}
+
+/** Call it before the server listens. */
+export function createCallerConnections(
   server: HttpServer,
-  { timers, onClientError = handleClientError }: CallerServerOptions,
-): CallerServer {
+  { timers, onClientError = handleClientError }: CallerConnectionsOptions,
+): CallerConnections {
   const streams = new WeakMap<Socket, CallerStream>();
   const unread = createUnreadBudget<CallerStream>(UNREAD_BYTES_TOTAL);
   const turns = createReadTurns({
     getNow: timers.clock.monotonicMs,
     onRested: (restMs, handler) => timers.subscribeOnce(restMs, handler),
   });
-  const listener = createServer({ allowHalfOpen: true, noDelay: true }, (raw) => {
-    const stream = createCallerStream(raw, { turns, unread });
-    streams.set(stream.socket, stream);
-    server.emit('connection', stream.socket);
+  server.on('connection', (socket: Socket) => {
+    subscribeToBytes(socket);
+    streams.set(socket, createCallerStream(socket, { turns, unread }));
   });
-  // Starts the checks of slow heads.
-  listener.on('listening', () => server.emit('listening'));
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     streams.get(request.socket)?.addResponse(response);
   });
@@ -81,13 +82,5 @@
     }
   });
 
-  return {
-    listener,
-    hasUnread: (socket) => streams.get(socket)?.hasUnread() ?? false,
-    close() {
-      listener.close();
-      server.close();
-      server.closeAllConnections();
-    },
-  };
+  return { hasUnread: (socket) => streams.get(socket)?.hasUnread() ?? false };
 }
--- a/src/caller-connections/caller-stream.ts
+++ b/src/caller-connections/caller-stream.ts
@@ -1,7 +1,6 @@
-/** The stream that an HTTP server reads and writes in place of a caller's socket. */
+/** Holds what is read from a caller's socket, and gives it to the HTTP server slice by slice. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { Duplex } from 'node:stream';
 import { createSlicePlan } from './slice-plan.js';
 import type { Expected } from './slice-plan.js';
 import type { ReadTurns } from './read-turns.js';
@@ -12,11 +11,10 @@
 /** A connection is not read while it holds so many bytes that may not be parsed yet. */
 const HELD_BYTES_MAX = 64 * 1024;
 
+const NOTHING = Buffer.alloc(0);
 const INTEGER_PATTERN = /^\d+$/;
 
 export interface CallerStream {
-  /** What the HTTP server takes for the socket. */
-  readonly socket: Socket;
   /** Follows the response to a request of this stream until it is written out or closed. */
   addResponse(response: ServerResponse): void;
   /**
@@ -34,76 +32,6 @@
   readonly unread: UnreadBudget<CallerStream>;
 }
 
-interface Chunk {
-  readonly chunk: Buffer | string;
-  readonly encoding: BufferEncoding;
-}
-
-type OnWritten = (error?: Error | null) => void;
-
-/** Methods of a socket that an HTTP server, or what handles its requests, calls. */
-function createSocketMethods(raw: Socket, getDuplex: () => Duplex): Partial<Socket> {
-  return {
-    setTimeout(ms: number) {
-      raw.setTimeout(ms);
-      return getDuplex() as Socket;
-    },
-    setNoDelay(isSet?: boolean) {
-      raw.setNoDelay(isSet);
-      return getDuplex() as Socket;
-    },
-    setKeepAlive(isSet?: boolean, delayMs?: number) {
-      raw.setKeepAlive(isSet, delayMs);
-      return getDuplex() as Socket;
-    },
-    destroySoon() {
-      const duplex = getDuplex();
-      duplex.end();
-      if (duplex.writableFinished) duplex.destroy();
-      else duplex.once('finish', () => duplex.destroy());
-    },
-    resetAndDestroy() {
-      raw.resetAndDestroy();
-      return getDuplex().destroy() as Socket;
-    },
-  };
-}
-
-function createSocketDuplex(raw: Socket, onRead: () => void): Duplex {
-  const duplex = new Duplex({
-    allowHalfOpen: true,
-    decodeStrings: false,
-    read: onRead,
-    write(chunk: Buffer | string, encoding: BufferEncoding, onWritten: OnWritten) {
-      raw.write(chunk, encoding, onWritten);
-    },
-    writev(chunks: Chunk[], onWritten: OnWritten) {
-      raw.cork();
-      chunks.forEach(({ chunk, encoding }, index) => {
-        if (index < chunks.length - 1) raw.write(chunk, encoding);
-        else raw.write(chunk, encoding, onWritten);
-      });
-      raw.uncork();
-    },
-    final(onEnded) {
-      raw.end(onEnded);
-    },
-    destroy(error, onDestroyed) {
-      raw.destroy();
-      onDestroyed(error);
-    },
-  });
-  Object.assign(
-    duplex,
-    createSocketMethods(raw, () => duplex),
-  );
-  Object.defineProperty(duplex, 'remoteAddress', { get: () => raw.remoteAddress });
-  raw.on('timeout', () => duplex.emit('timeout'));
-  raw.on('error', (error) => duplex.destroy(error));
-  raw.on('close', () => duplex.destroy());
-  return duplex;
-}
-
 function parseExpected({ headers, complete }: IncomingMessage): Expected {
   if (complete) return { kind: 'head' };
   const length = headers['content-length'] ?? '';
@@ -112,13 +40,22 @@
     : { kind: 'chunks' };
 }
 
-/** Takes over the reading of a socket. */
+/**
+ * Takes over the reading of a socket that an HTTP server has. Both methods of the stream that are
+ * replaced are those by which its source and its reader meet.
+ */
 export function createCallerStream(
-  raw: Socket,
+  socket: Socket,
   { turns, unread }: CallerStreamOptions,
 ): CallerStream {
+  const pushToServer = socket.push.bind(socket);
+  // eslint-disable-next-line no-underscore-dangle -- the name that streams give it
+  const readFromSource = socket._read.bind(socket);
   const plan = createSlicePlan();
-  let held: Buffer = Buffer.alloc(0);
+  let held: Buffer = NOTHING;
+  let recordedBytes = 0;
+  /** Whether the source waits to be read again. */
+  let isStopped = false;
   let headBytes = 0;
   const open = new Set<ServerResponse>();
   let onBrokenOff: ((hasBegun: boolean) => void) | undefined;
@@ -126,11 +63,7 @@
   let expected: Expected = { kind: 'head' };
   let isReading = false;
 
-  const duplex = createSocketDuplex(raw, () => {
-    if (held.length > 0) process.nextTick(startReading);
-  });
   const stream: CallerStream = {
-    socket: duplex as Socket,
     addResponse(response) {
       current = response.req;
       open.add(response);
@@ -144,11 +77,11 @@
     closeAfterAnswers(onAnswered) {
       if (onBrokenOff !== undefined) return;
       onBrokenOff = onAnswered;
-      held = Buffer.alloc(0);
+      held = NOTHING;
       checkBroken();
     },
     hasUnread: () => held.length > 0,
-    close: () => duplex.destroy(),
+    close: () => socket.destroy(),
   };
 
   function checkBroken(): void {
@@ -170,33 +103,41 @@
 
   function isReadable(): boolean {
     if (held.length === 0 || onBrokenOff !== undefined) return false;
-    if (duplex.destroyed || duplex.isPaused()) return false;
+    if (socket.destroyed || socket.isPaused()) return false;
     return expected.kind !== 'head' || open.size < OPEN_REQUESTS_MAX;
   }
 
-  function recordHeld(): void {
-    if (duplex.destroyed) return;
-    unread.set(stream, held.length + headBytes)?.close();
+  function recordRead(): void {
+    const bytes = held.length + headBytes;
+    if (socket.destroyed) return;
+    if (bytes !== recordedBytes) unread.set(stream, bytes)?.close();
+    recordedBytes = bytes;
+    if (!isStopped || held.length > HELD_BYTES_MAX) return;
+    isStopped = false;
+    readFromSource(0);
   }
 
-  function recordRead(): void {
-    recordHeld();
-    if (held.length <= HELD_BYTES_MAX && raw.isPaused()) raw.resume();
+  /** Takes the next slice from what is held. */
+  function takeSlice(): Buffer {
+    const slice = held.subarray(0, plan.computeLength(held, expected));
+    held = held.length === slice.length ? NOTHING : held.subarray(slice.length);
+    return slice;
   }
 
   function readSlice(): boolean {
     if (isReading || !isReadable()) return false;
     isReading = true;
     const beganMs = performance.now();
-    const slice = held.subarray(0, plan.computeLength(held, expected));
-    held = held.subarray(slice.length);
-    if (expected.kind === 'head') headBytes += slice.length;
-    duplex.push(slice);
+    const { kind } = expected;
+    const slice = takeSlice();
+    if (kind === 'head') headBytes += slice.length;
+    pushToServer(slice);
     updateExpected(slice.length);
-    plan.recordCost(performance.now() - beganMs);
+    if (kind === 'chunks') plan.recordCost(performance.now() - beganMs);
     isReading = false;
-    recordRead();
-    return isReadable();
+    const hasMore = isReadable();
+    if (!hasMore) recordRead();
+    return hasMore;
   }
 
   const reader = { readSlice };
@@ -204,23 +145,37 @@
   function startReading(): void {
     if (isReading) return;
     if (isReadable()) turns.start(reader);
-    else recordRead();
+    recordRead();
+  }
+
+  function handleEnd(): void {
+    // Its caller has left before all of it was read.
+    if (held.length > 0 || onBrokenOff !== undefined) socket.destroy();
+    else pushToServer(null);
   }
 
-  raw.on('data', (bytes: Buffer) => {
-    if (onBrokenOff !== undefined) return;
+  /** Returns whether the source may go on. */
+  function handleBytes(bytes: Buffer): boolean {
+    if (onBrokenOff !== undefined) return true;
     held = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
-    if (held.length > HELD_BYTES_MAX) raw.pause();
     startReading();
-  });
-  raw.on('end', () => {
-    // Its caller has left before all of it was read.
-    if (held.length > 0 || onBrokenOff !== undefined) duplex.destroy();
-    else duplex.push(null);
-  });
-  duplex.on('resume', startReading);
-  duplex.once('close', () => {
-    held = Buffer.alloc(0);
+    isStopped = held.length > HELD_BYTES_MAX;
+    return !isStopped;
+  }
+
+  socket.push = (bytes: Buffer | null) => {
+    if (bytes !== null) return handleBytes(bytes);
+    handleEnd();
+    return false;
+  };
+  // eslint-disable-next-line no-underscore-dangle -- the name that streams give it
+  socket._read = (size) => {
+    if (held.length > HELD_BYTES_MAX) isStopped = true;
+    else readFromSource(size);
+  };
+  socket.on('resume', startReading);
+  socket.once('close', () => {
+    held = NOTHING;
     turns.remove(reader);
     unread.remove(stream);
   });
--- a/src/node/router-ports.ts
+++ b/src/node/router-ports.ts
@@ -2,8 +2,11 @@
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { createCallerServer } from '../caller-connections/caller-server.js';
-import type { CallerServer, CallerServerOptions } from '../caller-connections/caller-server.js';
+import { createCallerConnections } from '../caller-connections/caller-connections.js';
+import type {
+  CallerConnections,
+  CallerConnectionsOptions,
+} from '../caller-connections/caller-connections.js';
 import { createPeerServer } from '../peers/peer-server.js';
 import type { PeerServer } from '../peers/peer-server.js';
 import type { PortBinder } from '../runtime/bind-port.js';
@@ -20,7 +23,7 @@
 }
 
 export interface RouterPorts {
-  readonly callers: HeldServer & CallerServer;
+  readonly callers: HeldServer & CallerConnections;
   readonly operators: HeldServer;
   readonly peerServer: PeerServer;
   close(): Promise<void>;
@@ -38,17 +41,18 @@
 export async function openRouterPorts(
   config: Pick<ResolvedRouterConfig, 'callers' | 'operators' | 'peers'>,
   binder: PortBinder,
-  callerOptions: CallerServerOptions,
+  callerOptions: CallerConnectionsOptions,
 ): Promise<RouterPorts> {
   const callers = createHeldServer(createServer({ maxHeaderSize: HEADER_BYTES_MAX }));
-  const callerServer = createCallerServer(callers.server, callerOptions);
+  const callerConnections = createCallerConnections(callers.server, callerOptions);
   const operators = createHeldServer(createServer());
   const peerServer = createPeerServer();
 
   async function close(): Promise<void> {
-    callerServer.close();
-    operators.server.close();
-    operators.server.closeAllConnections();
+    for (const { server } of [callers, operators]) {
+      server.close();
+      server.closeAllConnections();
+    }
     await peerServer.close();
   }
 
@@ -56,8 +60,8 @@
     // In the same order in all processes, so that no two wait for each other; callers come last.
     await binder.openServer({ role: 'peers', address: config.peers }, peerServer.server);
     await binder.openServer({ role: 'operators', address: config.operators }, operators.server);
-    await binder.openServer({ role: 'callers', address: config.callers }, callerServer.listener);
-    return { callers: { ...callers, ...callerServer }, operators, peerServer, close };
+    await binder.openServer({ role: 'callers', address: config.callers }, callers.server);
+    return { callers: { ...callers, ...callerConnections }, operators, peerServer, close };
   } catch (error) {
     await close();
     throw error;
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -207,7 +207,7 @@
   );
   callersServer.headersTimeout = HEADERS_TIMEOUT_MS;
   callersServer.requestTimeout = REQUEST_TIMEOUT_MS;
-  ports.callers.listener.maxConnections = CONNECTIONS_MAX;
+  callersServer.maxConnections = CONNECTIONS_MAX;
   ports.operators.start(
     createOperatorApi({
       secret: config.operatorSecret,
@@ -217,7 +217,7 @@
       onLeave: () => core.leave(),
     }),
   );
-  const callersPort = getPort(ports.callers.listener);
+  const callersPort = getPort(callersServer);
   const operatorsPort = getPort(ports.operators.server);
 
   async function stop(): Promise<void> {
