--- a/src/node/router-ports.ts
+++ b/src/node/router-ports.ts
@@ -2,6 +2,11 @@
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { createCallerConnections } from '../caller-connections/caller-connections.js';
+import type {
+  CallerConnections,
+  CallerConnectionsOptions,
+} from '../caller-connections/caller-connections.js';
 import { createPeerServer } from '../peers/peer-server.js';
 import type { PeerServer } from '../peers/peer-server.js';
 import type { PortBinder } from '../runtime/bind-port.js';
@@ -18,7 +23,7 @@
 }
 
 export interface RouterPorts {
-  readonly callers: HeldServer;
+  readonly callers: HeldServer & CallerConnections;
   readonly operators: HeldServer;
   readonly peerServer: PeerServer;
   close(): Promise<void>;
@@ -36,8 +41,10 @@
 export async function openRouterPorts(
   config: Pick<ResolvedRouterConfig, 'callers' | 'operators' | 'peers'>,
   binder: PortBinder,
+  callerOptions: CallerConnectionsOptions,
 ): Promise<RouterPorts> {
   const callers = createHeldServer(createServer({ maxHeaderSize: HEADER_BYTES_MAX }));
+  const callerConnections = createCallerConnections(callers.server, callerOptions);
   const operators = createHeldServer(createServer());
   const peerServer = createPeerServer();
 
@@ -54,7 +61,7 @@
     await binder.openServer({ role: 'peers', address: config.peers }, peerServer.server);
     await binder.openServer({ role: 'operators', address: config.operators }, operators.server);
     await binder.openServer({ role: 'callers', address: config.callers }, callers.server);
-    return { callers, operators, peerServer, close };
+    return { callers: { ...callers, ...callerConnections }, operators, peerServer, close };
   } catch (error) {
     await close();
     throw error;
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -115,6 +115,7 @@
       onWait: (wait) => logger.warn('a port is held; waiting for it', wait),
       onServerError: (role, error) => logger.error('a server failed', { role, error }),
     }),
+    { timers, onClientError: handleClientError },
   ).catch((error: unknown) => {
     timers.stop();
     throw error;
@@ -192,6 +193,7 @@
   });
 
   const callersServer = ports.callers.server;
+  const openResponses = createOpenResponses(callersServer, ports.callers.hasUnread);
   ports.callers.start(
     createCallerApi({
       runner: core.runner,
@@ -203,11 +205,9 @@
       getPeerDemand: () => core.getPeerDemand(),
     }),
   );
-  const openResponses = createOpenResponses(callersServer);
   callersServer.headersTimeout = HEADERS_TIMEOUT_MS;
   callersServer.requestTimeout = REQUEST_TIMEOUT_MS;
   callersServer.maxConnections = CONNECTIONS_MAX;
-  callersServer.on('clientError', handleClientError);
   ports.operators.start(
     createOperatorApi({
       secret: config.operatorSecret,
