Answer memory: one organisation leaves others room to be held back

An answer without room is held back, and what came before that counts against 8 MB for all; one organisation with 128 such answers left the first large answer of another to be broken off (test: "holds back answers of others beside very many of one organisation", fails without the share). One may now have three quarters.

The property now plays many answers beside little room: without the set-aside part it passed before and fails now. The process soak's floods have calls beside them.

--- a/src/memory/answer-memory.ts
+++ b/src/memory/answer-memory.ts
@@ -10,6 +10,8 @@
 
 /** Bytes beyond the budget that came before their exchanges were held back, for all responses together. */
 export const UNCHARGED_BYTES_MAX = 8 * 1024 * 1024;
+/** Share of them that one organisation may have. */
+const OWNER_SHARE_MAX = 0.75;
 /** Time to read a response in the set-aside part while others wait: 16 MB at 7 Mbit/s. */
 const UNREAD_MS_MAX = 20_000;
 
@@ -58,6 +60,7 @@
   held: number;
   /** Bytes of them that are taken from the budget. */
   charged: number;
+  isWhole: boolean;
   delivery: { readonly startedMs: number; readonly close: () => void } | undefined;
 }
 
@@ -126,8 +129,8 @@
   }
 
   /** A response that is whole moves to the budget when it can, so that the next one goes on. */
-  function releaseDelivered(): void {
-    if (waiting.size === 0 || setAside?.delivery === undefined) return;
+  function releaseWhole(): void {
+    if (waiting.size === 0 || setAside?.isWhole !== true) return;
     const holder = setAside;
     if (takeRoom(holder, holder.held)) setSetAside(undefined, holder);
   }
@@ -143,7 +146,7 @@
 
   /** Takes those from the queue that may go on. */
   function takeReady(): Holder[] {
-    releaseDelivered();
+    releaseWhole();
     const ready = [...waiting].filter((holder) => takeRoom(holder, holder.held));
     for (const holder of ready) waiting.delete(holder);
     const next = grantSetAside();
@@ -180,6 +183,15 @@
     if (wasWaiting) holder.flow.resume();
   }
 
+  /** Guards against one organisation whose responses are held back and leave the others nothing. */
+  function hasUnchargedRoom(owner: string, more: number): boolean {
+    if (unchargedBytes + more > UNCHARGED_BYTES_MAX) return false;
+    const owned = [...waiting]
+      .filter((holder) => holder.owner === owner)
+      .reduce((sum, holder) => sum + countUncharged(holder), 0);
+    return owned + more <= UNCHARGED_BYTES_MAX * OWNER_SHARE_MAX;
+  }
+
   /** Makes room for a response that grows; false if it has to be broken off. */
   function updateHeld(holder: Holder, held: number): boolean {
     if (holder === setAside) {
@@ -190,7 +202,7 @@
       if (waiting.delete(holder)) holder.flow.resume();
       return true;
     }
-    if (unchargedBytes + held - holder.held > UNCHARGED_BYTES_MAX) return false;
+    if (!hasUnchargedRoom(holder.owner, held - holder.held)) return false;
     apply(holder, () => Object.assign(holder, { held }));
     if (!waiting.has(holder)) {
       waiting.add(holder);
@@ -211,6 +223,7 @@
         ticket: undefined,
         held: 0,
         charged: 0,
+        isWhole: false,
         delivery: undefined,
       };
       let isKept = true;
@@ -231,12 +244,14 @@
         },
         build() {
           waiting.delete(holder);
-          return joined.build();
+          holder.isWhole = true;
+          const whole = joined.build();
+          if (holder === setAside) advanceWaiting();
+          return whole;
         },
         startDelivery(close) {
           if (!isKept) return;
           holder.delivery = { startedMs: getNow(), close };
-          advanceWaiting();
         },
         release,
       };
