--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -9,9 +9,8 @@
 import { REJECTION } from './call-messages.js';
 import type { AttemptEnd, HeaderField, RejectionReason, ResponseHead } from './call-messages.js';
 import { REJECTION_BYTES_MAX, RESPONSE_BYTES_MAX } from './response-limits.js';
-import { createEventOrder } from './event-order.js';
-import { createEventSplitter } from './event-splitter.js';
-import type { StreamEvent } from './event-splitter.js';
+import { createStreamReader } from './stream-reader.js';
+import type { JoinedEvents } from './stream-reader.js';
 
 /** Status and headers of a response, decoded by the endpoint protocol. */
 export interface DecodedHead {
@@ -40,7 +39,8 @@
   /** Called for each response of the endpoint with what it says of its availability. */
   onNotice(notice: AvailabilityNotice): void;
   onStreamStarted(head: ResponseHead): void;
-  onEvent(event: StreamEvent): void;
+  /** Called with complete events, those of one piece of the response at once. */
+  onEvent(events: JoinedEvents): void;
   /** Called once, last. */
   onEnded(end: AttemptEnd): void;
 }
@@ -59,8 +59,11 @@
   readData(bytes: Buffer): boolean;
   /** The response ended. */
   readEnd(): void;
-  /** The exchange failed; `isSent`: bytes of the request may have reached the endpoint. */
-  readError(isSent: boolean, reason: string): void;
+  /**
+   * The exchange failed; `isSent`: bytes of the request may have reached the endpoint. `isRefused`: this
+   * instance broke it off, while the endpoint went on.
+   */
+  readError(isSent: boolean, reason: string, isRefused?: boolean): void;
   /** The request was not sent, since the endpoint takes none any more. */
   readWithheld(): void;
 }
@@ -79,8 +82,7 @@
   listener: AttemptListener,
   answer: Pick<HeldAnswer, 'add' | 'build'>,
 ): AttemptReader {
-  const splitter = createEventSplitter();
-  const order = createEventOrder(lastEventId);
+  const stream = createStreamReader(lastEventId);
   let bytesRead = 0;
   let head: ResponseHead | undefined;
   let mode: 'none' | 'stream' | 'whole' | 'rejected' | 'ended' = 'none';
@@ -92,27 +94,17 @@
   }
 
   function readStream(bytes: Buffer): boolean {
-    const events = splitter.add(bytes);
-    if (events === undefined) {
-      close({ kind: 'broken', reason: 'event exceeds the size limit' });
-      return false;
-    }
-    const outOfOrder = events.findIndex(({ id }) => !order.record(id));
-    const inOrder = outOfOrder === -1 ? events : events.slice(0, outOfOrder);
-    for (const event of inOrder) listener.onEvent(event);
-    if (outOfOrder === -1) return true;
-    close({ kind: 'broken', reason: `event ${events[outOfOrder]?.id} comes again or too late` });
+    const { joined, fault } = stream.add(bytes);
+    for (const events of joined) listener.onEvent(events);
+    if (fault === undefined) return true;
+    close({ kind: 'broken', reason: fault, isRefused: true });
     return false;
   }
 
   function readStreamEnd(): void {
-    if (splitter.hasPartialEvent()) {
-      close({ kind: 'broken', reason: 'stream ended within an event' });
-      return;
-    }
-    const bytes = splitter.takeBlankLines();
-    if (bytes.length > 0) listener.onEvent({ id: undefined, hasData: false, bytes });
-    close({ kind: 'stream_ended' });
+    const { joined, fault } = stream.takeEnd();
+    for (const events of joined) listener.onEvent(events);
+    close(fault === undefined ? { kind: 'stream_ended' } : { kind: 'broken', reason: fault });
   }
 
   function readBody(bytes: Buffer): boolean {
@@ -122,7 +114,7 @@
     const reason = isTooLarge
       ? 'response body exceeds the size limit'
       : 'no memory is left for the response';
-    close({ kind: 'broken', reason });
+    close({ kind: 'broken', reason, isRefused: true });
     return false;
   }
 
@@ -182,12 +174,12 @@
         close({ kind: 'answered', head, body: answer.build() });
       }
     },
-    readError(isSent, reason) {
+    readError(isSent, reason, isRefused = false) {
       if (mode === 'ended') return;
       // The head of a rejection proves that the call did not run, even if the body is incomplete.
       if (mode === 'rejected') close({ kind: 'rejected', reason: rejection });
       else if (!isSent) close({ kind: 'unsent' });
-      else close({ kind: 'broken', reason });
+      else close({ kind: 'broken', reason, isRefused });
     },
     readWithheld: () => close({ kind: 'withheld' }),
   };
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -89,8 +89,11 @@
   | { readonly kind: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
   /** The event stream completed. */
   | { readonly kind: 'stream_ended' }
-  /** The connection failed or the response is invalid or incomplete; the call may have run. */
-  | { readonly kind: 'broken'; readonly reason: string };
+  /**
+   * The connection failed or the response is invalid or incomplete; the call may have run. `isRefused`: it
+   * exceeds a limit, and this instance broke it off, while the endpoint went on.
+   */
+  | { readonly kind: 'broken'; readonly reason: string; readonly isRefused?: boolean };
 
 /** Input of the call state machine. */
 export type CallMessage =
@@ -100,6 +103,7 @@
   /** The requested attempt is being sent to an endpoint; until then it was queued. */
   | { readonly kind: 'dispatched'; readonly attempt: number }
   | { readonly kind: 'stream_started'; readonly attempt: number; readonly head: ResponseHead }
+  /** Complete events; `id` is the last that they name, `hasData` whether one has data. */
   | {
       readonly kind: 'event';
       readonly attempt: number;
