--- a/src/calls/call-state-machine.test.ts
+++ b/src/calls/call-state-machine.test.ts
@@ -225,6 +225,17 @@
       t.is(ended[0]?.kind, 'cancel');
       t.is(findFailure(ended)?.outcome, OUTCOME.MayHaveRun);
     });
+
+    // Guards against a promise that nothing ran for an answer that waited here for memory.
+    it('reports that a call whose answer was held back may have run', (t) => {
+      const { send } = createHarness(CALL_KIND.NonIdempotent);
+      send({ kind: 'start' });
+      send({ kind: 'dispatched', attempt: 1 }, 100);
+      send({ kind: 'held', attempt: 1 }, 200);
+      const ended = send({ kind: 'tick' }, DEADLINE_MS);
+      t.is(findFailure(ended)?.outcome, OUTCOME.MayHaveRun);
+      t.is(findFailure(ended)?.type, FAILURE.DeadlinePassed);
+    });
   });
 
   block('a waiting call', ({ it }) => {
