--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -97,7 +97,7 @@
     const { joined, fault } = stream.add(bytes);
     for (const events of joined) listener.onEvent(events);
     if (fault === undefined) return true;
-    close({ kind: 'broken', reason: fault });
+    close({ kind: 'broken', reason: fault, isRefused: true });
     return false;
   }
 
@@ -114,7 +114,7 @@
     const reason = isTooLarge
       ? 'response body exceeds the size limit'
       : 'no memory is left for the response';
-    close({ kind: 'broken', reason });
+    close({ kind: 'broken', reason, isRefused: true });
     return false;
   }
 
