Peers: a message's secret is checked before its body, and answers of peers have a limit

What operators saw: nothing yet; found by reading. A request to the peers' port was read whole, up to 16 MB, before its secret was checked, so that anyone who reaches the port makes the process keep bodies; and an answer of a peer had no limit but its time (1 to 3 s).

Evidence, on: endless-messages.test.ts, no answer within 5 s to a request with another secret whose body goes on (undefined instead of 401); an answer without end ends by deadline_exceeded.

Now the secret is checked at the head of the request, with the same refusal, and answers are given up beyond 16 MB, the limit of requests.

--- a/src/peers/forward-links.ts
+++ b/src/peers/forward-links.ts
@@ -17,6 +17,7 @@
 import { createGate } from '../utils/gate.js';
 import type { Gate } from '../utils/gate.js';
 import { decodeForwardResponse, encodeForwardRequest } from './encode-forwarding.js';
+import { MESSAGE_BYTES_MAX } from './message-limits.js';
 import { PEER_SECRET_HEADER } from './peer-outbox.js';
 import { createPeerSessions } from './peer-sessions.js';
 import type { PeerSessions } from './peer-sessions.js';
@@ -51,6 +52,7 @@
       // Bodies of calls, which are often compressed already.
       acceptCompression: [],
       sessionManager: sessions,
+      readMaxBytes: MESSAGE_BYTES_MAX,
     });
     const client = createClient(PeerService, transport);
     clients.set(address, client);
--- a/src/peers/peer-outbox.ts
+++ b/src/peers/peer-outbox.ts
@@ -10,6 +10,7 @@
 import type { PeerMessage } from '../gen/peer_pb.js';
 import { METRIC } from '../runtime/metrics.js';
 import type { Metrics } from '../runtime/metrics.js';
+import { MESSAGE_BYTES_MAX } from './message-limits.js';
 import { parseVerdict } from './attempt-verdict.js';
 import type { PeerLinks } from './peer-links.js';
 import { createPeerSessions } from './peer-sessions.js';
@@ -70,6 +71,7 @@
       httpVersion: '2',
       interceptors: [addSecret],
       defaultTimeoutMs: CALL_TIMEOUT_MS,
+      readMaxBytes: MESSAGE_BYTES_MAX,
       sessionManager: sessions,
     });
     const client = createClient(PeerService, transport);
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -1,8 +1,12 @@
 /** Serves the peer protocol. Every call must include the peer secret. */
 import { createServer } from 'node:http2';
-import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import type {
+  Http2Server,
+  Http2ServerRequest,
+  Http2ServerResponse,
+  ServerHttp2Session,
+} from 'node:http2';
 import { Code, ConnectError } from '@connectrpc/connect';
-import type { Interceptor } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { AttemptVerdict } from '../claims/claim.js';
 import { PeerService } from '../gen/peer_pb.js';
@@ -18,9 +22,10 @@
 import type { ForwardRequest, ForwardResponse } from '../forwarding/forward-messages.js';
 import { decodeForwardRequest, encodeForwardResponse } from './encode-forwarding.js';
 import { encodeVerdict } from './attempt-verdict.js';
+import { MESSAGE_BYTES_MAX } from './message-limits.js';
 import { PEER_SECRET_HEADER } from './peer-outbox.js';
 
-const MESSAGE_BYTES_MAX = 16 * 1024 * 1024;
+const STATUS_UNAUTHORIZED = 401;
 
 export interface PeerHandlers {
   onMessages(from: string, bodies: readonly PeerMessage['body'][]): void;
@@ -50,20 +55,26 @@
   close(): Promise<void>;
 }
 
+/** Answers as the connect protocol does for `unauthenticated`. */
+function refuseSecret(response: Http2ServerResponse): void {
+  const message = 'wrong peer secret; set the same one on every instance';
+  response.writeHead(STATUS_UNAUTHORIZED, { 'content-type': 'application/json' });
+  response.end(JSON.stringify({ code: 'unauthenticated', message }));
+}
+
+/** Checks the secret before anything of a body is read, which may be large. */
 function createPeerAdapter(secret: string, handlers: PeerHandlers) {
   const expected = hashText(`Bearer ${secret}`);
-  const checkSecret: Interceptor = (next) => (request) => {
-    const given = hashText(request.header.get(PEER_SECRET_HEADER) ?? '');
-    if (!isSameDigest(given, expected)) {
-      throw new ConnectError(
-        'wrong peer secret; set the same one on every instance',
-        Code.Unauthenticated,
-      );
-    }
-    return next(request);
+  const adapter = createServiceAdapter(handlers);
+  return (request: Http2ServerRequest, response: Http2ServerResponse): void => {
+    const given = hashText(String(request.headers[PEER_SECRET_HEADER] ?? ''));
+    if (isSameDigest(given, expected)) adapter(request, response);
+    else refuseSecret(response);
   };
+}
+
+function createServiceAdapter(handlers: PeerHandlers) {
   return connectNodeAdapter({
-    interceptors: [checkSecret],
     readMaxBytes: MESSAGE_BYTES_MAX,
     routes: (router) => {
       router.service(PeerService, {
