--- a/src/caller-connections/caller-stream.ts
+++ b/src/caller-connections/caller-stream.ts
@@ -174,8 +174,19 @@
     else readFromSource(size);
   };
   socket.on('resume', startReading);
+  /** The runtime tells nobody of the end of responses that wait for their turn on a closed connection. */
+  function closeWaiting(): void {
+    for (const response of [...open]) {
+      if (response.socket === null) {
+        response.destroy();
+        response.emit('close');
+      }
+    }
+  }
+
   socket.once('close', () => {
     held = NOTHING;
+    closeWaiting();
     turns.remove(reader);
     unread.remove(stream);
   });
