Callers' connections: a response that waits behind another one closes with its connection

When a caller that pipelines left, the runtime closed only the response whose turn it was. The ones behind it never closed: their calls ran on to their deadlines, the memory of their bodies and answers was never given back, and a planned stop counted them as open to the end of its grace period.

Evidence: the new test on the code before: of three responses only the first closes ('/first true'). With the change all three close.

--- a/src/caller-connections/caller-connections.test.ts
+++ b/src/caller-connections/caller-connections.test.ts
@@ -103,6 +103,23 @@
 }
 
 describe('connections of callers', ({ it }) => {
+  // Guards against calls and memory of requests that wait behind another one and never end once their caller has left.
+  it('close each of their responses when they close', async (t) => {
+    const closed: string[] = [];
+    const server = await startServer(t, (request, response) => {
+      response.on('close', () => closed.push(`${request.url} ${response.destroyed}`));
+      if (request.url === '/whole') response.end('whole');
+    });
+    const socket = await server.openConnection();
+    const paths = ['/first', '/second', '/whole'];
+    socket.write(paths.map((path) => HEAD.replace('/', path)).join(''));
+    await waitTurn();
+    t.deepEqual(closed, []);
+    socket.destroy();
+    await waitTurn();
+    t.deepEqual(closed.sort(), ['/first true', '/second true', '/whole true']);
+  });
+
   it('carry any framing of requests, cut at any byte', async (t) => {
     const server = await startServer(t, handleEcho);
     const cuts = fc.array(fc.double({ min: 0, max: 1, noNaN: true }), { maxLength: 8 });
--- a/src/caller-connections/caller-stream.ts
+++ b/src/caller-connections/caller-stream.ts
@@ -40,6 +40,16 @@
     : { kind: 'chunks' };
 }
 
+/**
+ * Closes a response that waits behind another one when its connection closes: the runtime tells only the
+ * response whose turn it is, so that the others would never end.
+ */
+function closeQueued(response: ServerResponse): void {
+  if (response.socket !== null || response.closed) return;
+  response.destroy();
+  response.emit('close');
+}
+
 /**
  * Takes over the reading of a socket that an HTTP server has. Both methods of the stream that are
  * replaced are those by which its source and its reader meet.
@@ -175,6 +185,7 @@
   };
   socket.on('resume', startReading);
   socket.once('close', () => {
+    for (const response of open) closeQueued(response);
     held = NOTHING;
     turns.remove(reader);
     unread.remove(stream);
