Known red: an answer behind a 100 Continue that nobody asked for is broken off

Seen by the fuzzer of answers: undici takes the head for a bad response and ends the connection. 102 and 103 are passed over as they should be.

--- a/src/calls/answer-pieces.test.ts
+++ b/src/calls/answer-pieces.test.ts
@@ -220,4 +220,17 @@
     );
     t.pass();
   });
+
+  // Guards against a broken call where an endpoint says 100 Continue though nobody asked.
+  it('is whole behind a 100 Continue', async (t) => {
+    const { runExchange } = await startExchanges(t);
+    const [answer] = fc.sample(
+      ANSWERS.filter(({ kind }) => kind === 'plain'),
+      { numRuns: 1, seed: 1 },
+    );
+    if (answer === undefined) throw new Error('no answer was built');
+    const text = `HTTP/1.1 100 Continue\r\n\r\n${answer.text}`;
+    const outcome = await runExchange(false, buildWholePlay({ ...answer, text }, []));
+    t.is(describeOutcome(outcome), describeExpected(answer));
+  });
 });
