--- a/src/lifecycle/open-responses.test.ts
+++ b/src/lifecycle/open-responses.test.ts
@@ -66,6 +66,27 @@
     t.is(server.openResponses.count(), 0);
   });
 
+  // Guards against a request that has arrived when its connection closes, and gets no answer.
+  it('are closed after the answer to a request that has arrived and is not read yet', async (t) => {
+    const server = await startServer();
+    t.teardown(() => server.stop());
+    const socket = await server.openConnection();
+    let text = '';
+    socket.on('data', (bytes: Buffer) => {
+      text += bytes.toString();
+    });
+    // Until the server has seen the connection.
+    const used = await server.openConnection();
+    used.resume().write(REQUEST);
+    await server.waitForRequest(1);
+    socket.write(REQUEST);
+    server.openResponses.closeIdle();
+    await Promise.race([server.waitForRequest(2), once(socket, 'end')]);
+    server.responses[1]?.end('arrived');
+    await once(socket, 'close');
+    t.regex(text, /arrived$/);
+  });
+
   // Guards against a connection that closes after one answer while a request behind it waits for its turn.
   it('are closed after the answers of all pipelined requests', async (t) => {
     const server = await startServer();
--- a/src/lifecycle/open-responses.ts
+++ b/src/lifecycle/open-responses.ts
@@ -1,6 +1,7 @@
 /** The connections of an HTTP server to its callers, and the responses that it owes them. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 
 export interface OpenResponses {
   /** Number of responses that are neither written out nor closed. */
@@ -58,6 +59,16 @@
     else idle.add(socket);
   }
 
+  /** A request that has arrived may still be unread: the event loop polls again before its connection ends. */
+  async function closeIdleConnections(): Promise<void> {
+    await setImmediate();
+    await setImmediate();
+    for (const socket of idle) {
+      if (!hasUnread(socket)) closeConnection(socket);
+    }
+    idle.clear();
+  }
+
   server.on('connection', (socket: Socket) => {
     idle.add(socket);
     socket.once('close', () => idle.delete(socket));
@@ -91,8 +102,8 @@
     isClosing: (socket) => closing.has(socket),
     closeIdle() {
       isClosingAll = true;
-      for (const socket of idle) closeConnection(socket);
-      idle.clear();
+      // Never rejects: nothing in it throws.
+      closeIdleConnections().catch(() => undefined);
     },
   };
 }
