Exchanges that are held: an end or a reset meanwhile no longer ends the process, and all go on

Undici's parser may neither be told of the end of a connection while it is paused nor be resumed within the handling of another connection's bytes; it asserts both. Since exchanges are held back, both happen in sound traffic: an answer with Connection: close, or without a length, that is held at its last piece (a slow reader of a stream, an answer that waits for memory), whose endpoint then closes; and an answer that is broken off as too large, whose memory lets others go on within the handling of its last piece.

The end is now read once the exchange goes on, a reset is told as an error, and an exchange is resumed after the present step.

--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -223,6 +223,32 @@
     let bodyBytes = 0;
     connection.isBusy = true;
 
+    /** Undici's parsers go on only while none of them handles bytes. */
+    function setFlow(
+      exchangeFlow: ExchangeFlow,
+      controller: Pick<Dispatcher.DispatchController, 'pause' | 'resume'>,
+    ): void {
+      let isHeld = false;
+      const resume = (): void => {
+        // The connection may carry another exchange by now.
+        if (isHeld || isFinished) return;
+        controller.resume();
+        connection.link.release();
+      };
+      Object.assign(exchangeFlow, {
+        pause() {
+          if (isFinished) return;
+          isHeld = true;
+          connection.link.hold();
+          controller.pause();
+        },
+        resume() {
+          isHeld = false;
+          queueMicrotask(resume);
+        },
+      });
+    }
+
     function close(): void {
       isFinished = true;
       requestController?.abort(new Error('exchange cancelled'));
@@ -240,12 +266,7 @@
         onRequestStart(controller) {
           requestController = controller;
           connection.link.startAnswer();
-          if (flow !== undefined) {
-            Object.assign(flow, {
-              pause: () => controller.pause(),
-              resume: () => controller.resume(),
-            });
-          }
+          if (flow !== undefined) setFlow(flow, controller);
           if (isFinished) controller.abort(new Error('exchange cancelled'));
           else if (!listener.isSendAllowed()) {
             close();
--- a/src/connections/guarded-link.ts
+++ b/src/connections/guarded-link.ts
@@ -58,6 +58,26 @@
   recordHead(status: number): void;
   recordBody(bytes: number): void;
   endAnswer(): void;
+  /** The answer is held: the end of the connection waits as its bytes do. */
+  hold(): void;
+  /** Call it once undici's parser is resumed. */
+  release(): void;
+}
+
+/** The error of a connection that its server reset within an answer that is held. */
+const HELD_RESET_CODE = 'ECONNABORTED';
+
+/**
+ * Undici ends the process if an answer without keep-alive ends, or its connection is reset, while its
+ * parser is paused. The end is therefore not read, and the reset told as an error of another kind.
+ */
+function addHoldLimits(socket: Socket, isHeld: () => boolean): void {
+  const readSocket = socket.read.bind(socket);
+  socket.read = (size?: number): unknown =>
+    size === 0 && isHeld() && socket.readableLength === 0 ? null : readSocket(size);
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    if (isHeld() && error.code === 'ECONNRESET') error.code = HELD_RESET_CODE;
+  });
 }
 
 /**
@@ -91,6 +111,7 @@
 export function createGuardedLink(turns: ReadTurns = PROCESS_TURNS): GuardedLink {
   const guard = createAnswerGuard();
   let current: Socket | undefined;
+  let isHeld = false;
 
   /** What a parser that was paused gave back does not count as handled. */
   function countHandledBytes(): number {
@@ -104,14 +125,28 @@
         if (!socket.destroyed) socket.emit('readable');
       });
       socket.once('close', () => reader.close());
+      addHoldLimits(socket, () => isHeld);
       addReadLimits(socket, reader, () => guard.checkBytes(countHandledBytes()));
     },
-    startAnswer: () => guard.startAnswer(countHandledBytes()),
+    startAnswer() {
+      isHeld = false;
+      guard.startAnswer(countHandledBytes());
+    },
     recordHead(status) {
       const fault = guard.recordHead(status);
       if (fault !== undefined) current?.destroy(createAnswerFaultError(fault));
     },
     recordBody: (bytes) => guard.recordBody(bytes),
-    endAnswer: () => guard.endAnswer(),
+    endAnswer() {
+      isHeld = false;
+      guard.endAnswer();
+    },
+    hold() {
+      isHeld = true;
+    },
+    release() {
+      isHeld = false;
+      if (current?.destroyed === false) current.emit('readable');
+    },
   };
 }
