--- a/src/caller-connections/caller-stream.ts
+++ b/src/caller-connections/caller-stream.ts
@@ -1,6 +1,7 @@
 /** Holds what is read from a caller's socket, and gives it to the HTTP server slice by slice. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { closeQueued } from './close-queued.js';
 import { createSlicePlan } from './slice-plan.js';
 import type { Expected } from './slice-plan.js';
 import type { ReadTurns } from './read-turns.js';
@@ -40,16 +41,6 @@
     : { kind: 'chunks' };
 }
 
-/**
- * Closes a response that waits behind another one when its connection closes: the runtime tells only the
- * response whose turn it is, so that the others would never end.
- */
-function closeQueued(response: ServerResponse): void {
-  if (response.socket !== null || response.closed) return;
-  response.destroy();
-  response.emit('close');
-}
-
 /**
  * Takes over the reading of a socket that an HTTP server has. Both methods of the stream that are
  * replaced are those by which its source and its reader meet.
