--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -97,7 +97,7 @@
     const { joined, fault } = stream.add(bytes);
     for (const events of joined) listener.onEvent(events);
     if (fault === undefined) return true;
-    close({ kind: 'broken', reason: fault, isRefused: true });
+    close({ kind: 'broken', reason: fault });
     return false;
   }
 
