A connection that has just been ended is closed when it is reset

A test of a caller that never reads showed six sockets that were destroyed and whose handles were open.

The runtime's resetAndDestroy fails with EINVAL while the end of the sending half is under way, that is, right after end(); the socket then counts as closing for ever: its descriptor stays open, its peer sees nothing, 'close' never comes, and the environment's cleanup waits for it without end. In a router that is a descriptor and a waiting caller for each answer that is broken off on a connection that a drain has just ended; the relays of the tests did it often.

closeWithReset waits for the end that is under way, then resets. It is used at each place, and the linter refuses the other.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -101,6 +101,10 @@
   {
     files: ['**/*.ts'],
     rules: {
+      'no-restricted-properties': [
+        'error',
+        { property: 'resetAndDestroy', message: 'It can leave a socket open; use closeWithReset.' },
+      ],
       // Node 20 runs for-of natively, so the guide's reason (a generator runtime) does not hold.
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       // Functions of one closure call each other in both directions; `const`s are set before any runs.
--- a/src/calls/answer-pieces.test.ts
+++ b/src/calls/answer-pieces.test.ts
@@ -22,6 +22,7 @@
 import type { AttemptListener, DecodedHead } from './attempt-reader.js';
 import type { AttemptEnd, HeaderField } from './call-messages.js';
 import { createEndpointConnections } from './endpoint-connections.js';
+import { closeWithReset } from '../runtime/close-with-reset.js';
 
 const ALL_CUTS_RUNS = 4;
 const PIECES_RUNS = 150;
@@ -138,7 +139,7 @@
 
 function buildEndingPlay(text: string, isReset: boolean): Play {
   return (socket) => {
-    if (isReset) socket.write(text, 'latin1', () => socket.resetAndDestroy());
+    if (isReset) socket.write(text, 'latin1', () => closeWithReset(socket));
     else socket.end(text, 'latin1');
   };
 }
--- a/src/calls/cut-heads.test.ts
+++ b/src/calls/cut-heads.test.ts
@@ -4,6 +4,7 @@
 import { describe } from '../test/describe.js';
 import { createEndpointConnections } from './endpoint-connections.js';
 import type { EndpointConnections } from './endpoint-connections.js';
+import { closeWithReset } from '../runtime/close-with-reset.js';
 
 const OWN_HEADERS = 'X-Signature: s\r\nX-Call: c\r\n';
 const INFORMATIONAL = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
@@ -25,7 +26,7 @@
 
 const CUT = {
   Close: (socket: Socket, bytes: string) => socket.end(bytes),
-  Reset: (socket: Socket, bytes: string) => socket.write(bytes, () => socket.resetAndDestroy()),
+  Reset: (socket: Socket, bytes: string) => socket.write(bytes, () => closeWithReset(socket)),
 } as const;
 
 async function startServer(onRequest: (socket: Socket) => void): Promise<Server> {
--- a/src/calls/endpoint-connections.test.ts
+++ b/src/calls/endpoint-connections.test.ts
@@ -3,6 +3,7 @@
 import { describe } from '../test/describe.js';
 import { createEndpointConnections } from './endpoint-connections.js';
 import type { EndpointConnections, EndpointRequest } from './endpoint-connections.js';
+import { closeWithReset } from '../runtime/close-with-reset.js';
 
 const REQUEST: EndpointRequest = {
   method: 'POST',
@@ -62,7 +63,7 @@
     const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal';
     const server = await startEndpoint((socket, count) => {
       if (count === 1) socket.end(`${head}lo`);
-      else socket.write(head, () => socket.resetAndDestroy());
+      else socket.write(head, () => closeWithReset(socket));
     });
     const connections = createEndpointConnections();
     t.deepEqual(await runExchange(connections, getAddress(server)), {
--- a/src/calls/held-exchanges.test.ts
+++ b/src/calls/held-exchanges.test.ts
@@ -4,6 +4,7 @@
 import { describe } from '../test/describe.js';
 import { createEndpointConnections } from './endpoint-connections.js';
 import type { ExchangeFlow } from './endpoint-connections.js';
+import { closeWithReset } from '../runtime/close-with-reset.js';
 
 const HEAD_WITH_LENGTH = 'HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n';
 const HEAD_UNTIL_CLOSE = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
@@ -90,7 +91,7 @@
     });
     const held = setup.open(({ pause }) => pause());
     await waitMs(WAIT_MS);
-    endpointSocket?.resetAndDestroy();
+    closeWithReset(endpointSocket);
     await waitMs(WAIT_MS);
     held.flow.resume();
     await waitMs(WAIT_MS);
--- a/src/node/endpoint-client.test.ts
+++ b/src/node/endpoint-client.test.ts
@@ -7,6 +7,7 @@
 import { describe } from '../test/describe.js';
 import { createEndpointClient } from './endpoint-client.js';
 import type { ServiceResult } from './endpoint-client.js';
+import { closeWithReset } from '../runtime/close-with-reset.js';
 
 const TIMEOUT_MS = 500;
 const ORDER = { fence: 4, models: ['small'] };
@@ -182,7 +183,7 @@
         (socket) => socket.end(`${HEAD}Content-Le`),
         (socket) => socket.end(`${HEAD}Content-Length: 5\r\n\r\nhal`),
         (socket) => socket.end(`${HEAD}\r\n`),
-        (socket) => socket.write(`${HEAD}\r\nhal`, () => socket.resetAndDestroy()),
+        (socket) => socket.write(`${HEAD}\r\nhal`, () => closeWithReset(socket)),
       ];
       const results = await Promise.all(cuts.map((cut) => runAgainst(t, cut)));
       for (const [index, result] of results.entries())
--- a/src/test/peer-troubles-main.ts
+++ b/src/test/peer-troubles-main.ts
@@ -9,6 +9,7 @@
 import { createPeerOutbox } from '../peers/peer-outbox.js';
 import { createMetrics } from '../runtime/metrics.js';
 import { createRandom } from '../utils/random.js';
+import { closeWithReset } from '../runtime/close-with-reset.js';
 
 const SECRET = 'a-secret-of-all-routers';
 /** Links to each peer. */
@@ -32,12 +33,12 @@
 /** What a peer does with a connection. */
 const PEERS: Readonly<Record<string, (socket: Socket) => void>> = {
   silent: () => undefined,
-  resets: (socket) => socket.resetAndDestroy(),
-  resetsLater: (socket) => runLater(60, () => socket.resetAndDestroy()),
-  resetsAtPreface: (socket) => socket.once('data', () => socket.resetAndDestroy()),
+  resets: (socket) => closeWithReset(socket),
+  resetsLater: (socket) => runLater(60, () => closeWithReset(socket)),
+  resetsAtPreface: (socket) => socket.once('data', () => closeWithReset(socket)),
   resetsAfterSettings(socket) {
     socket.write(EMPTY_SETTINGS);
-    runLater(60, () => socket.resetAndDestroy());
+    runLater(60, () => closeWithReset(socket));
   },
   closesHalf: (socket) => socket.end(),
   closesHalfAfterSettings: (socket) => socket.end(EMPTY_SETTINGS),
@@ -48,7 +49,7 @@
   goesAwayFailing: (socket) => socket.write(Buffer.concat([EMPTY_SETTINGS, buildGoaway(11)])),
   goesAwayAndResets(socket) {
     socket.write(Buffer.concat([EMPTY_SETTINGS, buildGoaway(2)]));
-    runLater(20, () => socket.resetAndDestroy());
+    runLater(20, () => closeWithReset(socket));
   },
   settingsThenSilent: (socket) => socket.write(EMPTY_SETTINGS),
 };
