--- a/review/6/main.mjs
+++ b/review/6/main.mjs
@@ -9,6 +9,7 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { openCaller } from '../lib-2/callers.mjs';
+import { createMemory, createRun } from '../lib-2/engine.mjs';
 import { startRouters, waitMs } from '../lib-2/routers.mjs';
 import { startRunner } from '../lib-2/runners.mjs';
 import { startStore } from '../lib-2/store.mjs';
@@ -25,7 +26,6 @@
 const GRACE_MS = 8000;
 /** Memory of a runner. A digest and an urgent request have no room beside each other, all others have. */
 const CAPACITY_TOKENS = 5000;
-const READ_AGAIN_MS = 50;
 const EVENTS = 12;
 const EVENT_PAUSE_MS = 120;
 const CLERK_PAUSE_MS = 2200;
@@ -91,76 +91,12 @@
   };
 }
 
-/**
- * The memory of one runner: requests take what X-Token-Count names. When it runs out, the newest of the least
- * urgent requests is preempted, also in the middle of its stream, and read in again once there is room.
- */
-function createMemory() {
-  const running = new Set();
-  const getUsed = () =>
-    [...running].reduce((sum, { tokens, isPreempted }) => sum + (isPreempted ? 0 : tokens), 0);
-
-  function preemptFor(urgent) {
-    while (getUsed() + urgent.tokens > CAPACITY_TOKENS) {
-      const [victim] = [...running]
-        .filter(({ priority, isPreempted }) => !isPreempted && priority > urgent.priority)
-        .sort((x, y) => y.priority - x.priority || y.beganMs - x.beganMs);
-      if (victim === undefined) return;
-      victim.isPreempted = true;
-      record(`runner: ${victim.callId} is preempted for ${urgent.callId}`);
-    }
-  }
-
-  return {
-    add(request) {
-      preemptFor(request);
-      running.add(request);
-    },
-    remove: (request) => running.delete(request),
-    /** Resolves once the request may make its next event. */
-    async waitTurn(request, isGone) {
-      while (request.isPreempted && !isGone()) {
-        await waitMs(10);
-        if (request.isPreempted && getUsed() + request.tokens <= CAPACITY_TOKENS) {
-          await waitMs(READ_AGAIN_MS);
-          request.isPreempted = false;
-          record(`runner: ${request.callId} is read in again and goes on`);
-        }
-      }
-    },
-  };
-}
-
 const PACES = {
   digest: { events: EVENTS, pauseMs: EVENT_PAUSE_MS },
   xref: { events: 3, pauseMs: 30 },
   urgent: { events: 26, pauseMs: 100 },
 };
 
-/** Streams numbered events. */
-function createRun(memory) {
-  return async ({ request, response, record: run, headers }) => {
-    const { events, pauseMs } = PACES[run.callId.split('-')[0]];
-    const [tokensIn, tokensOut] = request.headers['x-token-count'].split(',').map(Number);
-    const own = {
-      callId: run.callId,
-      tokens: tokensIn + tokensOut,
-      priority: Number(request.headers['x-request-priority'] ?? 5),
-      beganMs: performance.now(),
-      isPreempted: false,
-    };
-    memory.add(own);
-    response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
-    for (let event = 1; event <= events && !response.destroyed; event += 1) {
-      await memory.waitTurn(own, () => response.destroyed);
-      response.write(`id: ${event}\ndata: ${run.callId} ${event}\n\n`);
-      await waitMs(pauseMs);
-    }
-    memory.remove(own);
-    response.end();
-  };
-}
-
 const TOKENS = { digest: '1460,80', xref: '1300,40', urgent: '3300,300' };
 const PATHS = { digest: '/digest/2f', xref: '/xref/2f', urgent: '/xref/2f' };
 
@@ -194,7 +130,13 @@
   const store = await startStore('127.0.0.1');
   const runners = [];
   for (const id of ['i-7f3a91c2', 'i-02d9e6b4'])
-    runners.push(await startRunner({ host: '127.0.0.1', id, run: createRun(createMemory()) }));
+    runners.push(
+      await startRunner({
+        host: '127.0.0.1',
+        id,
+        run: createRun(createMemory(CAPACITY_TOKENS, record), PACES),
+      }),
+    );
   store.set('op', 'config', buildConfiguration());
   for (const [index, { id, address }] of runners.entries()) {
     const entry = {
