--- a/review/lib-2/runners.mjs
+++ b/review/lib-2/runners.mjs
@@ -60,13 +60,29 @@
     handle(request, response).catch(() => response.destroy());
   });
   server.keepAliveTimeout = 10_000;
-  await new Promise((resolve) => {
-    server.listen(0, host, resolve);
+  const sockets = new Set();
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('error', () => undefined);
   });
+  const listen = (port) =>
+    new Promise((resolve) => {
+      server.listen(port, host, resolve);
+    });
+  await listen(0);
+  const { port } = server.address();
   return {
     id,
     runs,
-    address: `${host}:${server.address().port}`,
+    address: `${host}:${port}`,
+    /** Ends as a process that is killed: its connections are reset, and nothing listens any more. */
+    crash() {
+      server.close();
+      for (const socket of sockets) socket.resetAndDestroy();
+    },
+    /** A new lifetime at the same address. */
+    restart: () => listen(port),
     close() {
       server.closeAllConnections();
       server.close();
