--- a/review/lib-2/routers.mjs
+++ b/review/lib-2/routers.mjs
@@ -1,7 +1,7 @@
 /* eslint-disable no-await-in-loop, no-restricted-syntax -- a part of the scripts, run as it is */
 /** Starts routers with the command of the deploy file, each at a loopback address of its own. */
 import { spawn } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync, createWriteStream } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync, createWriteStream } from 'node:fs';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
@@ -111,6 +111,10 @@
 ${duties}`;
 }
 
+function readLastLine(path) {
+  return readFileSync(path, 'utf8').trimEnd().split('\n').at(-1);
+}
+
 function fetchStatus(host, port, path) {
   return new Promise((resolve) => {
     const sent = request({ host, port, path, agent: false, timeout: 1000 }, (response) => {
@@ -176,12 +180,19 @@
   return {
     folder,
     routers,
-    waitReady: (timeoutMs) =>
-      waitFor(
-        async () => (await Promise.all(routers.map((each) => each.isReady()))).every(Boolean),
-        timeoutMs,
-        50,
-      ),
+    /** Throws if they do not become ready; names those that are not. */
+    async waitReady(timeoutMs) {
+      const listUnready = async () => {
+        const states = await Promise.all(routers.map((each) => each.isReady()));
+        return routers.filter((_, index) => !states[index]);
+      };
+      if (await waitFor(async () => (await listUnready()).length === 0, timeoutMs, 50)) return true;
+      const unready = (await listUnready()).map(
+        ({ name, exits }) =>
+          `${name} (${exits.length} ends): ${readLastLine(join(folder, `${name}.log`))}`,
+      );
+      throw new Error(`not ready after ${timeoutMs} ms: ${unready.join('; ')}`);
+    },
     async stop() {
       for (const { process: child } of routers) {
         if (child !== undefined && child.exitCode === null && child.signalCode === null) {
