Silence of an endpoint ends no call, and only the path itself shows that it is lost

Cause: the path ledger took the answer to another request for proof that the own path was lost, and the exchanges were then ended as if their connection had broken, at a peer that carries them, too. path_changed shows it: doubted, then lost by 'a peer got an answer', and the end in the same tick.

Change: a doubt that a peer's answer supports is settled by one connection of one's own; if it is accepted, one call at a time tries the path. No exchange is ended by a judgement on its path: calls that may be repeated are told of the loss and move, all others wait for their answer, their connection or their time.

Changed check: 'takes the path for lost if a peer gets an answer' asked for the fault. It now asks for the loss if no connection can be made besides, and new ones for the trial if one is accepted and for the loss if that trial fails.

--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -114,6 +114,8 @@
   /** This instance reads no more of the response for now, so that its silence says nothing. */
   | { readonly kind: 'held'; readonly attempt: number }
   | { readonly kind: 'resumed'; readonly attempt: number }
+  /** The response is silent, and the path to its endpoint counts as lost; it may come all the same. */
+  | { readonly kind: 'path_lost'; readonly attempt: number }
   | { readonly kind: 'ended'; readonly attempt: number; readonly end: AttemptEnd }
   | { readonly kind: 'caller_left' }
   /** This instance stops before the call can end; `failure` is for a call that has not run. */
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -221,6 +221,7 @@
         onData: (bytes) => reader.readData(bytes),
         onEnd: () => reader.readEnd(),
         onError: (isSent, reason, _, isRefused) => reader.readError(isSent, reason, isRefused),
+        onPathLost: () => runSafely(run, () => advanceRun(run, { kind: 'path_lost', attempt })),
       },
       holds.flow,
     );
--- a/src/calls/call-state-machine.ts
+++ b/src/calls/call-state-machine.ts
@@ -69,6 +69,8 @@
   let isDispatched = false;
   /** The response of the current attempt is held back by this instance. */
   let isHeld = false;
+  /** The path to the endpoint of the current attempt counts as lost. */
+  let isPathLost = false;
   /** When the current attempt was sent or last received data. */
   let lastActivityMs = 0;
   let mayHaveRun = false;
@@ -108,6 +110,7 @@
     isAttemptPending = true;
     isDispatched = false;
     isHeld = false;
+    isPathLost = false;
     hasResponseStarted = false;
     lastActivityMs = nowMs;
     commands.push({ kind: 'attempt', attempt, lastEventId });
@@ -198,6 +201,11 @@
     commands.push({ kind: 'deliver_head', head });
   }
 
+  function recordActivity(nowMs: number): void {
+    lastActivityMs = nowMs;
+    isPathLost = false;
+  }
+
   /** An empty id takes back those before it, as readers of events do. */
   function recordPlace({ id, hasData }: Extract<CallMessage, { kind: 'event' }>): void {
     if (id !== undefined) isPlaceLost = id === '';
@@ -242,7 +250,7 @@
       ? options.streamIdleTimeoutMs
       : options.firstResponseTimeoutMs;
     const isAwaited = isAttemptPending && isDispatched && !isHeld;
-    const isStalled = isAwaited && nowMs - lastActivityMs >= timeoutMs;
+    const isStalled = isAwaited && (isPathLost || nowMs - lastActivityMs >= timeoutMs);
     if (!isStalled || !isRepeatAllowed() || !options.takeRetry()) return;
     mayHaveRun = true;
     cancelAttempt('stalled');
@@ -279,11 +287,11 @@
         lastActivityMs = nowMs;
         break;
       case 'stream_started':
-        lastActivityMs = nowMs;
+        recordActivity(nowMs);
         handleStreamStart(message.head);
         break;
       case 'event':
-        lastActivityMs = nowMs;
+        recordActivity(nowMs);
         recordPlace(message);
         commands.push({ kind: 'deliver_event', bytes: message.bytes });
         break;
@@ -292,7 +300,11 @@
         break;
       case 'resumed':
         isHeld = false;
-        lastActivityMs = nowMs;
+        recordActivity(nowMs);
+        break;
+      case 'path_lost':
+        isPathLost = true;
+        checkStall(nowMs);
         break;
       case 'ended':
         handleAttemptEnd(message.end, nowMs);
--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -47,6 +47,8 @@
    * could be made. `isRefused`: this instance closed the connection because of what the endpoint sent.
    */
   onError(isSent: boolean, reason: string, isUnreachable?: boolean, isRefused?: boolean): void;
+  /** The response is silent, and the path to the endpoint counts as lost; the exchange goes on. May be repeated. */
+  onPathLost?(): void;
 }
 
 /** Lets the receiver of a response hold it back; the functions have no effect outside of one. */
--- a/src/forwarding/forwarded-exchanges.ts
+++ b/src/forwarding/forwarded-exchanges.ts
@@ -22,7 +22,7 @@
 import type { PathChange, PathLedger, PathTicket } from './path-ledger.js';
 
 const TICK_MS = 100;
-/** Silence after which an exchange ends once the loss of its path is confirmed. */
+/** Silence after which an exchange is told that the loss of its path is confirmed. */
 const LOST_SILENCE_MS = 1000;
 /** Silence that is usual for an exchange of a peer, whose route is not known here. */
 const CARRIED_PATIENCE_MS = 2000;
@@ -78,8 +78,7 @@
   readonly start: string;
   readonly address: string;
   readonly ticket: PathTicket;
-  /** Ends it as if its connection had broken. */
-  breakOff(reason: string): void;
+  reportLoss(): void;
 }
 
 function isRepeatable({ route: { kind } }: RoutedCall): boolean {
@@ -126,10 +125,7 @@
       start: endpoint.startId,
       address: endpoint.address,
       ticket,
-      breakOff(reason) {
-        close();
-        listener.onError(true, reason);
-      },
+      reportLoss: () => listener.onPathLost?.(),
     };
     directExchanges.add(exchange);
     const closeConnection = connections.open(
@@ -183,7 +179,9 @@
       exchange,
       {
         ...listener,
-        onAnswering: (sentMs) => ledger.recordPeerAnswered(startId, sentMs),
+        onAnswering(sentMs) {
+          if (ledger.recordPeerAnswered(startId, sentMs)) startCheck(exchange.endpoint);
+        },
         onUnavailable(isEndpointDown) {
           if (isEndpointDown) ledger.recordPeersFailed(startId);
           onUnavailable();
@@ -284,17 +282,20 @@
     return close;
   }
 
-  /** Guards against calls that hold their places until their deadline on connections that hang. */
-  function closeLostExchanges(): void {
-    for (const { start, ticket, breakOff } of [...directExchanges]) {
+  /**
+   * Guards against calls that hang on a lost path though they could go on elsewhere. None is ended here: the
+   * endpoint may be silent and sound, and a call that may run only once gains nothing by an early end.
+   */
+  function publishLostPaths(): void {
+    for (const { start, ticket, reportLoss } of [...directExchanges]) {
       const isLost = ledger.isLossConfirmed(start) && ticket.computeSilence() >= LOST_SILENCE_MS;
-      if (isLost) breakOff('the path to the endpoint was lost');
+      if (isLost) reportLoss();
     }
   }
 
   timers.subscribe(TICK_MS, () => {
     ledger.advance();
-    closeLostExchanges();
+    publishLostPaths();
   });
 
   return {
--- a/src/forwarding/path-ledger.test.ts
+++ b/src/forwarding/path-ledger.test.ts
@@ -113,23 +113,65 @@
       t.deepEqual(ledger.list(), []);
     });
 
-    it('takes the path for lost if a peer gets an answer', (t) => {
+    it('takes the path for lost if a peer gets an answer and no connection can be made', (t) => {
       const { ledger, runFor } = createHarness();
       const ticket = ledger.start('a', PATIENCE_MS, false);
       runFor(1100);
-      ledger.recordPeerAnswered('a', 1050);
+      t.true(ledger.recordPeerAnswered('a', 1050));
+      t.is(ledger.choose('a', true).kind, 'peer_first');
+      t.is(ledger.choose('a', false).kind, 'peer_first');
+      ledger.recordChecked('a', false);
       t.is(ledger.choose('a', true).kind, 'peer');
       t.true(ledger.isLossConfirmed('a'));
       t.true(ticket.computeSilence() >= 1000);
     });
 
+    // Guards against taking a path for lost since the endpoint is silent to some and answers others.
+    it('does not take the path for lost if a connection is accepted', (t) => {
+      const { ledger, runFor } = createHarness();
+      const ticket = ledger.start('a', PATIENCE_MS, false);
+      runFor(1100);
+      t.true(ledger.recordPeerAnswered('a', 1050));
+      ledger.recordChecked('a', true);
+      t.false(ledger.isLossConfirmed('a'));
+      t.is(ledger.choose('a', true).kind, 'trial');
+      t.is(ledger.choose('a', false).kind, 'peer_first');
+      ticket.recordHeard();
+      t.is(ledger.choose('a', false).kind, 'direct');
+    });
+
+    // Guards against a connection for each answer of a peer.
+    it('checks the connection once for all answers of peers', (t) => {
+      const { ledger, runFor } = createHarness();
+      ledger.start('a', PATIENCE_MS, false);
+      runFor(1100);
+      t.true(ledger.recordPeerAnswered('a', 1050));
+      t.false(ledger.recordPeerAnswered('a', 1050));
+      ledger.recordChecked('a', true);
+      t.false(ledger.recordPeerAnswered('a', 1050));
+    });
+
+    // Guards against calls that all return to a path on which connections are accepted and nothing passes.
+    it('takes the path for lost if a call that tries it fails', (t) => {
+      const { ledger, runFor } = createHarness();
+      ledger.start('a', PATIENCE_MS, false);
+      runFor(1100);
+      ledger.recordPeerAnswered('a', 1050);
+      ledger.recordChecked('a', true);
+      t.is(ledger.choose('a', true).kind, 'trial');
+      ledger.start('a', PATIENCE_MS, true).recordEnd();
+      t.is(ledger.choose('a', true).kind, 'peer');
+      ledger.recordPeerAnswered('a', 1100);
+      t.true(ledger.isLossConfirmed('a'));
+    });
+
     // Guards against taking an endpoint that paused for everybody for a lost path.
     it('keeps the path if the endpoint answered here after the peer was asked', (t) => {
       const { ledger, runFor } = createHarness();
       const ticket = ledger.start('a', PATIENCE_MS, false);
       runFor(1100);
       ticket.recordHeard();
-      ledger.recordPeerAnswered('a', 1050);
+      t.false(ledger.recordPeerAnswered('a', 1050));
       t.is(ledger.choose('a', true).kind, 'direct');
     });
 
--- a/src/forwarding/path-ledger.ts
+++ b/src/forwarding/path-ledger.ts
@@ -31,7 +31,7 @@
   Doubted: 'doubted',
   /** This instance does not reach the endpoint. */
   Lost: 'lost',
-  /** A connection was accepted again; one call at a time tries the path. */
+  /** A connection was accepted; one call at a time tries the path. */
   Returning: 'returning',
 } as const;
 export type PathState = (typeof PATH_STATE)[keyof typeof PATH_STATE];
@@ -39,7 +39,8 @@
 export const PATH_EVIDENCE = {
   NotConnected: 'no connection could be made',
   Silent: 'no answer since the requests under way were sent',
-  PeerAnswered: 'a peer got an answer while the endpoint was silent here',
+  PeerAnswered:
+    'a peer got an answer and no connection could be made, while the endpoint was silent here',
   TrialFailed: 'a call that tried the path got no answer',
   Connected: 'a connection was accepted',
   Answered: 'an answer came',
@@ -95,8 +96,12 @@
   start(start: string, patienceMs: number, isTrial: boolean): PathTicket;
   /** A check of the connection ended. */
   recordChecked(start: string, isAccepted: boolean): void;
-  /** A peer got an answer of the endpoint to a request that was handed over at this time. */
-  recordPeerAnswered(start: string, sentMs: number): void;
+  /**
+   * A peer got an answer of the endpoint to a request that was handed over at this time. If it is true, a
+   * connection has to be checked now: the answer to another request does not tell a lost path from an
+   * endpoint that is silent to some.
+   */
+  recordPeerAnswered(start: string, sentMs: number): boolean;
   /** Peers could not reach the endpoint, either. */
   recordPeersFailed(start: string): void;
   /** Whether this instance carries exchanges to the endpoint for peers. */
@@ -133,6 +138,8 @@
   nextCheckMs: number;
   isChecking: boolean;
   isTrialRunning: boolean;
+  /** It was lost, so that only a call that tries it shows that it is open again. */
+  wasLost: boolean;
   /** When a call was last sent through a peer to test a doubt. */
   testedMs: number;
   downUntilMs: number;
@@ -162,6 +169,7 @@
       nextCheckMs: 0,
       isChecking: false,
       isTrialRunning: false,
+      wasLost: false,
       testedMs: -Infinity,
       downUntilMs: 0,
       isConfirmed: false,
@@ -197,6 +205,7 @@
       : Math.min(CHECK_INTERVAL_MAX_MS, path.checkIntervalMs * 2);
     path.nextCheckMs = nowMs + path.checkIntervalMs;
     path.isConfirmed = false;
+    path.wasLost = true;
     setState(start, path, PATH_STATE.Lost, evidence);
   }
 
@@ -214,6 +223,7 @@
    * would burden them and itself.
    */
   function chooseWhileDoubted(path: Path): PathChoice {
+    if (path.isChecking) return PEER_FIRST;
     const nowMs = getNow();
     if (!isCutSuspected() && nowMs - path.testedMs < TEST_PERIOD_MS) return DIRECT;
     path.testedMs = nowMs;
@@ -242,8 +252,9 @@
           setState(start, path, PATH_STATE.Returning, PATH_EVIDENCE.Answered);
         break;
       case PATH_STATE.Returning:
-        if (!isTrial) break;
-        path.regainedMs = path.heardMs;
+        if (!isTrial && path.wasLost) break;
+        if (path.wasLost) path.regainedMs = path.heardMs;
+        path.wasLost = false;
         setState(start, path, PATH_STATE.Open, PATH_EVIDENCE.Answered);
         break;
       default:
@@ -333,16 +344,22 @@
       const path = paths.get(start);
       if (path === undefined) return;
       path.isChecking = false;
-      if (path.state !== PATH_STATE.Lost) return;
+      if (path.state !== PATH_STATE.Lost && path.state !== PATH_STATE.Doubted) return;
       if (isAccepted) setState(start, path, PATH_STATE.Returning, PATH_EVIDENCE.Connected);
-      else path.nextCheckMs = getNow() + path.checkIntervalMs;
+      else if (path.state === PATH_STATE.Lost) path.nextCheckMs = getNow() + path.checkIntervalMs;
+      else {
+        setLost(start, path, PATH_EVIDENCE.PeerAnswered);
+        path.isConfirmed = true;
+      }
     },
     recordPeerAnswered(start, sentMs) {
       const path = paths.get(start);
-      if (path === undefined) return;
-      if (path.state === PATH_STATE.Doubted && path.heardMs < sentMs)
-        setLost(start, path, PATH_EVIDENCE.PeerAnswered);
+      if (path === undefined) return false;
       if (path.state === PATH_STATE.Lost) path.isConfirmed = true;
+      const isCheckDue =
+        path.state === PATH_STATE.Doubted && path.heardMs < sentMs && !path.isChecking;
+      path.isChecking ||= isCheckDue;
+      return isCheckDue;
     },
     recordPeersFailed(start) {
       const path = paths.get(start);
--- a/src/quarantine/check-connection.ts
+++ b/src/quarantine/check-connection.ts
@@ -25,7 +25,8 @@
       resolve(result);
     };
     socket.once('connect', () => close(CONNECTION_RESULT.Accepted));
-    socket.once('timeout', () => close(CONNECTION_RESULT.Unreachable));
+    // Guards against taking a pause of this process for silence: a connection made meanwhile is seen first.
+    socket.once('timeout', () => setImmediate(() => close(CONNECTION_RESULT.Unreachable)));
     socket.on('error', (error: NodeJS.ErrnoException) => {
       close(
         error.code === REFUSED_CODE ? CONNECTION_RESULT.Refused : CONNECTION_RESULT.Unreachable,
