A silent call is cancelled only once another place takes it

Cause: a stalled attempt was cancelled first and a place sought afterwards; with the head delivered, each reason to refuse the next attempt is a cut.

Change: a silent call seeks a place (each 0.5 s) while its attempt goes on. A connection is opened there, and right before the request is written the call is asked once more, the retry is taken and the silent attempt cancelled.

Changed checks: three tests of the state machine asked for cancel and attempt on the tick of the stall. They ask now for the search on that tick, and for cancel and move once a place is found; the random test has the new message, too.

--- a/src/attempts/shared-retry-budget.ts
+++ b/src/attempts/shared-retry-budget.ts
@@ -19,6 +19,8 @@
 /** Retry budget of one pool at one instance. */
 export interface SharedRetryBudget {
   recordCall(nowMs: number): void;
+  /** Whether a retry is left. */
+  has(instances: number, nowMs: number): boolean;
   /** Spends one retry; false if none is left. */
   take(instances: number, nowMs: number): boolean;
 }
@@ -43,17 +45,22 @@
     return nowMs - startedMs < bounds.windowMs ? 0 : bounds.slack / instancesMax;
   }
 
+  function has(instances: number, nowMs: number): boolean {
+    instancesMax = Math.max(instancesMax, instances);
+    removeExpired(calls, nowMs - bounds.windowMs);
+    removeExpired(retries, nowMs - bounds.windowMs);
+    const allowed = bounds.ratio * calls.length + computeSlackShare(nowMs);
+    return retries.length + 1 <= allowed * USABLE_SHARE;
+  }
+
   return {
+    has,
     recordCall(nowMs) {
       removeExpired(calls, nowMs - bounds.windowMs);
       calls.push(nowMs);
     },
     take(instances, nowMs) {
-      instancesMax = Math.max(instancesMax, instances);
-      removeExpired(calls, nowMs - bounds.windowMs);
-      removeExpired(retries, nowMs - bounds.windowMs);
-      const allowed = bounds.ratio * calls.length + computeSlackShare(nowMs);
-      if (retries.length + 1 > allowed * USABLE_SHARE) return false;
+      if (!has(instances, nowMs)) return false;
       retries.push(nowMs);
       return true;
     },
--- a/src/calls/call-messages.ts
+++ b/src/calls/call-messages.ts
@@ -100,6 +100,15 @@
   | { readonly kind: 'start' }
   /** The attempt could not be placed at an endpoint; nothing was sent. */
   | { readonly kind: 'unplaced'; readonly failure: RequestFailure }
+  /**
+   * A place for the attempt `next` was found and is about to get the call, to go on after `lastEventId`; the
+   * current attempt still runs.
+   */
+  | {
+      readonly kind: 'place_found';
+      readonly next: number;
+      readonly lastEventId: string | undefined;
+    }
   /** The requested attempt is being sent to an endpoint; until then it was queued. */
   | { readonly kind: 'dispatched'; readonly attempt: number }
   | { readonly kind: 'stream_started'; readonly attempt: number; readonly head: ResponseHead }
@@ -133,6 +142,10 @@
       readonly attempt: number;
       readonly lastEventId: string | undefined;
     }
+  /** Find a place for an attempt that would replace the current one, which goes on meanwhile. */
+  | { readonly kind: 'seek'; readonly attempt: number; readonly lastEventId: string | undefined }
+  /** The place that was found takes the call; the request is sent now. */
+  | { readonly kind: 'move'; readonly attempt: number }
   | { readonly kind: 'cancel'; readonly attempt: number; readonly reason: CancelReason }
   | { readonly kind: 'deliver_head'; readonly head: ResponseHead }
   | { readonly kind: 'deliver_event'; readonly bytes: Buffer }
--- a/src/calls/call-run.ts
+++ b/src/calls/call-run.ts
@@ -8,26 +8,38 @@
 import type { CallStateMachine } from './call-state-machine.js';
 import type { ExchangeHolds } from './exchange-holds.js';
 
+/** What one attempt holds at its endpoint. */
+export interface RunAttempt {
+  readonly attempt: number;
+  /** Event after which it goes on; undefined if it begins. */
+  readonly lastEventId: string | undefined;
+  readonly endpointId: string;
+  /** When it was started. */
+  readonly sentMs: number;
+  readonly ticket: LoadTicket;
+  readonly slot: SlotTicket;
+  readonly watch: AttemptWatch;
+  readonly holds: ExchangeHolds;
+  /** Closes its exchange; undefined once that has ended. */
+  closeExchange: (() => void) | undefined;
+}
+
 export interface Run {
   readonly call: RoutedCall;
   readonly sink: CallSink;
   readonly stateMachine: CallStateMachine;
   readonly triedEndpointIds: string[];
-  closeExchange: (() => void) | undefined;
-  /** Holds of the current attempt. */
-  holds: ExchangeHolds | undefined;
+  /** The attempt that was sent last. */
+  current: RunAttempt | undefined;
+  /** An attempt that replaces the current one once its request can be written. */
+  successor: RunAttempt | undefined;
   /** The caller has yet to read what it was sent. */
   isCallerBehind: boolean;
   /** Responses of its attempts that are in memory. */
   readonly answers: Set<HeldAnswer>;
-  ticket: LoadTicket | undefined;
-  watch: AttemptWatch | undefined;
-  slot: SlotTicket | undefined;
   firstMs: number | undefined;
   /** Version that wrote the events that were delivered; undefined before the first. */
   version: VersionKey | undefined;
-  /** When the current attempt was sent. */
-  sentMs: number;
   isStarted: boolean;
   /** The head of a stream was delivered, so that only its end can still be told. */
   isHeadDelivered: boolean;
@@ -39,16 +51,12 @@
     sink,
     stateMachine,
     triedEndpointIds: [],
-    closeExchange: undefined,
-    holds: undefined,
+    current: undefined,
+    successor: undefined,
     isCallerBehind: false,
     answers: new Set(),
-    ticket: undefined,
-    watch: undefined,
-    slot: undefined,
     firstMs: undefined,
     version: undefined,
-    sentMs: 0,
     isStarted: false,
     isHeadDelivered: false,
   };
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -1,42 +1,33 @@
 /** Executes the commands of call state machines: places attempts, talks to endpoints, delivers responses. */
 import { createPoolRetryBudgets } from '../attempts/pool-retry-budgets.js';
-import type { HeldAnswer } from '../memory/answer-memory.js';
-import type { Placement } from '../placement/choose-endpoint.js';
 import { ENDPOINT_VERDICT } from '../placement/endpoint-loads.js';
+import type { EndpointVerdict } from '../placement/endpoint-loads.js';
 import { compareWaiting } from '../placement/admission-decision.js';
 import type { WaitingCall } from '../placement/admission-decision.js';
 import { isLargePool } from '../placement/large-pool.js';
 import { createActiveTimer } from '../runtime/active-timer.js';
-import type { RegisteredEndpoint } from '../types/traffic.js';
 import { FEATURE } from '../types/features.js';
 import type { RequestFailure } from '../types/outcomes.js';
 import { assertNever } from '../utils/assert-never.js';
 import {
   computeStreamIdleTimeoutMs,
   computeFirstResponseTimeoutMs,
-  computeEndpointVerdict,
-  isNotRun,
   isStream,
 } from './attempt-policy.js';
-import { createAttemptReader } from './attempt-reader.js';
-import type { AttemptListener } from './attempt-reader.js';
+import { createAttemptStarter } from './attempt-starter.js';
 import { createCallStateMachine } from './call-state-machine.js';
-import { computeConnectionsMax } from './connection-limit.js';
 import { createRun } from './call-run.js';
-import { HOLD_REASON, createExchangeHolds } from './exchange-holds.js';
-import type { ExchangeHolds } from './exchange-holds.js';
+import { HOLD_REASON } from './exchange-holds.js';
 import type { CallRunnerOptions } from './call-runner-options.js';
-import type { Run } from './call-run.js';
+import type { Run, RunAttempt } from './call-run.js';
 import type {
   CallCommand,
   CallMessage,
-  AnswerDelivery,
   CancelReason,
   CallSink,
   RoutedCall,
 } from './call-messages.js';
-import type { AttemptRecord } from './call-records.js';
-import { REJECTION } from './call-messages.js';
+import { createRunAnswers } from './run-answers.js';
 import { HANDLING_FAILED } from './call-refusals.js';
 import { createSendDecider } from './send-decision.js';
 import type { AttemptCommand } from './send-decision.js';
@@ -45,8 +36,6 @@
 const TICK_MS = 100;
 /** Interval at which placement of waiting calls is retried. */
 const PLACEMENT_INTERVAL_MS = 25;
-/** Owner of the answers of public routes. */
-const NO_ORGANISATION = '';
 
 export interface RunningCall {
   /** The caller reads more slowly than the endpoint answers: nothing more is read for it. */
@@ -74,7 +63,7 @@
 }
 
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
-  const { exchanges, protocol, loads, placer, timers, observer } = options;
+  const { placer, timers, observer } = options;
   const runs = new Set<Run>();
   /** Attempts queued at this instance until an endpoint has capacity. */
   const waitingAttempts = new Map<Run, AttemptCommand>();
@@ -92,6 +81,16 @@
     checkSendable: options.checkSendable,
     getNow,
   });
+  const answers = createRunAnswers(options.answers);
+  const starter = createAttemptStarter(options, answers, {
+    onMessage: advanceRun,
+    onEnded(run, started, end) {
+      if (run.successor === started) removeSuccessor(run, end.kind === 'withheld');
+      else advanceRun(run, { kind: 'ended', attempt: started.attempt, end });
+    },
+    onStarted: recordStarted,
+    isWanted: isCurrentOrTaken,
+  });
   const budgets = createPoolRetryBudgets(options.retryBounds, getNow());
 
   function buildWaitingCall({ call }: Run): WaitingCall {
@@ -109,126 +108,67 @@
     options.onStarted(run.call, startedMs);
   }
 
-  /** The first event that is delivered binds the stream. */
-  function recordVersion(run: Run, endpoint: RegisteredEndpoint): void {
-    if (run.version !== undefined || !isStream(run.call.route.kind)) return;
-    run.version = options.streams.computeVersion(endpoint);
-    options.streams.recordStarted(run.call, endpoint);
+  /** A stream counts as started at its first event, any other call when it was sent. */
+  function recordNonStreamStarted(run: Run, sentMs: number): void {
+    if (!isStream(run.call.route.kind)) recordStarted(run, sentMs);
+  }
+
+  /** Asked right before the request is written: a successor takes the call over now, or not at all. */
+  function isCurrentOrTaken(run: Run, started: RunAttempt): boolean {
+    if (run.successor === started) {
+      const { attempt, lastEventId } = started;
+      advanceRun(run, { kind: 'place_found', next: attempt, lastEventId });
+    }
+    return run.current === started;
   }
 
-  /** Looked at again, since the exchange may have waited for a connection or a peer. */
-  function isSendAllowed(
-    { call }: Run,
-    endpoint: RegisteredEndpoint,
-    lastEventId: string | undefined,
-  ): boolean {
-    const isGoingOn = isStream(call.route.kind) && lastEventId !== undefined;
-    if (isGoingOn && !options.streams.isCurrent(endpoint)) return false;
-    return (
-      options.availability.isAvailable(endpoint) &&
-      options.checkSendable(call, isGoingOn) === undefined
-    );
+  /** Forgets a successor that has ended. `isUntried`: its endpoint has not failed. */
+  function removeSuccessor(run: Run, isUntried: boolean): void {
+    const { successor } = run;
+    run.successor = undefined;
+    if (successor === undefined || !isUntried) return;
+    const index = run.triedEndpointIds.lastIndexOf(successor.endpointId);
+    if (index !== -1) run.triedEndpointIds.splice(index, 1);
   }
 
-  /** A stream counts as started at its first event, any other call when it was sent. */
-  function recordNonStreamStarted(run: Run): void {
-    if (!isStream(run.call.route.kind)) recordStarted(run, run.sentMs);
+  /** Closes a successor, whose request was not sent. */
+  function closeSuccessor(run: Run): void {
+    const { successor } = run;
+    if (successor === undefined) return;
+    successor.closeExchange?.();
+    successor.slot.release(false);
+    successor.watch.recordCancelled();
+    successor.ticket.recordEnd(ENDPOINT_VERDICT.None, getNow());
+    removeSuccessor(run, true);
   }
 
-  function startExchange(
-    run: Run,
-    attempt: number,
-    placement: Placement,
-    lastEventId: string | undefined,
-  ): void {
-    const { call } = run;
-    const { endpoint } = placement;
-    const startedMs = getNow();
-    const record: AttemptRecord = {
-      call,
-      attempt,
-      endpoint,
-      lastEventId,
-      load: loads.get(endpoint.startId),
-      pauseMs: call.prompt === undefined ? undefined : placer.predictPauseMs(endpoint, startedMs),
-      candidates: options.listOpen(call.pool).length,
-      waitedMs: startedMs - call.receivedMs,
-      remainingMs: call.deadlineMs - startedMs,
-    };
-    const ticket = placer.start(call, placement, startedMs);
-    run.ticket = ticket;
-    run.sentMs = startedMs;
-    const slot = options.shares.start(endpoint);
-    run.slot = slot;
-    const watch = options.quarantine.startWatch(call, endpoint);
-    run.watch = watch;
-    const holds = createExchangeHolds((isHeld) => {
-      ticket.recordHeld(isHeld, getNow());
-      advanceRun(run, { kind: isHeld ? 'held' : 'resumed', attempt });
+  /** Opens a connection to another endpoint for a silent call, which goes on meanwhile. */
+  function startSuccessor(run: Run, command: AttemptCommand): void {
+    if (run.successor !== undefined) return;
+    const { triedEndpointIds: tried, version } = run;
+    const placement = decider.findPlace(run.call, command, { tried, version });
+    if (placement === undefined) return;
+    run.triedEndpointIds.push(placement.endpoint.id);
+    starter.start(run, command, placement, (started) => {
+      run.successor = started;
     });
-    run.holds = holds;
-    const expected = { callId: call.callId, isStream: isStream(call.route.kind), lastEventId };
-    const answer = openAnswer(run, holds);
-    const attemptListener: AttemptListener = {
-      onRateLimit: (reading) => options.limits.recordAnswer(endpoint, reading, startedMs),
-      onBrittle: (reading) => options.shares.recordAnswer(endpoint, reading),
-      onNotice: (notice) => options.availability.recordAnswer(endpoint, notice),
-      onStreamStarted(head) {
-        watch.recordStarted();
-        advanceRun(run, { kind: 'stream_started', attempt, head });
-        if (run.isCallerBehind) holds.hold(HOLD_REASON.CallerBehind);
-      },
-      onEvent(joined) {
-        const { id, hasData, bytes, events } = joined;
-        ticket.recordEvent(getNow(), events);
-        watch.recordEvent();
-        run.firstMs ??= getNow() - call.receivedMs;
-        recordStarted(run, getNow());
-        recordVersion(run, endpoint);
-        advanceRun(run, { kind: 'event', attempt, id, hasData, bytes });
-      },
-      onEnded(end) {
-        ticket.recordEnd(computeEndpointVerdict(end), getNow());
-        observer.onAttemptEnded(record, end, getNow() - startedMs);
-        slot.release(end.kind === 'broken');
-        if (end.kind === 'rejected' && end.reason === REJECTION.Full)
-          options.shares.recordRejected(endpoint);
-        if (!isNotRun(end)) recordNonStreamStarted(run);
-        run.closeExchange = undefined;
-        watch.recordEnd(end);
-        if (end.kind !== 'answered') closeAnswer(run, answer);
-        advanceRun(run, { kind: 'ended', attempt, end });
-      },
-    };
-    const reader = createAttemptReader(expected, attemptListener, answer);
-    observer.onAttempt(record);
-    advanceRun(run, { kind: 'dispatched', attempt });
-    const closeExchange = exchanges.open(
-      {
-        call,
-        endpoint,
-        connectionsMax: computeConnectionsMax(
-          options.findPool(call.pool),
-          options.countInstances(),
-        ),
-        buildRequest: (remainingMs) =>
-          protocol.encode(call, { endpointId: endpoint.id, remainingMs, lastEventId }),
-      },
-      {
-        isSendAllowed: () => isSendAllowed(run, endpoint, lastEventId),
-        onWithheld: () => reader.readWithheld(),
-        onHead: (status, headers) => reader.readHead(status, protocol.decode(status, headers)),
-        onData: (bytes) => reader.readData(bytes),
-        onEnd: () => reader.readEnd(),
-        onError: (isSent, reason, _, isRefused) => reader.readError(isSent, reason, isRefused),
-        onPathLost: () => runSafely(run, () => advanceRun(run, { kind: 'path_lost', attempt })),
-      },
-      holds.flow,
-    );
-    run.closeExchange = () => {
-      closeExchange();
-      closeAnswer(run, answer);
-    };
+  }
+
+  /** A successor that was sought for the same attempt sends it. */
+  function takeSuccessor(run: Run, { attempt, lastEventId }: AttemptCommand): boolean {
+    const { successor } = run;
+    if (successor?.attempt === attempt && successor.lastEventId === lastEventId) {
+      setCurrent(run, successor);
+      advanceRun(run, { kind: 'dispatched', attempt });
+      return true;
+    }
+    closeSuccessor(run);
+    return false;
+  }
+
+  function setCurrent(run: Run, started: RunAttempt): void {
+    run.current = started;
+    if (run.successor === started) run.successor = undefined;
   }
 
   /** Sends or rejects the requested attempt; false if it has to wait. */
@@ -238,7 +178,10 @@
     switch (decision.kind) {
       case 'send':
         run.triedEndpointIds.push(decision.placement.endpoint.id);
-        startExchange(run, command.attempt, decision.placement, command.lastEventId);
+        starter.start(run, command, decision.placement, (started) => {
+          setCurrent(run, started);
+          advanceRun(run, { kind: 'dispatched', attempt: command.attempt });
+        });
         return true;
       case 'wait':
         return false;
@@ -251,7 +194,7 @@
   }
 
   function startAttempt(run: Run, command: AttemptCommand): void {
-    if (sendAttempt(run, command)) return;
+    if (takeSuccessor(run, command) || sendAttempt(run, command)) return;
     waitingAttempts.set(run, command);
     placementTimer.start();
   }
@@ -268,46 +211,19 @@
     }
   }
 
-  function openAnswer(run: Run, holds: ExchangeHolds): HeldAnswer {
-    const answer = options.answers.open(run.call.organisation ?? NO_ORGANISATION, {
-      hold: () => holds.hold(HOLD_REASON.NoMemory),
-      resume: () => holds.release(HOLD_REASON.NoMemory),
-    });
-    run.answers.add(answer);
-    return answer;
-  }
-
-  function closeAnswer(run: Run, answer: HeldAnswer): void {
-    run.answers.delete(answer);
-    answer.release();
-  }
-
-  function closeAnswers(run: Run): void {
-    for (const answer of [...run.answers]) closeAnswer(run, answer);
-  }
-
-  /** Passes the memory of the run on to the sink. */
-  function takeDelivery(run: Run): AnswerDelivery {
-    const answers = [...run.answers];
-    run.answers.clear();
-    return {
-      startDelivery(close) {
-        for (const answer of answers) answer.startDelivery(close);
-      },
-      release() {
-        for (const answer of answers) answer.release();
-      },
-    };
-  }
-
   function cancelAttempt(run: Run, reason: CancelReason): void {
     waitingAttempts.delete(run);
-    if (run.closeExchange !== undefined) recordNonStreamStarted(run);
-    run.closeExchange?.();
-    run.slot?.release(true);
-    run.watch?.recordCancelled();
-    const isStalled = reason === 'stalled';
-    run.ticket?.recordEnd(isStalled ? ENDPOINT_VERDICT.Failed : ENDPOINT_VERDICT.None, getNow());
+    const { current } = run;
+    if (current === undefined) return;
+    if (current.closeExchange !== undefined) recordNonStreamStarted(run, current.sentMs);
+    closeAttempt(current, reason === 'stalled' ? ENDPOINT_VERDICT.Failed : ENDPOINT_VERDICT.None);
+  }
+
+  function closeAttempt(current: RunAttempt, verdict: EndpointVerdict): void {
+    current.closeExchange?.();
+    current.slot.release(true);
+    current.watch.recordCancelled();
+    current.ticket.recordEnd(verdict, getNow());
   }
 
   function runCommand(run: Run, command: CallCommand): void {
@@ -315,6 +231,12 @@
       case 'attempt':
         startAttempt(run, command);
         break;
+      case 'seek':
+        startSuccessor(run, command);
+        break;
+      case 'move':
+        if (run.successor !== undefined) setCurrent(run, run.successor);
+        break;
       case 'cancel':
         cancelAttempt(run, command.reason);
         break;
@@ -329,7 +251,7 @@
         run.sink.onEnd();
         break;
       case 'deliver_answer':
-        run.sink.onResponse(command.head, command.body, takeDelivery(run));
+        run.sink.onResponse(command.head, command.body, answers.takeDelivery(run));
         break;
       case 'break_answer':
         run.sink.onBroken();
@@ -349,15 +271,16 @@
     if (isOver) waitingAttempts.delete(run);
     for (const command of commands) runCommand(run, command);
     if (!isOver) return;
+    closeSuccessor(run);
     // Also of an order that goes on without its caller: its answer is read and not kept.
-    closeAnswers(run);
+    answers.closeAnswers(run);
     const tookMs = getNow() - run.call.receivedMs;
     observer.onEnded({
       call: run.call,
       final: commands.at(-1),
       attempts: run.stateMachine.countAttempts(),
       firstMs: run.firstMs ?? tookMs,
-      stream: run.ticket?.getStream(),
+      stream: run.current?.ticket.getStream(),
       tookMs,
     });
   }
@@ -370,11 +293,9 @@
       options.onError(error);
       runs.delete(run);
       waitingAttempts.delete(run);
-      run.closeExchange?.();
-      closeAnswers(run);
-      run.slot?.release(true);
-      run.watch?.recordCancelled();
-      run.ticket?.recordEnd(ENDPOINT_VERDICT.None, getNow());
+      if (run.current !== undefined) closeAttempt(run.current, ENDPOINT_VERDICT.None);
+      closeSuccessor(run);
+      answers.closeAnswers(run);
       if (run.isHeadDelivered) run.sink.onBroken();
       else run.sink.onFailure(HANDLING_FAILED);
     }
@@ -405,6 +326,8 @@
           firstResponseTimeoutMs: computeFirstResponseTimeoutMs(call),
           streamIdleTimeoutMs: computeStreamIdleTimeoutMs(call),
           getReturnMs: () => options.availability.computeReturnMs(call.pool),
+          hasRetry: () =>
+            !options.quarantine.isCondemned(call) && budget.has(options.countInstances(), getNow()),
           takeRetry: () =>
             !options.quarantine.isCondemned(call) &&
             budget.take(options.countInstances(), getNow()),
@@ -416,11 +339,11 @@
       return {
         pause() {
           run.isCallerBehind = true;
-          run.holds?.hold(HOLD_REASON.CallerBehind);
+          run.current?.holds.hold(HOLD_REASON.CallerBehind);
         },
         resume() {
           run.isCallerBehind = false;
-          run.holds?.release(HOLD_REASON.CallerBehind);
+          run.current?.holds.release(HOLD_REASON.CallerBehind);
         },
         close: () => advanceRun(run, { kind: 'caller_left' }),
       };
--- a/src/calls/call-state-machine.test.ts
+++ b/src/calls/call-state-machine.test.ts
@@ -19,6 +19,11 @@
   send(message: CallMessage, nowMs?: number): CallCommand[];
 }
 
+/** A place is found for a silent attempt. */
+function buildPlaceFound(next: number, lastEventId?: string): CallMessage {
+  return { kind: 'place_found', next, lastEventId };
+}
+
 function createHarness(kind: CallKind, attemptsMax = 2, retries = 10, isHeldBack = false): Harness {
   let retriesLeft = retries;
   const commands: CallCommand[] = [];
@@ -30,6 +35,7 @@
     firstResponseTimeoutMs: FIRST_RESPONSE_TIMEOUT_MS,
     streamIdleTimeoutMs: STREAM_IDLE_TIMEOUT_MS,
     getReturnMs: () => 0,
+    hasRetry: () => retriesLeft > 0,
     takeRetry() {
       retriesLeft -= 1;
       return retriesLeft >= 0;
@@ -110,11 +116,61 @@
       const { send } = createHarness(CALL_KIND.Idempotent);
       send({ kind: 'start' });
       t.deepEqual(send({ kind: 'tick' }, FIRST_RESPONSE_TIMEOUT_MS - 1), []);
-      const moved = send({ kind: 'tick' }, FIRST_RESPONSE_TIMEOUT_MS);
-      t.deepEqual(
-        moved.map(({ kind }) => kind),
-        ['cancel', 'attempt'],
-      );
+      t.deepEqual(send(buildPlaceFound(2), FIRST_RESPONSE_TIMEOUT_MS - 1), []);
+      const sought = send({ kind: 'tick' }, FIRST_RESPONSE_TIMEOUT_MS);
+      t.deepEqual(sought, [{ kind: 'seek', attempt: 2, lastEventId: undefined }]);
+      t.deepEqual(send(buildPlaceFound(2), FIRST_RESPONSE_TIMEOUT_MS), [
+        { kind: 'cancel', attempt: 1, reason: 'stalled' },
+        { kind: 'move', attempt: 2 },
+      ]);
+    });
+
+    // Guards against a call that fails since it was given up before another place had taken it.
+    it('are answered by a silent endpoint if there is no other place', (t) => {
+      const { send } = createHarness(CALL_KIND.Idempotent);
+      send({ kind: 'start' });
+      for (let nowMs = 100; nowMs < DEADLINE_MS; nowMs += 100) {
+        const sought = send({ kind: 'tick' }, nowMs);
+        t.true(sought.every(({ kind }) => kind === 'seek'));
+      }
+      const answer = { head: HEAD, body: Buffer.from('late') };
+      const ended = send({ kind: 'ended', attempt: 1, end: { kind: 'answered', ...answer } });
+      t.deepEqual(ended, [{ kind: 'deliver_answer', ...answer }]);
+    });
+
+    // Guards against a whole pool that is weighed in each tick for each silent call.
+    it('seek another place now and then only', (t) => {
+      const { send, commands } = createHarness(CALL_KIND.Idempotent);
+      send({ kind: 'start' });
+      for (let nowMs = 100; nowMs <= 2000; nowMs += 100) send({ kind: 'tick' }, nowMs);
+      t.is(commands.filter(({ kind }) => kind === 'seek').length, 3);
+    });
+
+    // Guards against two attempts for one place, and against a retry that is spent on a search.
+    it('spend a retry only when they move, and move only once for a place', (t) => {
+      const { send } = createHarness(CALL_KIND.Idempotent, 4, 1);
+      send({ kind: 'start' });
+      send({ kind: 'tick' }, FIRST_RESPONSE_TIMEOUT_MS);
+      send({ kind: 'tick' }, 2 * FIRST_RESPONSE_TIMEOUT_MS);
+      t.is(send(buildPlaceFound(2), 2 * FIRST_RESPONSE_TIMEOUT_MS).length, 2);
+      t.deepEqual(send(buildPlaceFound(2), 2 * FIRST_RESPONSE_TIMEOUT_MS), []);
+      t.deepEqual(send({ kind: 'tick' }, 4 * FIRST_RESPONSE_TIMEOUT_MS), []);
+    });
+
+    it('move at once where the path to their endpoint is lost', (t) => {
+      const { send } = createHarness(CALL_KIND.Idempotent);
+      send({ kind: 'start' });
+      t.like(send({ kind: 'path_lost', attempt: 1 }, 200)[0], { kind: 'seek', attempt: 2 });
+      t.like(send(buildPlaceFound(2), 200)[1], { kind: 'move', attempt: 2 });
+    });
+
+    it('that fail while a place is sought go on there', (t) => {
+      const { send } = createHarness(CALL_KIND.Idempotent);
+      send({ kind: 'start' });
+      send({ kind: 'tick' }, FIRST_RESPONSE_TIMEOUT_MS);
+      const next = send({ kind: 'ended', attempt: 1, end: BROKEN }, FIRST_RESPONSE_TIMEOUT_MS);
+      t.deepEqual(next, [{ kind: 'attempt', attempt: 2, lastEventId: undefined }]);
+      t.deepEqual(send(buildPlaceFound(2), 2 * FIRST_RESPONSE_TIMEOUT_MS), []);
     });
 
     it('are not retried beyond the shared budget', (t) => {
@@ -182,9 +238,26 @@
         200,
       );
       t.deepEqual(send({ kind: 'tick' }, 200 + STREAM_IDLE_TIMEOUT_MS - 1), []);
-      const moved = send({ kind: 'tick' }, 200 + STREAM_IDLE_TIMEOUT_MS);
+      const sought = send({ kind: 'tick' }, 200 + STREAM_IDLE_TIMEOUT_MS);
+      t.deepEqual(sought, [{ kind: 'seek', attempt: 2, lastEventId: '3' }]);
+      const moved = send(buildPlaceFound(2, '3'), 200 + STREAM_IDLE_TIMEOUT_MS);
       t.like(moved[0], { kind: 'cancel', reason: 'stalled' });
-      t.like(moved[1], { kind: 'attempt', lastEventId: '3' });
+      t.like(moved[1], { kind: 'move', attempt: 2 });
+    });
+
+    // Guards against events that come twice since the silent endpoint spoke while a place was sought.
+    it('stay where they are if the silent endpoint goes on meanwhile', (t) => {
+      const event = { kind: 'event', attempt: 1, hasData: true, bytes: Buffer.from('') } as const;
+      const { send } = createHarness(CALL_KIND.ResumableStream);
+      send({ kind: 'start' });
+      send({ kind: 'stream_started', attempt: 1, head: HEAD }, 0);
+      send({ ...event, id: '3' }, 0);
+      t.is(send({ kind: 'tick' }, STREAM_IDLE_TIMEOUT_MS)[0]?.kind, 'seek');
+      send({ ...event, id: '4' }, STREAM_IDLE_TIMEOUT_MS);
+      t.deepEqual(send(buildPlaceFound(2, '3'), STREAM_IDLE_TIMEOUT_MS + 100), []);
+      t.is(send({ kind: 'tick' }, 2 * STREAM_IDLE_TIMEOUT_MS)[0]?.kind, 'seek');
+      t.deepEqual(send(buildPlaceFound(2, '3'), 2 * STREAM_IDLE_TIMEOUT_MS), []);
+      t.is(send(buildPlaceFound(2, '4'), 2 * STREAM_IDLE_TIMEOUT_MS).length, 2);
     });
 
     // Guards against taking an endpoint for silent whose answer nobody reads.
@@ -197,7 +270,8 @@
       const resumedMs = 300 + 2 * STREAM_IDLE_TIMEOUT_MS;
       send({ kind: 'resumed', attempt: 1 }, resumedMs);
       t.deepEqual(send({ kind: 'tick' }, resumedMs + STREAM_IDLE_TIMEOUT_MS - 1), []);
-      const moved = send({ kind: 'tick' }, resumedMs + STREAM_IDLE_TIMEOUT_MS);
+      t.is(send({ kind: 'tick' }, resumedMs + STREAM_IDLE_TIMEOUT_MS)[0]?.kind, 'seek');
+      const moved = send(buildPlaceFound(2), resumedMs + STREAM_IDLE_TIMEOUT_MS);
       t.like(moved[0], { kind: 'cancel', reason: 'stalled' });
     });
 
@@ -279,6 +353,7 @@
       fc.record({ kind: fc.constant('ended' as const), end: fc.constantFrom(...ends) }),
       fc.record({ kind: fc.constant('stream_started' as const), head: fc.constant(HEAD) }),
       fc.record({ kind: fc.constant('tick' as const) }),
+      fc.record({ kind: fc.constant('place_found' as const), lastEventId: fc.constant(undefined) }),
       fc.record({ kind: fc.constant('caller_left' as const) }),
       fc.record({
         kind: fc.constant('instance_stops' as const),
@@ -298,10 +373,13 @@
             let hasBegun = false;
             for (const step of script) {
               nowMs += 200;
-              const attempt = commands.filter((command) => command.kind === 'attempt').length;
-              const sent = send({ ...step, attempt } as CallMessage, nowMs);
+              const isAttempt = (command: CallCommand): boolean =>
+                command.kind === 'attempt' || command.kind === 'move';
+              const attempt = commands.filter(isAttempt).length;
+              const number = step.kind === 'place_found' ? { next: attempt + 1 } : { attempt };
+              const sent = send({ ...step, ...number } as CallMessage, nowMs);
               const isOnce = kind === CALL_KIND.NonIdempotent || kind === CALL_KIND.Stream;
-              const isSentAgain = sent.some((command) => command.kind === 'attempt');
+              const isSentAgain = sent.some(isAttempt);
               const isProof =
                 step.kind === 'ended' && ['unsent', 'withheld', 'rejected'].includes(step.end.kind);
               // A retry requires proof that the current attempt did not run.
--- a/src/calls/call-state-machine.ts
+++ b/src/calls/call-state-machine.ts
@@ -20,6 +20,8 @@
 
 const OVERLOADED_RETRY_MS = 500;
 const SERVER_ERROR_MIN = 500;
+/** Interval at which a place is sought for a call whose attempt is silent. */
+const SEEK_INTERVAL_MS = 500;
 /** Attempts that fail before a byte is sent do not count towards `attemptsMax`, but towards this limit. */
 const UNSENT_ATTEMPTS_MAX = 3;
 
@@ -35,12 +37,14 @@
   readonly deadlineMs: number;
   /** Last event that the caller received, if it resumes an earlier stream. */
   readonly lastEventId: string | undefined;
-  /** An attempt without a response is cancelled after this time if the call may be retried. */
+  /** After this time without a response a call that may be retried moves, if there is a place for it. */
   readonly firstResponseTimeoutMs: number;
   /** The same for a stream without a new event. */
   readonly streamIdleTimeoutMs: number;
   /** Time after which an endpoint of the pool takes requests again; 0 if one does. */
   readonly getReturnMs: () => number;
+  /** Whether the shared budget has a retry left. */
+  readonly hasRetry: () => boolean;
   /** Takes one retry from the shared budget; false if it is exhausted. */
   readonly takeRetry: () => boolean;
 }
@@ -73,6 +77,8 @@
   let isPathLost = false;
   /** When the current attempt was sent or last received data. */
   let lastActivityMs = 0;
+  /** When a place was last sought for a silent attempt. */
+  let soughtMs = -Infinity;
   let mayHaveRun = false;
   let isHeadDelivered = false;
   /** The endpoint of the current attempt has started to respond, so it may have run the call. */
@@ -104,15 +110,19 @@
     commands.push({ kind: 'fail', failure });
   }
 
-  function startAttempt(nowMs: number): void {
+  function recordAttempt(nowMs: number): void {
     attempt += 1;
     sentAttempts += 1;
     isAttemptPending = true;
     isDispatched = false;
     isHeld = false;
-    isPathLost = false;
     hasResponseStarted = false;
-    lastActivityMs = nowMs;
+    soughtMs = -Infinity;
+    recordActivity(nowMs);
+  }
+
+  function startAttempt(nowMs: number): void {
+    recordAttempt(nowMs);
     commands.push({ kind: 'attempt', attempt, lastEventId });
   }
 
@@ -244,17 +254,37 @@
     } else closeWithFailure(type, message, retryAfterMs);
   }
 
-  /** Guards against lost responses and connections that fail without being closed. */
-  function checkStall(nowMs: number): void {
+  function isStalled(nowMs: number): boolean {
+    if (!isAttemptPending || !isDispatched || isHeld) return false;
     const timeoutMs = hasResponseStarted
       ? options.streamIdleTimeoutMs
       : options.firstResponseTimeoutMs;
-    const isAwaited = isAttemptPending && isDispatched && !isHeld;
-    const isStalled = isAwaited && (isPathLost || nowMs - lastActivityMs >= timeoutMs);
-    if (!isStalled || !isRepeatAllowed() || !options.takeRetry()) return;
+    return isPathLost || nowMs - lastActivityMs >= timeoutMs;
+  }
+
+  /**
+   * Guards against lost responses and connections that fail without being closed. The silent attempt goes on
+   * until another place takes the call: its endpoint may be sound, and there may be no other place.
+   */
+  function checkStall(nowMs: number): void {
+    if (nowMs - soughtMs < SEEK_INTERVAL_MS || !isStalled(nowMs)) return;
+    if (!isRepeatAllowed() || !options.hasRetry()) return;
+    soughtMs = nowMs;
+    commands.push({ kind: 'seek', attempt: attempt + 1, lastEventId });
+  }
+
+  /** The silent attempt may have gone on while the place was sought. */
+  function handlePlaceFound(
+    found: Extract<CallMessage, { kind: 'place_found' }>,
+    nowMs: number,
+  ): void {
+    const isWanted = found.next === attempt + 1 && found.lastEventId === lastEventId;
+    if (!isWanted || !isStalled(nowMs) || !isRepeatAllowed() || !options.takeRetry()) return;
     mayHaveRun = true;
     cancelAttempt('stalled');
-    startAttempt(nowMs);
+    recordAttempt(nowMs);
+    isDispatched = true;
+    commands.push({ kind: 'move', attempt });
   }
 
   function handleCallerDisconnect(): void {
@@ -282,6 +312,9 @@
           message.failure.retryAfterMs,
         );
         break;
+      case 'place_found':
+        handlePlaceFound(message, nowMs);
+        break;
       case 'dispatched':
         isDispatched = true;
         lastActivityMs = nowMs;
--- a/src/calls/send-decision.test.ts
+++ b/src/calls/send-decision.test.ts
@@ -6,6 +6,9 @@
 import { buildCall, buildSimulatedRoute } from '../test/simulated-routes.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
 import { createSendDecider } from './send-decision.js';
+import type { SendDecider } from './send-decision.js';
+import { FAILURE, OUTCOME } from '../types/outcomes.js';
+import type { RequestFailure } from '../types/outcomes.js';
 
 function buildEndpoint(id: string): RegisteredEndpoint {
   return {
@@ -21,6 +24,11 @@
   };
 }
 
+const LEAVING: RequestFailure = {
+  type: FAILURE.NotReady,
+  message: 'leaves',
+  outcome: OUTCOME.NotRun,
+};
 const FREE = buildEndpoint('free');
 const LIMITED = buildEndpoint('limited');
 const CALL = buildCall(
@@ -41,20 +49,32 @@
   return isWaitExhausted ? ADMISSION.Refuse : ADMISSION.Wait;
 }
 
-/** Decides on a call; `full` endpoints have no room and `spent` ones no send left. */
-function chooseFor(
-  choice: SendChoice,
-  full: readonly string[],
-  spent: readonly string[] = [],
+interface DeciderSetup {
+  readonly choice: SendChoice;
+  /** Endpoints that have no room. */
+  readonly full: readonly string[];
+  /** Endpoints that have no send left. */
+  readonly spent?: readonly string[];
+  readonly isWaitExhausted?: boolean;
+  readonly isLeaving?: boolean;
+  readonly onRefused?: () => void;
+}
+
+function createDecider({
+  choice,
+  full,
+  spent = [],
   isWaitExhausted = false,
-) {
-  const decider = createSendDecider({
+  isLeaving = false,
+  onRefused = () => undefined,
+}: DeciderSetup): SendDecider {
+  return createSendDecider({
     placer: {
       choose(_, endpoints, tried) {
         const endpoint = endpoints.find(({ id }) => !tried.includes(id));
         return endpoint === undefined ? undefined : { endpoint, readTokens: 0 };
       },
-      recordRefused: () => undefined,
+      recordRefused: onRefused,
       chooseAdmission: (_, { endpoint }) => chooseRoom(full.includes(endpoint.id), isWaitExhausted),
     },
     availability: { choose: () => ({ kind: 'open' }) },
@@ -62,19 +82,72 @@
     shares: { choose: (_, endpoints) => ({ kind: 'send', endpoints }) },
     quarantine: { check: () => ({ kind: 'send', isAlone: false }) },
     streams: { resolve: () => ({ kind: 'any' }), isFit: () => true },
-    listRegistered: () => [],
-    checkSendable: () => undefined,
+    listRegistered: () => [FREE, LIMITED],
+    checkSendable: () => (isLeaving ? LEAVING : undefined),
     triesOtherEngines: () => true,
     getNow: () => 0,
   });
-  const decision = decider.choose(
+}
+
+/** Decides on a call; `full` endpoints have no room and `spent` ones no send left. */
+function chooseFor(
+  choice: SendChoice,
+  full: readonly string[],
+  spent: readonly string[] = [],
+  isWaitExhausted = false,
+) {
+  const decision = createDecider({ choice, full, spent, isWaitExhausted }).choose(
     CALL,
-    { kind: 'attempt', attempt: 1, lastEventId: undefined },
+    { attempt: 1, lastEventId: undefined },
     { tried: [], version: undefined },
   );
   return decision.kind === 'send' ? decision.placement.endpoint.id : decision.kind;
 }
 
+/** Where a call that is silent at the endpoints `tried` could go on. */
+function findPlaceFor(setup: DeciderSetup, tried: readonly string[]): string | undefined {
+  const command = { attempt: 2, lastEventId: undefined };
+  const place = createDecider(setup).findPlace(CALL, command, { tried, version: undefined });
+  return place?.endpoint.id;
+}
+
+describe('the place for a call that is silent elsewhere', ({ it }) => {
+  const choice: SendChoice = { kind: 'send', endpoints: [FREE, LIMITED] };
+
+  it('is an endpoint with room that it was not sent to', (t) => {
+    t.is(findPlaceFor({ choice, full: [] }, ['free']), 'limited');
+    t.is(findPlaceFor({ choice, full: ['limited'] }, ['free']), undefined);
+    t.is(findPlaceFor({ choice, full: [], spent: ['limited'] }, ['free']), undefined);
+    t.is(findPlaceFor({ choice, full: [] }, ['free', 'limited']), undefined);
+  });
+
+  // Guards against a stream that is given up at an instance that has no time left for another run.
+  it('is none while the call must not be sent', (t) => {
+    t.is(findPlaceFor({ choice, full: [], isLeaving: true }, ['free']), undefined);
+  });
+
+  // Guards against a search that counts as a refusal of the call.
+  it('is sought without a refusal of the call', (t) => {
+    let refused = 0;
+    const setup: DeciderSetup = {
+      choice,
+      full: ['free', 'limited'],
+      isWaitExhausted: true,
+      onRefused() {
+        refused += 1;
+      },
+    };
+    t.is(findPlaceFor(setup, ['free']), undefined);
+    t.is(refused, 0);
+    createDecider(setup).choose(
+      CALL,
+      { attempt: 1, lastEventId: undefined },
+      { tried: [], version: undefined },
+    );
+    t.is(refused, 1);
+  });
+});
+
 describe('send decision', ({ it }) => {
   const choice: SendChoice = { kind: 'send', endpoints: [FREE], untested: LIMITED };
 
--- a/src/calls/send-decision.ts
+++ b/src/calls/send-decision.ts
@@ -21,7 +21,11 @@
 /** Other engines that are tried for a call before it is refused: each try weighs the whole pool. */
 const ALTERNATIVES_MAX = 2;
 
-export type AttemptCommand = Extract<CallCommand, { kind: 'attempt' }>;
+/** Attempt that is to be sent, going on after `lastEventId` if it is set. */
+export type AttemptCommand = Pick<
+  Extract<CallCommand, { kind: 'attempt' }>,
+  'attempt' | 'lastEventId'
+>;
 
 export type SendDecision =
   | { readonly kind: 'send'; readonly placement: Placement }
@@ -54,6 +58,12 @@
 
 export interface SendDecider {
   choose(call: RoutedCall, command: AttemptCommand, history: AttemptHistory): SendDecision;
+  /** Returns where a call that runs at an endpoint can be sent at once instead; undefined if nowhere. */
+  findPlace(
+    call: RoutedCall,
+    command: AttemptCommand,
+    history: AttemptHistory,
+  ): Placement | undefined;
 }
 
 interface Target {
@@ -69,6 +79,8 @@
 }
 
 const WAIT: SendDecision = { kind: 'wait' };
+/** The endpoint that was chosen has no room for the call. */
+const FULL: SendDecision = { kind: 'reject', failure: NO_CAPACITY };
 
 export function createSendDecider(options: SendDeciderOptions): SendDecider {
   const { placer, limits, getNow } = options;
@@ -147,8 +159,7 @@
       case ADMISSION.Wait:
         return WAIT;
       case ADMISSION.Refuse:
-        placer.recordRefused(call, getNow());
-        return { kind: 'reject', failure: NO_CAPACITY };
+        return FULL;
       default:
         return assertNever(admission);
     }
@@ -212,15 +223,31 @@
     }
   }
 
+  function resolveDecision(
+    call: RoutedCall,
+    command: AttemptCommand,
+    history: AttemptHistory,
+  ): SendDecision {
+    const isBegun = history.version !== undefined || call.lastEventId !== undefined;
+    const failure = options.checkSendable(call, isBegun);
+    if (failure !== undefined) return { kind: 'reject', failure };
+    const verdict = options.quarantine.check(call);
+    if (verdict.kind === 'wait') return WAIT;
+    if (verdict.kind === 'refuse') return { kind: 'reject', failure: verdict.failure };
+    return chooseForStream(call, command, history, verdict.isAlone);
+  }
+
   return {
     choose(call, command, history) {
-      const isBegun = history.version !== undefined || call.lastEventId !== undefined;
-      const failure = options.checkSendable(call, isBegun);
-      if (failure !== undefined) return { kind: 'reject', failure };
-      const verdict = options.quarantine.check(call);
-      if (verdict.kind === 'wait') return WAIT;
-      if (verdict.kind === 'refuse') return { kind: 'reject', failure: verdict.failure };
-      return chooseForStream(call, command, history, verdict.isAlone);
+      const decision = resolveDecision(call, command, history);
+      if (decision === FULL) placer.recordRefused(call, getNow());
+      return decision;
+    },
+    findPlace(call, command, history) {
+      const isTried = ({ id }: RegisteredEndpoint): boolean => history.tried.includes(id);
+      if (options.listRegistered(call.pool).every(isTried)) return undefined;
+      const decision = resolveDecision(call, command, history);
+      return decision.kind === 'send' ? decision.placement : undefined;
     },
   };
 }
--- a/src/calls/stream-path.test.ts
+++ b/src/calls/stream-path.test.ts
@@ -51,6 +51,7 @@
     firstResponseTimeoutMs: 500,
     streamIdleTimeoutMs: 500,
     getReturnMs: () => 0,
+    hasRetry: () => true,
     takeRetry: () => true,
   });
   let body = '';
