--- a/eslint.config.js
+++ b/eslint.config.js
@@ -71,7 +71,7 @@
   ...configs.node.recommended,
   prettier,
   {
-    files: ['**/*.{js,mjs,ts}'],
+    files: ['**/*.{js,mjs,ts,cts}'],
     rules: {
       // The scripts of the build are short and run alone; a synchronous call holds up nobody.
       'n/no-sync': 'off',
@@ -99,7 +99,7 @@
     },
   },
   {
-    files: ['**/*.ts'],
+    files: ['**/*.{ts,cts}'],
     rules: {
       'no-restricted-properties': [
         'error',
