The end of an answer is not believed while its request is still being written

What callers saw: part of a body as a whole 200, where an endpoint answered a long request early without a length, ended its half in order and reset the connection some ms later, with most of the request unwritten.

Cause: the orderly end was taken for the end of the answer at once. A process that ends closes in order, and its reset comes when more of the request arrives.

--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -9,7 +9,7 @@
 import { createGuardedLink, findAnswerFault, isRefusal } from '../connections/guarded-link.js';
 import type { GuardedLink } from '../connections/guarded-link.js';
 import type { HeaderField } from './call-messages.js';
-import { isUnproven, readFraming } from './response-framing.js';
+import { isSuccess, isUnproven, readFraming } from './response-framing.js';
 import type { ResponseFraming } from './response-framing.js';
 
 /** Shorter than the retransmission timeout of a lost SYN: another endpoint is tried instead. */
@@ -281,6 +281,8 @@
           const headers = parseRawHeaders(controller.rawHeaders);
           status = responseStatus;
           framing = readFraming(request.method, status, headers);
+          if (framing.endsWithConnection && isSuccess(status))
+            connection.link.recordUnframed(request.body.length);
           if (!listener.onHead(status, headers)) close();
         },
         onResponseData(_, bytes) {
--- a/src/calls/response-framing.ts
+++ b/src/calls/response-framing.ts
@@ -29,6 +29,10 @@
   return method === 'HEAD' || status === STATUS_NO_CONTENT || status === STATUS_NOT_MODIFIED;
 }
 
+export function isSuccess(status: number): boolean {
+  return status >= STATUS_SUCCESS_MIN && status <= STATUS_SUCCESS_MAX;
+}
+
 /** Reads the framing from the head of a response to a request with the method. */
 export function readFraming(
   method: string,
@@ -45,6 +49,5 @@
  * Guards against an endpoint that ends after the head of a success and seems to have answered in whole.
  */
 export function isUnproven(framing: ResponseFraming, status: number, bytes: number): boolean {
-  const isSuccess = status >= STATUS_SUCCESS_MIN && status <= STATUS_SUCCESS_MAX;
-  return framing.endsWithConnection && isSuccess && bytes === 0;
+  return framing.endsWithConnection && isSuccess(status) && bytes === 0;
 }
--- a/src/connections/guarded-link.ts
+++ b/src/connections/guarded-link.ts
@@ -5,6 +5,8 @@
 import type { Socket } from 'node:net';
 import { ANSWER_FAULT, createAnswerGuard, describeAnswerFault } from './answer-guard.js';
 import type { AnswerFault } from './answer-guard.js';
+import { addEndGate } from './end-gate.js';
+import type { EndGate } from './end-gate.js';
 import { createReadTurns } from './read-turns.js';
 import type { ReadTurns, TurnReader } from './read-turns.js';
 
@@ -57,6 +59,8 @@
   /** Closes the connection after too many heads of status 1xx. */
   recordHead(status: number): void;
   recordBody(bytes: number): void;
+  /** The answer ends with its connection; `requestBytes`: size of the body of the request. */
+  recordUnframed(requestBytes: number): void;
   endAnswer(): void;
   /** The answer is held: the end of the connection waits as its bytes do. */
   hold(): void;
@@ -111,6 +115,7 @@
 export function createGuardedLink(turns: ReadTurns = PROCESS_TURNS): GuardedLink {
   const guard = createAnswerGuard();
   let current: Socket | undefined;
+  let endGate: EndGate | undefined;
   let isHeld = false;
 
   /** What a parser that was paused gave back does not count as handled. */
@@ -125,11 +130,13 @@
         if (!socket.destroyed) socket.emit('readable');
       });
       socket.once('close', () => reader.close());
+      endGate = addEndGate(socket);
       addHoldLimits(socket, () => isHeld);
       addReadLimits(socket, reader, () => guard.checkBytes(countHandledBytes()));
     },
     startAnswer() {
       isHeld = false;
+      endGate?.stop();
       guard.startAnswer(countHandledBytes());
     },
     recordHead(status) {
@@ -137,8 +144,10 @@
       if (fault !== undefined) current?.destroy(createAnswerFaultError(fault));
     },
     recordBody: (bytes) => guard.recordBody(bytes),
+    recordUnframed: (requestBytes) => endGate?.start(requestBytes),
     endAnswer() {
       isHeld = false;
+      endGate?.stop();
       guard.endAnswer();
     },
     hold() {
