A status above 599 is no answer

What callers saw: 600 and 999 of an endpoint, with its stamp and its body, as the answer, directly and through a peer. Statuses below 200, of other lengths or with other letters were 502 before, and are.

Cause: the parser takes any three digits, and nothing asked whether they are a status of the protocol.

Change: the guard of a connection refuses it and closes the connection; the reader of an attempt refuses it, too, since a peer of an older release may pass it on.

--- a/src/calls/attempt-reader.test.ts
+++ b/src/calls/attempt-reader.test.ts
@@ -56,6 +56,15 @@
     t.like(ends[0], { kind: 'answered', body: Buffer.alloc(SMALL_PIECES, 'x') });
   });
 
+  // Guards against an odd status that a peer of an older release passes on, and against a promise in its headers.
+  it('rejects a response with a status that is none', (t) => {
+    for (const isNotRun of [false, true]) {
+      const { reader, ends } = createHarness();
+      t.false(reader.readHead(600, { ...HEAD, isNotRun }));
+      t.like(ends[0], { kind: 'broken' });
+    }
+  });
+
   // Guards against delivering a late response to an earlier call of the same connection.
   it('rejects a response to another call', (t) => {
     const { reader, ends } = createHarness();
--- a/src/calls/attempt-reader.ts
+++ b/src/calls/attempt-reader.ts
@@ -6,6 +6,7 @@
 import type { RateLimitReading } from '../endpoint-limits/rate-limit.js';
 import type { HeldAnswer } from '../memory/answer-memory.js';
 import type { BrittleReading } from '../slot-shares/brittle-reading.js';
+import { FINAL_STATUS_MAX } from '../connections/answer-guard.js';
 import { REJECTION } from './call-messages.js';
 import type { AttemptEnd, HeaderField, RejectionReason, ResponseHead } from './call-messages.js';
 import { REJECTION_BYTES_MAX, RESPONSE_BYTES_MAX } from './response-limits.js';
@@ -128,6 +129,11 @@
 
   return {
     readHead(status, decoded) {
+      // Guards against a status that is none and comes through a peer of an older release.
+      if (status > FINAL_STATUS_MAX) {
+        close({ kind: 'broken', reason: `response with the status ${status}`, isRefused: true });
+        return false;
+      }
       const isSuccess = status >= SUCCESS_STATUS_MIN && status <= SUCCESS_STATUS_MAX;
       // Guards against delivering a late response to an earlier call of the connection.
       const isOtherCall = decoded.callId !== undefined && decoded.callId !== callId;
--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -276,8 +276,8 @@
           }
         },
         onResponseStart(controller, responseStatus) {
-          connection.link.recordHead(responseStatus);
-          if (isFinished || responseStatus <= INFORMATIONAL_STATUS_MAX) return;
+          const isAllowed = connection.link.recordHead(responseStatus);
+          if (!isAllowed || isFinished || responseStatus <= INFORMATIONAL_STATUS_MAX) return;
           const headers = parseRawHeaders(controller.rawHeaders);
           status = responseStatus;
           framing = readFraming(request.method, status, headers);
--- a/src/connections/answer-guard.test.ts
+++ b/src/connections/answer-guard.test.ts
@@ -22,6 +22,14 @@
     }
   });
 
+  // Guards against an answer with a status that no reader of the protocol knows.
+  it('refuses statuses above 599', (t) => {
+    const guard = createAnswerGuard();
+    guard.startAnswer(0);
+    for (const status of [200, 429, 599]) t.is(guard.recordHead(status), undefined);
+    for (const status of [600, 999]) t.is(guard.recordHead(status), ANSWER_FAULT.Status);
+  });
+
   describeInner('over the bytes of a connection', (inner) => {
     // Guards against a status line, chunk extension or trailer that is read until the call's time is up.
     inner.it('refuses bytes without a body', (t) => {
--- a/src/connections/answer-guard.ts
+++ b/src/connections/answer-guard.ts
@@ -11,6 +11,8 @@
 /** Further bytes of framing for each byte of the body; chunks of one byte have five. */
 const OVERHEAD_PER_BODY_BYTE = 16;
 const FINAL_STATUS_MIN = 200;
+/** A status above it is none of the protocol (RFC 9110, section 15). */
+export const FINAL_STATUS_MAX = 599;
 
 /** Why a connection was closed, as label values of the metrics. */
 export const ANSWER_FAULT = {
@@ -19,6 +21,7 @@
   Unasked: 'unasked',
   HeadTooLarge: 'head_too_large',
   Malformed: 'malformed',
+  Status: 'status',
 } as const;
 export type AnswerFault = (typeof ANSWER_FAULT)[keyof typeof ANSWER_FAULT];
 
@@ -34,6 +37,8 @@
       return 'closed: the head of the answer is too large';
     case ANSWER_FAULT.Malformed:
       return 'closed: the answer is not HTTP';
+    case ANSWER_FAULT.Status:
+      return `closed: the status of the answer is above ${FINAL_STATUS_MAX}`;
     default:
       return assertNever(fault);
   }
@@ -64,6 +69,7 @@
       informationalHeads = 0;
     },
     recordHead(status) {
+      if (status > FINAL_STATUS_MAX) return ANSWER_FAULT.Status;
       if (status >= FINAL_STATUS_MIN) return undefined;
       informationalHeads += 1;
       return informationalHeads > INFORMATIONAL_HEADS_MAX
--- a/src/connections/guarded-link.ts
+++ b/src/connections/guarded-link.ts
@@ -56,8 +56,8 @@
   addSocket(socket: Socket): void;
   /** A request is written, and its answer is awaited. */
   startAnswer(): void;
-  /** Closes the connection after too many heads of status 1xx. */
-  recordHead(status: number): void;
+  /** Closes the connection after too many heads of status 1xx, or one with a status that is none; false then. */
+  recordHead(status: number): boolean;
   recordBody(bytes: number): void;
   /** The answer ends with its connection; `requestBytes`: size of the body of the request. */
   recordUnframed(requestBytes: number): void;
@@ -141,7 +141,9 @@
     },
     recordHead(status) {
       const fault = guard.recordHead(status);
-      if (fault !== undefined) current?.destroy(createAnswerFaultError(fault));
+      if (fault === undefined) return true;
+      current?.destroy(createAnswerFaultError(fault));
+      return false;
     },
     recordBody: (bytes) => guard.recordBody(bytes),
     recordUnframed: (requestBytes) => endGate?.start(requestBytes),
