An entry of another start no longer cuts what its endpoint works on

What callers saw: 502 and cut streams when the registry named another start of an endpoint under the same id, or none, for calls that the new start had already got before its entry came, and for those of an endpoint that had not started anew.

Cause: all connections to the address were destroyed. An entry comes up to a heartbeat after its start; connections to a process that ended ended with it.

Change: idle connections are closed; exchanges under way go on. Silent ones are told, and calls that may be repeated move if there is a place.

--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -47,7 +47,10 @@
    * could be made. `isRefused`: this instance closed the connection because of what the endpoint sent.
    */
   onError(isSent: boolean, reason: string, isUnreachable?: boolean, isRefused?: boolean): void;
-  /** The response is silent, and the path to the endpoint counts as lost; the exchange goes on. May be repeated. */
+  /**
+   * The response is silent, and the path to the endpoint, or the start that was sent the request, counts as
+   * lost; the exchange goes on. May be called again.
+   */
   onPathLost?(): void;
 }
 
@@ -70,8 +73,6 @@
     listener: ExchangeListener,
     flow?: ExchangeFlow,
   ): () => void;
-  /** Closes every connection to an address and aborts its exchanges. */
-  closeAll(address: string): void;
   /** Closes the connections to an address that carry no exchange. */
   closeIdle(address: string): void;
   /** Number of connections opened since the start. */
@@ -324,11 +325,6 @@
       queueMicrotask(() => listener.onError(false, `all ${connectionsMax} connections are in use`));
       return () => undefined;
     },
-    closeAll(address) {
-      for (const connection of [...(connectionsByAddress.get(address) ?? [])]) {
-        removeConnection(connection);
-      }
-    },
     closeIdle(address) {
       for (const connection of [...(connectionsByAddress.get(address) ?? [])]) {
         if (!connection.isBusy) removeConnection(connection);
--- a/src/forwarding/forwarded-exchanges.ts
+++ b/src/forwarding/forwarded-exchanges.ts
@@ -24,6 +24,8 @@
 const TICK_MS = 100;
 /** Silence after which an exchange is told that the loss of its path is confirmed. */
 const LOST_SILENCE_MS = 1000;
+/** The same once the registry has named another start of its endpoint. */
+const ENDED_SILENCE_MS = 200;
 /** Silence that is usual for an exchange of a peer, whose route is not known here. */
 const CARRIED_PATIENCE_MS = 2000;
 
@@ -40,6 +42,8 @@
 export interface ForwardedExchanges extends EndpointExchanges {
   /** Handles a change of a path; must be called for each. */
   handlePathChange(change: PathChange): void;
+  /** The registry names another start of the endpoint at this address. */
+  recordEnded(start: string): void;
   /** Starts an exchange over this instance's own connections alone. */
   openCarried(options: CarriedOptions, listener: ExchangeListener, flow: ExchangeFlow): () => void;
 }
@@ -78,6 +82,8 @@
   readonly start: string;
   readonly address: string;
   readonly ticket: PathTicket;
+  /** The registry has named another start of the endpoint since. */
+  isStartEnded: boolean;
   reportLoss(): void;
 }
 
@@ -125,6 +131,7 @@
       start: endpoint.startId,
       address: endpoint.address,
       ticket,
+      isStartEnded: false,
       reportLoss: () => listener.onPathLost?.(),
     };
     directExchanges.add(exchange);
@@ -283,14 +290,19 @@
   }
 
   /**
-   * Guards against calls that hang on a lost path though they could go on elsewhere. None is ended here: the
-   * endpoint may be silent and sound, and a call that may run only once gains nothing by an early end.
+   * Guards against calls that hang on a lost path, or on a start that has ended, though they could go on
+   * elsewhere. None is ended here: the endpoint may be silent and sound, a new start may have got the request
+   * before its entry came, and a call that may run only once gains nothing by an early end.
    */
+  function isProbablyLost({ start, ticket, isStartEnded }: DirectExchange): boolean {
+    const silenceMs = ticket.computeSilence();
+    if (isStartEnded && silenceMs >= ENDED_SILENCE_MS) return true;
+    return ledger.isLossConfirmed(start) && silenceMs >= LOST_SILENCE_MS;
+  }
+
   function publishLostPaths(): void {
-    for (const { start, ticket, reportLoss } of [...directExchanges]) {
-      const isLost = ledger.isLossConfirmed(start) && ticket.computeSilence() >= LOST_SILENCE_MS;
-      if (isLost) reportLoss();
-    }
+    for (const exchange of [...directExchanges])
+      if (isProbablyLost(exchange)) exchange.reportLoss();
   }
 
   timers.subscribe(TICK_MS, () => {
@@ -300,6 +312,11 @@
 
   return {
     open: runExchange,
+    recordEnded(start) {
+      for (const exchange of directExchanges) {
+        if (exchange.start === start) exchange.isStartEnded = true;
+      }
+    },
     openCarried: (carried, listener, flow) =>
       openDirect({ ...carried, patienceMs: CARRIED_PATIENCE_MS, isTrial: false }, listener, flow),
     handlePathChange({ start, state }) {
--- a/src/gateway/call-forwarding.ts
+++ b/src/gateway/call-forwarding.ts
@@ -61,8 +61,8 @@
   runCarried: Carrier['run'];
   /** Exchanges that are carried for peers now. */
   countCarried(): number;
-  /** Forgets a start of an endpoint that has ended. */
-  remove(start: string): void;
+  /** Forgets a start of an endpoint that has ended. `isRestarted`: another start has taken its place. */
+  remove(start: string, isRestarted: boolean): void;
   /** Paths to endpoints that are not open. */
   listPaths(): readonly KnownPath[];
 }
@@ -146,7 +146,10 @@
     exchanges,
     runCarried: carrier.run,
     countCarried: carrier.count,
-    remove: (start) => ledger.remove(start),
+    remove(start, isRestarted) {
+      ledger.remove(start);
+      if (isRestarted) exchanges.recordEnded(start);
+    },
     listPaths: () => ledger.list(),
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -81,10 +81,10 @@
       loads.remove(endpoint.startId);
       limits.remove(endpoint.startId);
       availability.remove(endpoint.startId);
-      forwarding.remove(endpoint.startId);
+      forwarding.remove(endpoint.startId, isRestarted);
       shares.remove(endpoint.startId);
       quarantine.recordEnded(endpoint);
-      if (isRestarted) closeConnectionsTo(endpoint);
+      if (isRestarted) closeIdleConnectionsTo(endpoint);
     },
     onEndpointsApplied: (isGap) => streams.recordRegistry(isGap),
     onSuspended: () => peers.startKnowledgeFetches(),
@@ -109,12 +109,15 @@
         loads.getFailureRate(endpoint.startId, getNow()) >= ROOM_FAILURE_RATE_MIN),
   });
 
-  /** Closes connections to the previous start, unless another endpoint now has its address. */
-  function closeConnectionsTo({ id, address }: RegisteredEndpoint): void {
+  /**
+   * Closes idle connections to the previous start, unless another endpoint now has its address. Those in use
+   * may be to the new start, whose entry comes later than its first request.
+   */
+  function closeIdleConnectionsTo({ id, address }: RegisteredEndpoint): void {
     const isAddressReused = knowledge.directory
       .listAll()
       .some((other) => other.id !== id && other.address === address);
-    if (!isAddressReused) options.connections.closeAll(address);
+    if (!isAddressReused) options.connections.closeIdle(address);
   }
 
   const isLeaving = (): boolean =>
--- a/src/quarantine/case-propagation.test.ts
+++ b/src/quarantine/case-propagation.test.ts
@@ -37,7 +37,6 @@
         ranks: createRouteRanks([]),
         connections: {
           open: () => () => undefined,
-          closeAll: () => undefined,
           closeIdle: () => undefined,
           countOpened: () => 0,
           close: () => Promise.resolve(),
--- a/src/test/crashing-engines.ts
+++ b/src/test/crashing-engines.ts
@@ -150,7 +150,6 @@
   return {
     connections: {
       open: (address, _connectionsMax, { target }, listener) => open(address, target, listener),
-      closeAll: () => undefined,
       closeIdle: () => undefined,
       countOpened: () => 0,
       close: () => Promise.resolve(),
--- a/src/test/limit-simulation.ts
+++ b/src/test/limit-simulation.ts
@@ -170,7 +170,6 @@
         engine.start(call, addLimitHeader(simulation, endpoint, instance, noticed)),
       );
     },
-    closeAll: () => undefined,
     closeIdle: () => undefined,
     countOpened: () => 0,
     close: () => Promise.resolve(),
--- a/src/test/simulated-engines.ts
+++ b/src/test/simulated-engines.ts
@@ -179,7 +179,6 @@
   return {
     connections: {
       open: (address, _connectionsMax, { target }, listener) => open(address, target, listener),
-      closeAll: () => undefined,
       closeIdle: () => undefined,
       countOpened: () => 0,
       close: () => Promise.resolve(),
