A request that cannot be written says nothing of an endpoint

What callers saw: 503 for their own sound calls, some of the time, while another caller sent requests with two Host headers; that caller got 503 and was told to come back.

Cause: the HTTP client refuses to write such a request to anybody, and an error before a connection was made counted as an unreachable endpoint: up to four a request, and peers besides.

--- a/src/calls/endpoint-connections.test.ts
+++ b/src/calls/endpoint-connections.test.ts
@@ -40,10 +40,11 @@
   connections: EndpointConnections,
   address: string,
   isSendAllowed = true,
+  request = REQUEST,
 ): Promise<Outcome> {
   return new Promise((resolve) => {
     let body = '';
-    connections.open(address, 8, REQUEST, {
+    connections.open(address, 8, request, {
       isSendAllowed: () => isSendAllowed,
       onWithheld: () => resolve({ end: 'withheld', body }),
       onHead: () => true,
@@ -92,6 +93,24 @@
     server.close();
   });
 
+  // Guards against a request that makes sound endpoints count as unreachable.
+  it('withhold a request that cannot be written, and judge no endpoint by it', async (t) => {
+    const server = await startEndpoint(() => t.fail('it was sent'));
+    const connections = createEndpointConnections();
+    const host = { name: 'host', value: 'h.example' };
+    for (const headers of [[host, host], [{ name: 'upgrade', value: 'x' }]]) {
+      // One after the other.
+      // eslint-disable-next-line no-await-in-loop
+      const { end } = await runExchange(connections, getAddress(server), true, {
+        ...REQUEST,
+        headers,
+      });
+      t.is(end, 'withheld');
+    }
+    await connections.close();
+    server.close();
+  });
+
   it('report that nothing was sent if no connection was established', async (t) => {
     const server = await startEndpoint(() => undefined);
     const address = getAddress(server);
--- a/src/calls/endpoint-connections.ts
+++ b/src/calls/endpoint-connections.ts
@@ -21,6 +21,11 @@
 /** Idle connections are closed this much before the endpoint would, to avoid sending into a closing connection. */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 const INFORMATIONAL_STATUS_MAX = 199;
+/** Codes of undici for a request that it does not write to anybody. */
+const UNWRITABLE_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+]);
 
 /** Request to an endpoint. */
 export interface EndpointRequest {
@@ -34,7 +39,7 @@
 export interface ExchangeListener {
   /**
    * Read right before the request is written. If it is false, nothing is sent and `onWithheld` is
-   * the only notification. Guards against a request that waits for its connection while the endpoint
+   * the only notification, as it is for a request that no connection can write. Guards against a request that waits for its connection while the endpoint
    * says that it takes no more.
    */
   isSendAllowed(): boolean;
@@ -100,6 +105,10 @@
   return fields;
 }
 
+function isUnwritable({ code = '' }: NodeJS.ErrnoException): boolean {
+  return UNWRITABLE_CODES.has(code);
+}
+
 function buildOrigin(address: string): string {
   return address.includes('://') ? address : `http://${address}`;
 }
@@ -308,6 +317,11 @@
           isFinished = true;
           const { wasConnected } = connection;
           removeConnection(connection);
+          // Guards against a request that makes every endpoint it is meant for count as unreachable.
+          if (isUnwritable(error)) {
+            queueMicrotask(() => listener.onWithheld());
+            return;
+          }
           const isSent = requestController !== undefined;
           listener.onError(isSent, error.message, !wasConnected, isRefusal(error));
         },
