--- a/src/calls/attempt-starter.ts
+++ b/src/calls/attempt-starter.ts
@@ -64,7 +64,7 @@
   }
 
   function buildRecord(
-    { call }: Run,
+    { call, wait }: Run,
     { attempt, lastEventId }: AttemptCommand,
     endpoint: RegisteredEndpoint,
   ): AttemptRecord {
@@ -75,6 +75,9 @@
       endpoint,
       lastEventId,
       load: loads.get(endpoint.startId),
+      room: call.prompt === undefined ? undefined : placer.readRoom(call.pool),
+      wait,
+      heldMs: wait === undefined ? 0 : nowMs - wait.sinceMs,
       pauseMs: call.prompt === undefined ? undefined : placer.predictPauseMs(endpoint, nowMs),
       candidates: options.listOpen(call.pool).length,
       waitedMs: nowMs - call.receivedMs,
--- a/src/calls/call-run.ts
+++ b/src/calls/call-run.ts
@@ -7,6 +7,7 @@
 import type { CallSink, RoutedCall } from './call-messages.js';
 import type { CallStateMachine } from './call-state-machine.js';
 import type { ExchangeHolds } from './exchange-holds.js';
+import type { CallWait } from './wait-reason.js';
 
 /** What one attempt holds at its endpoint. */
 export interface RunAttempt {
@@ -29,6 +30,8 @@
   readonly sink: CallSink;
   readonly stateMachine: CallStateMachine;
   readonly triedEndpointIds: string[];
+  /** Its last wait at this instance; undefined before the first. */
+  wait: CallWait | undefined;
   /** The attempt that was sent last. */
   current: RunAttempt | undefined;
   /** An attempt that replaces the current one once its request can be written. */
@@ -51,6 +54,7 @@
     sink,
     stateMachine,
     triedEndpointIds: [],
+    wait: undefined,
     current: undefined,
     successor: undefined,
     isCallerBehind: false,
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -184,6 +184,7 @@
         });
         return true;
       case 'wait':
+        run.wait = { reason: decision.reason, sinceMs: run.wait?.sinceMs ?? getNow() };
         return false;
       case 'reject':
         advanceRun(run, { kind: 'unplaced', failure: decision.failure });
@@ -279,6 +280,7 @@
       call: run.call,
       final: commands.at(-1),
       attempts: run.stateMachine.countAttempts(),
+      wait: run.wait,
       firstMs: run.firstMs ?? tookMs,
       stream: run.current?.ticket.getStream(),
       tookMs,
--- a/src/calls/send-decision.test.ts
+++ b/src/calls/send-decision.test.ts
@@ -165,6 +165,19 @@
     t.is(chooseFor(both, ['limited', 'free'], [], true), 'reject');
   });
 
+  // Guards against waits of which nobody can tell what they were for.
+  it('says what a call waits for', (t) => {
+    const command = { attempt: 1, lastEventId: undefined };
+    const history = { tried: [], version: undefined };
+    const one: SendChoice = { kind: 'send', endpoints: [FREE] };
+    const decide = (setup: DeciderSetup) => createDecider(setup).choose(CALL, command, history);
+    t.deepEqual(decide({ choice: one, full: ['free'] }), { kind: 'wait', reason: 'engine_room' });
+    t.deepEqual(decide({ choice: { kind: 'wait' }, full: [] }), {
+      kind: 'wait',
+      reason: 'rate_limit',
+    });
+  });
+
   // Guards against a request that reaches a limited endpoint without being charged.
   it('sends nothing to an endpoint that has no send left', (t) => {
     t.is(chooseFor({ kind: 'send', endpoints: [LIMITED] }, [], ['limited']), 'wait');
--- a/src/calls/send-decision.ts
+++ b/src/calls/send-decision.ts
@@ -17,6 +17,8 @@
 import type { StreamVersions } from '../stream-versions/stream-versions.js';
 import type { VersionKey } from '../stream-versions/stream-binding.js';
 import { NO_CAPACITY, NO_ENDPOINT, STREAM_UNKNOWN, VERSION_GONE } from './call-refusals.js';
+import { WAIT_REASON } from './wait-reason.js';
+import type { WaitReason } from './wait-reason.js';
 
 /** Other engines that are tried for a call before it is refused: each try weighs the whole pool. */
 const ALTERNATIVES_MAX = 2;
@@ -29,7 +31,7 @@
 
 export type SendDecision =
   | { readonly kind: 'send'; readonly placement: Placement }
-  | { readonly kind: 'wait' }
+  | { readonly kind: 'wait'; readonly reason: WaitReason }
   | { readonly kind: 'reject'; readonly failure: RequestFailure };
 
 export interface SendDeciderOptions {
@@ -78,10 +80,13 @@
   readonly isAlone: boolean;
 }
 
-const WAIT: SendDecision = { kind: 'wait' };
 /** The endpoint that was chosen has no room for the call. */
 const FULL: SendDecision = { kind: 'reject', failure: NO_CAPACITY };
 
+function buildWait(reason: WaitReason): SendDecision {
+  return { kind: 'wait', reason };
+}
+
 export function createSendDecider(options: SendDeciderOptions): SendDecider {
   const { placer, limits, getNow } = options;
 
@@ -155,9 +160,9 @@
         // Every request to an endpoint is charged here, whatever its reason.
         return limits.take(call, command.attempt, placement.endpoint)
           ? { kind: 'send', placement }
-          : WAIT;
+          : buildWait(WAIT_REASON.RateLimit);
       case ADMISSION.Wait:
-        return WAIT;
+        return buildWait(WAIT_REASON.EngineRoom);
       case ADMISSION.Refuse:
         return FULL;
       default:
@@ -173,13 +178,13 @@
     isAlone: boolean,
   ): SendDecision {
     const availability = options.availability.choose(call, excluded);
-    if (availability.kind === 'wait') return WAIT;
+    if (availability.kind === 'wait') return buildWait(WAIT_REASON.EndpointRest);
     if (availability.kind === 'refuse') return { kind: 'reject', failure: availability.failure };
     const choice = limits.choose(call, command.attempt, excluded);
-    if (choice.kind === 'wait') return WAIT;
+    if (choice.kind === 'wait') return buildWait(WAIT_REASON.RateLimit);
     if (choice.kind === 'refuse') return { kind: 'reject', failure: choice.failure };
     const shared = chooseShared(call, choice, excluded);
-    if (shared.kind === 'wait') return WAIT;
+    if (shared.kind === 'wait') return buildWait(WAIT_REASON.EndpointShare);
     if (shared.kind === 'refuse') return { kind: 'reject', failure: shared.failure };
     const input: TargetInput = { call, command, tried: excluded, isAlone };
     const target = chooseTarget(input, shared);
@@ -215,7 +220,7 @@
       case 'bound':
         return chooseOfVersion(call, command, { tried, version: stream.version }, isAlone);
       case 'wait':
-        return WAIT;
+        return buildWait(WAIT_REASON.StreamVersion);
       case 'unknown':
         return { kind: 'reject', failure: STREAM_UNKNOWN };
       default:
@@ -232,7 +237,7 @@
     const failure = options.checkSendable(call, isBegun);
     if (failure !== undefined) return { kind: 'reject', failure };
     const verdict = options.quarantine.check(call);
-    if (verdict.kind === 'wait') return WAIT;
+    if (verdict.kind === 'wait') return buildWait(WAIT_REASON.Quarantine);
     if (verdict.kind === 'refuse') return { kind: 'reject', failure: verdict.failure };
     return chooseForStream(call, command, history, verdict.isAlone);
   }
--- /dev/null
+++ b/src/calls/wait-reason.ts
@@ -0,0 +1,23 @@
+/** Why a call waits at this instance. */
+export const WAIT_REASON = {
+  /** Its content or its organisation is under suspicion of crashing endpoints. */
+  Quarantine: 'quarantine',
+  /** The version that began its stream is being looked up. */
+  StreamVersion: 'stream_version',
+  /** The endpoints of the pool asked for rest. */
+  EndpointRest: 'endpoint_rest',
+  /** The endpoints of the pool name rate limits. */
+  RateLimit: 'rate_limit',
+  /** This instance's share of brittle endpoints is in use. */
+  EndpointShare: 'endpoint_share',
+  /** The engine that was chosen has no room for it. */
+  EngineRoom: 'engine_room',
+} as const;
+export type WaitReason = (typeof WAIT_REASON)[keyof typeof WAIT_REASON];
+
+/** The wait of a call at this instance. */
+export interface CallWait {
+  /** What it waited for last. */
+  readonly reason: WaitReason;
+  readonly sinceMs: number;
+}
--- a/src/observability/call-metrics.ts
+++ b/src/observability/call-metrics.ts
@@ -60,6 +60,8 @@
   ): void;
   /** Records the time from a request to the start of an attempt. */
   recordWait(urgency: number, waitedMs: number): void;
+  /** Records that a call waited at this instance before it was sent, and what for. */
+  recordHeld(urgency: number, reason: string): void;
   /** Records the longest pause of a stream that has ended. */
   recordPause(route: string, pauseMs: number): void;
   recordAttempt(end: string): void;
@@ -231,6 +233,12 @@
     buckets: LATENCY_BUCKETS_S,
     registers,
   });
+  const held = new Counter({
+    name: 'hyssoptally_held_calls_total',
+    help: 'Attempts that were sent after a wait at this instance, by urgency and what they waited for last',
+    labelNames: ['urgency', 'reason'],
+    registers,
+  });
   const pauses = new Histogram({
     name: 'hyssoptally_stream_longest_pause_seconds',
     help: 'Longest pause between two events of a stream, by route',
@@ -366,6 +374,7 @@
       callDuration.observe({ kind }, tookMs / 1000);
     },
     recordWait: (urgency, waitedMs) => waits.observe({ urgency }, waitedMs / 1000),
+    recordHeld: (urgency, reason) => held.inc({ urgency, reason }),
     recordPause: (route, pauseMs) => pauses.observe({ route }, pauseMs / 1000),
     recordAttempt: (end) => attempts.inc({ end }),
     recordCrash: (evidence) => crashes.inc({ evidence }),
--- a/src/observability/call-observer.ts
+++ b/src/observability/call-observer.ts
@@ -79,6 +79,7 @@
       const { call, attempt, endpoint, lastEventId, load, waitedMs } = record;
       const knowledge = options.getKnowledge();
       metrics.recordWait(call.urgency, waitedMs);
+      if (record.wait !== undefined) metrics.recordHeld(call.urgency, record.wait.reason);
       log.write({
         event: 'attempt_started',
         request: call.callId,
@@ -91,7 +92,19 @@
           ? {}
           : { resumes: call.resumedCallId.slice(0, LOGGED_ID_MAX) }),
         endpointRunning: load.running,
+        endpointUrgent: load.urgent,
+        endpointPreemptible: load.preemptible,
         endpointUnreadTokens: load.unreadTokens,
+        ...(record.room === undefined
+          ? {}
+          : {
+              poolRoom: record.room.room,
+              poolMoreUrgent: Math.round(record.room.peak),
+              poolSlots: record.room.slots,
+            }),
+        ...(record.wait === undefined
+          ? {}
+          : { waitedFor: record.wait.reason, heldMs: Math.round(record.heldMs) }),
         ...(record.pauseMs === undefined ? {} : { enginePauseMs: Math.round(record.pauseMs) }),
         candidates: record.candidates,
         waitedMs: Math.round(waitedMs),
@@ -113,7 +126,7 @@
         tookMs: Math.round(tookMs),
       });
     },
-    onEnded({ call, final, attempts, firstMs, stream, tookMs }: CallEnd) {
+    onEnded({ call, final, attempts, wait, firstMs, stream, tookMs }: CallEnd) {
       const result = computeResult(final);
       const { longestPause } = stream ?? {};
       const pauseMs = longestPause?.pauseMs ?? 0;
@@ -132,6 +145,7 @@
           organisation: call.organisation ?? '',
           end: describeFinal(final),
           attempts,
+          ...(attempts === 0 && wait !== undefined ? { waitedFor: wait.reason } : {}),
           firstMs: Math.round(firstMs),
           events: stream?.events ?? 0,
           meanPauseMs: Math.round(stream?.meanPauseMs ?? 0),
--- a/src/observability/log-events.ts
+++ b/src/observability/log-events.ts
@@ -29,6 +29,14 @@
       /** Requests that had not come in whole. */
       readonly unread: number;
     }
+  /** The event loop stood still: for how long at most and in all, in a second in which the process used `cpuMs`. */
+  | {
+      readonly event: 'loop_stalled';
+      readonly longestMs: number;
+      readonly totalMs: number;
+      readonly cpuMs: number;
+      readonly calls: number;
+    }
   /** A timer's task threw; `reason` has the error and its place. The other tasks go on. */
   | { readonly event: 'task_failed'; readonly reason: string }
   | { readonly event: 'settings_reloaded'; readonly outcome: string }
@@ -349,6 +357,16 @@
       /** Known load of the endpoint: running calls and prompt tokens not yet processed. */
       readonly endpointRunning: number;
       readonly endpointUnreadTokens: number;
+      /** Those of the running calls that are of the most urgent and of the least urgent routes. */
+      readonly endpointUrgent: number;
+      readonly endpointPreemptible: number;
+      /** What more urgent calls leave to the least urgent ones, their peak, and the slots of the pool. */
+      readonly poolRoom?: string;
+      readonly poolMoreUrgent?: number;
+      readonly poolSlots?: number;
+      /** What the call waited for last at this instance, and since when; absent if it has not waited. */
+      readonly waitedFor?: string;
+      readonly heldMs?: number;
       /** Expected mean pause of streams there, in milliseconds. */
       readonly enginePauseMs?: number;
       readonly candidates: number;
@@ -378,6 +396,8 @@
       readonly urgency: number;
       readonly end: string;
       readonly attempts: number;
+      /** What a call that was never sent waited for. */
+      readonly waitedFor?: string;
       readonly firstMs: number;
       readonly events: number;
       /** Mean pause between two events. */
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -20,6 +20,7 @@
 import { createEngineSpeeds } from './engine-speeds.js';
 import { isLargePool } from './large-pool.js';
 import { createPoolRooms } from './pool-room.js';
+import type { RoomReading } from './pool-room.js';
 import { createRouteSizes } from './route-sizes.js';
 import type { StreamRecord } from './stream-times.js';
 
@@ -84,6 +85,8 @@
   predictRunMs(call: RoutedCall): number;
   /** Expected mean pause of streams at an engine if one more call runs there; undefined while unknown. */
   predictPauseMs(endpoint: RegisteredEndpoint, nowMs: number): number | undefined;
+  /** What the more urgent calls of the pool left to the least urgent ones when that was last decided. */
+  readRoom(pool: string): RoomReading;
   /** Records that the call is refused, since no engine has room for it. */
   recordRefused(call: RoutedCall, nowMs: number): void;
   /** Records that the call is sent. */
@@ -201,6 +204,7 @@
 
   return {
     predictPauseMs,
+    readRoom: (pool) => rooms.read(pool),
     recordRefused: (call, nowMs) => recordOutcome(call, true, nowMs),
     choose(call, endpoints, tried, isCrashSuspect, nowMs) {
       const { route, pool } = call;
--- a/src/placement/pool-room.ts
+++ b/src/placement/pool-room.ts
@@ -46,9 +46,20 @@
   readonly knowsFleetLoad: () => boolean;
 }
 
+/** On what the room of a pool was decided. */
+export interface RoomReading {
+  readonly room: PoolRoom;
+  /** Decaying peak of the more urgent calls. */
+  readonly peak: number;
+  /** Slots of the endpoints that stay. */
+  readonly slots: number;
+}
+
 export interface PoolRooms {
   /** What the more urgent calls of all instances leave to the least urgent ones. */
   get(pool: string, nowMs: number): PoolRoom;
+  /** The same as it was last decided, with what it was decided on. */
+  read(pool: string): RoomReading;
   /** Records that a more urgent call was sent, or refused since no engine had room. */
   recordMoreUrgent(pool: string, isRefused: boolean, nowMs: number): void;
 }
@@ -161,6 +172,10 @@
       if (nowMs - state.updatedMs >= UPDATE_PERIOD_MS) update(state, pool, nowMs);
       return state.room;
     },
+    read(pool) {
+      const { room, peak, slots } = getState(pool);
+      return { room, peak, slots };
+    },
     recordMoreUrgent(pool, isRefused, nowMs) {
       getState(pool).outcomes.add({ decided: 1, refused: isRefused ? 1 : 0 }, nowMs);
     },
--- a/src/runtime/process-health.ts
+++ b/src/runtime/process-health.ts
@@ -10,6 +10,7 @@
 const LOW_SHARE = 0.7;
 const DELAY_RESOLUTION_MS = 10;
 const NS_PER_S = 1e9;
+const US_PER_MS = 1000;
 
 /** In bytes. */
 export interface MemoryLevel {
@@ -43,6 +44,8 @@
 
 export interface ProcessHealth {
   getResidentBytes(): number;
+  /** Processor time that the process has used, in milliseconds. */
+  getCpuMs(): number;
   /** Returns by how much the event loop was late at most since the last call, in seconds. */
   takeLoopDelaySeconds(): number;
   stop(): void;
@@ -66,6 +69,10 @@
   );
   return {
     getResidentBytes,
+    getCpuMs() {
+      const { user, system } = process.cpuUsage();
+      return (user + system) / US_PER_MS;
+    },
     takeLoopDelaySeconds() {
       const seconds = delays.max / NS_PER_S - DELAY_RESOLUTION_MS / 1000;
       delays.reset();
