The most urgent calls go to an engine with a slot before a full one

Cause: urgent streams have reserved engines, a third of the pool at most: one of the five that were left. The cost of a queue ends at the call's target (250 ms), while an engine outside the reserve costs half a target more, its unread prompts, and the prefix. So urgent calls stayed at full engines. A pool under 24 engines tries others only before a refusal, which the most urgent rank never gets.

--- a/src/load-sharing/load-exchange.test.ts
+++ b/src/load-sharing/load-exchange.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
-import { ENDPOINT_VERDICT, LOAD_CLASS, createEndpointLoads } from '../placement/endpoint-loads.js';
+import { ENDPOINT_VERDICT, createEndpointLoads } from '../placement/endpoint-loads.js';
+import { LOAD_CLASS } from '../placement/load-class.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import { describe } from '../test/describe.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -7,6 +7,8 @@
 import type { ChoiceInput } from './choose-endpoint.js';
 import { ENDPOINT_VERDICT, createEndpointLoads } from './endpoint-loads.js';
 import type { EndpointLoads, LoadTicket } from './endpoint-loads.js';
+import { LOAD_CLASS } from './load-class.js';
+import type { LoadClass } from './load-class.js';
 
 function buildEndpoint(id: string, dataCentre = 'own'): RegisteredEndpoint {
   const address = `${id}:1`;
@@ -238,6 +240,34 @@
       t.not(chooseEndpoint(buildInput({ ...input, waitedShare: 0.6 }))?.endpoint.id, home);
     });
 
+    // Guards against urgent calls that queue at the reserved engine while others have a free slot.
+    it('sends urgent calls to an engine with a free slot, or one that preempts, before a full one', (t) => {
+      const loads = createTrainedLoads();
+      const endpoints = ['a', 'b', 'c'].map((id) => ({ ...buildEndpoint(id), slots: 4 }));
+      const [first, second, third] = endpoints as [
+        RegisteredEndpoint,
+        RegisteredEndpoint,
+        RegisteredEndpoint,
+      ];
+      const input = buildInput({
+        endpoints,
+        loads,
+        prompt: buildPrompt('s', 300, 1000),
+        targetMs: 250,
+        isUrgent: true,
+        reserved: new Set(['a']),
+      });
+      const start = (endpoint: RegisteredEndpoint, count: number, loadClass: LoadClass): void => {
+        for (let index = 0; index < count; index += 1) loads.start(endpoint, 9000, 0, loadClass);
+      };
+      addRunning(loads, 'a', 4, 0);
+      start(second, 3, LOAD_CLASS.Preemptible);
+      start(third, 4, LOAD_CLASS.Preemptible);
+      t.is(chooseEndpoint(input)?.endpoint.id, 'b');
+      start(second, 4, LOAD_CLASS.Urgent);
+      t.is(chooseEndpoint(input)?.endpoint.id, 'c');
+    });
+
     it('counts load reported by other instances', (t) => {
       const loads = createTrainedLoads();
       const prompt = buildPrompt('x', 200, 1000);
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -262,6 +262,25 @@
     : { allowed: candidates, homes: candidates };
 }
 
+/**
+ * Keeps the engines with a slot that the most urgent calls get at once: a free one, else one that the engine takes
+ * from a less urgent call. Guards against urgent calls that queue for the few reserved engines, since a wait for a
+ * slot costs no more than their target, while others have room.
+ */
+function listWithSlot(
+  { isUrgent, loads }: ChoiceInput,
+  allowed: readonly RegisteredEndpoint[],
+): readonly RegisteredEndpoint[] {
+  if (!isUrgent) return allowed;
+  const free = allowed.filter(({ startId, slots }) => loads.get(startId).running < slots);
+  if (free.length > 0) return free;
+  const preempting = allowed.filter(({ startId, slots }) => {
+    const { running, preemptible } = loads.get(startId);
+    return running - preemptible < slots;
+  });
+  return preempting.length > 0 ? preempting : allowed;
+}
+
 /**
  * Returns the engine with the lowest cost. Other engines are skipped if the home costs no more than
  * reading the shared prefix again, since none of them can be cheaper.
@@ -271,7 +290,7 @@
   allowed: readonly RegisteredEndpoint[],
   homes: PrefixHomes,
 ): RegisteredEndpoint | undefined {
-  const { first } = homes;
+  const first = allowed.find((endpoint) => endpoint === homes.first);
   const leastMissMs = choice.rereadMs * getMissShare(choice.input, homes, homes.second);
   if (first !== undefined && computeCostMs(choice, first, 0) <= leastMissMs) return first;
   return chooseCheapest(allowed, choice.input.random, (candidate) =>
@@ -288,7 +307,7 @@
   const { allowed, homes } = listEngines(input, candidates);
   const prefixHomes = findPrefixHomes(cost.sharedPrefix, homes, input.slow);
   const choice = buildPromptChoice(input, allowed[0]?.pool ?? '', cost);
-  const endpoint = chooseForPrompt(choice, allowed, prefixHomes);
+  const endpoint = chooseForPrompt(choice, listWithSlot(input, allowed), prefixHomes);
   if (endpoint === undefined) return undefined;
   const rereadTokens = cost.sharedTokens * getMissShare(input, prefixHomes, endpoint);
   return { endpoint, readTokens: cost.ownTokens + rereadTokens };
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -9,6 +9,8 @@
 import type { DecayingSums } from '../utils/decaying-sums.js';
 import { computeFailureRate, createFailureCounts } from './failure-rate.js';
 import type { FailureCounts } from './failure-rate.js';
+import { LOAD_CLASS } from './load-class.js';
+import type { LoadClass } from './load-class.js';
 import { createPrefillFit } from './prefill-fit.js';
 import type { PrefillFit, PrefillSpeed } from './prefill-fit.js';
 import { buildPrefillSample, computeSlowdown, createPrefillSums } from './prefill-slowdown.js';
@@ -54,16 +56,6 @@
 } as const;
 export type EndpointVerdict = (typeof ENDPOINT_VERDICT)[keyof typeof ENDPOINT_VERDICT];
 
-/** What a call counts as in the load of an engine, besides a running call. */
-export const LOAD_CLASS = {
-  /** Of the most urgent of several priorities in its pool. */
-  Urgent: 'urgent',
-  Normal: 'normal',
-  /** Of the least urgent of several priorities in its pool. */
-  Preemptible: 'preemptible',
-} as const;
-export type LoadClass = (typeof LOAD_CLASS)[keyof typeof LOAD_CLASS];
-
 /** Records the progress of one call at an endpoint. */
 export interface LoadTicket {
   /** Records events of the answer that came at once, or the whole answer. */
--- a/src/placement/pool-room.test.ts
+++ b/src/placement/pool-room.test.ts
@@ -1,7 +1,8 @@
 import { describe } from '../test/describe.js';
 import type { RegisteredEndpoint } from '../types/traffic.js';
-import { ENDPOINT_VERDICT, LOAD_CLASS, createEndpointLoads } from './endpoint-loads.js';
-import type { LoadClass } from './endpoint-loads.js';
+import { ENDPOINT_VERDICT, createEndpointLoads } from './endpoint-loads.js';
+import { LOAD_CLASS } from './load-class.js';
+import type { LoadClass } from './load-class.js';
 import { POOL_ROOM, createPoolRooms } from './pool-room.js';
 import type { PoolRoom } from './pool-room.js';
 
--- a/src/slopes/placement-slopes.ts
+++ b/src/slopes/placement-slopes.ts
@@ -1,6 +1,7 @@
 /** Measures how the cost of an endpoint choice grows with the endpoints of the pool. */
 import type { RoutedCall } from '../calls/call-messages.js';
-import { LOAD_CLASS, createEndpointLoads } from '../placement/endpoint-loads.js';
+import { createEndpointLoads } from '../placement/endpoint-loads.js';
+import { LOAD_CLASS } from '../placement/load-class.js';
 import type { EndpointLoads } from '../placement/endpoint-loads.js';
 import { createPlacer } from '../placement/placer.js';
 import { CALL_KIND } from '../types/traffic.js';
--- a/src/test/fleet-simulation.ts
+++ b/src/test/fleet-simulation.ts
@@ -65,6 +65,8 @@
   readonly calls: readonly SimulatedCall[];
   /** Mean absolute error of the running calls that an instance assumes for an engine. */
   readonly meanLoadError: number;
+  /** Attempts at an engine with all slots taken while another had one free, by route. */
+  readonly crowdedAttempts: ReadonlyMap<string, number>;
   /** Attempts that an engine rejected because its queue was full. */
   readonly rejectedAttempts: number;
   /** Mean datagrams sent per instance and second. */
@@ -231,8 +233,13 @@
   const { time, network, engines, arrivalsStartMs } = simulation;
   let attempts = 0;
   let totalLoadError = 0;
-  const fleet = startFleet(simulation, ({ endpoint, load }) => {
+  const crowdedAttempts = new Map<string, number>();
+  const fleet = startFleet(simulation, ({ call, endpoint, load }) => {
     attempts += 1;
+    if (engines.isCrowded(endpoint.address)) {
+      const { name } = call.route;
+      crowdedAttempts.set(name, (crowdedAttempts.get(name) ?? 0) + 1);
+    }
     totalLoadError += Math.abs(load.running - engines.count(endpoint.address));
   });
   await time.runUntil(arrivalsStartMs);
@@ -243,6 +250,7 @@
   return {
     calls,
     meanLoadError: totalLoadError / Math.max(1, attempts),
+    crowdedAttempts,
     rejectedAttempts: engines.countRejected(),
     datagramsPerSecond: network.countSent() / fleet.instances.length / simulatedSeconds,
   };
--- a/src/test/simulated-engines.ts
+++ b/src/test/simulated-engines.ts
@@ -53,6 +53,8 @@
   listRegistered(delayShare: number): readonly RegisteredEndpoint[];
   /** Running and queued calls at an address. */
   count(address: string): number;
+  /** Whether all slots at an address are taken while another engine has one free. */
+  isCrowded(address: string): boolean;
   countRejected(): number;
 }
 
@@ -195,6 +197,13 @@
         .map(({ endpoint }) => endpoint);
     },
     count: (address) => findRunning(address)?.engine.count() ?? 0,
+    isCrowded(address) {
+      const hasFreeSlot = processes.some(
+        (process) =>
+          findRunning(process.endpoint.address) !== undefined && process.engine.count() < slots,
+      );
+      return hasFreeSlot && (findRunning(address)?.engine.count() ?? 0) >= slots;
+    },
     countRejected: () => processes.reduce((sum, { engine }) => sum + engine.countRejected(), 0),
   };
 }
