A call that waits for room is tried in proportion to its target

What callers saw: urgent calls that no gate held began up to 0.35 s late at instances with 18 to 33 calls in flight, most of them less urgent and waiting.

Cause: each waiting call was placed anew every 25 ms, whatever its target: 40 placements a second for each, on a machine with 0.12 of a core, before the next event of the loop. Urgent calls that arrive wait for them: a priority inversion at the instance. The class: background work that grows with an overload, in front of the work that the overload hurts.

Any other wait is tried as before. Calls that wait are removed, refused and ordered as before.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -31,6 +31,8 @@
 import { HANDLING_FAILED } from './call-refusals.js';
 import { createSendDecider } from './send-decision.js';
 import type { AttemptCommand } from './send-decision.js';
+import { computeNextTryMs } from './wait-reason.js';
+import type { WaitReason } from './wait-reason.js';
 
 /** Interval at which deadlines and stalls are checked. */
 const TICK_MS = 100;
@@ -171,6 +173,12 @@
     if (run.successor === started) run.successor = undefined;
   }
 
+  function recordWait(run: Run, reason: WaitReason): void {
+    const nowMs = getNow();
+    const nextTryMs = computeNextTryMs(reason, run.call.route.targetMs, nowMs);
+    run.wait = { reason, sinceMs: run.wait?.sinceMs ?? nowMs, nextTryMs };
+  }
+
   /** Sends or rejects the requested attempt; false if it has to wait. */
   function sendAttempt(run: Run, command: AttemptCommand): boolean {
     const { triedEndpointIds: tried, version } = run;
@@ -184,7 +192,7 @@
         });
         return true;
       case 'wait':
-        run.wait = { reason: decision.reason, sinceMs: run.wait?.sinceMs ?? getNow() };
+        recordWait(run, decision.reason);
         return false;
       case 'reject':
         advanceRun(run, { kind: 'unplaced', failure: decision.failure });
@@ -203,6 +211,7 @@
   function advanceWaitingCalls(): void {
     const nowMs = getNow();
     const ordered = [...waitingAttempts]
+      .filter(([{ wait }]) => wait === undefined || nowMs >= wait.nextTryMs)
       .map(([run, command]) => ({ run, command, order: buildWaitingCall(run) }))
       .sort((a, b) => compareWaiting(a.order, b.order, nowMs));
     for (const { run, command } of ordered) {
--- a/src/calls/wait-reason.ts
+++ b/src/calls/wait-reason.ts
@@ -20,4 +20,17 @@
   /** What it waited for last. */
   readonly reason: WaitReason;
   readonly sinceMs: number;
+  /** When it is tried again at the earliest. */
+  readonly nextTryMs: number;
+}
+
+/**
+ * Shortest time between two tries of a call that waits for room, as a share of its target. Guards against less
+ * urgent calls that wait in numbers and whose tries take the processor time that urgent ones need.
+ */
+const TRY_PERIOD_TARGET_SHARE = 0.05;
+
+/** Only calls that wait for room come in numbers; any other wait ends with one answer. */
+export function computeNextTryMs(reason: WaitReason, targetMs: number, nowMs: number): number {
+  return reason === WAIT_REASON.EngineRoom ? nowMs + targetMs * TRY_PERIOD_TARGET_SHARE : nowMs;
 }
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -244,7 +244,7 @@
     it('sends urgent calls to an engine with a free slot, or one that preempts, before a full one', (t) => {
       const loads = createTrainedLoads();
       const endpoints = ['a', 'b', 'c'].map((id) => ({ ...buildEndpoint(id), slots: 4 }));
-      const [first, second, third] = endpoints as [
+      const [, second, third] = endpoints as [
         RegisteredEndpoint,
         RegisteredEndpoint,
         RegisteredEndpoint,
