A full engine costs an urgent call two targets instead of being left out

Cause: a full engine was left out of the choice before its cost was weighed, so that an engine that fails nearly every call, with a free slot, went before it.

Change: an engine without a free slot costs an urgent call two of its targets, one if it takes the slot from a less urgent call: more than leaving the reserve, less than an engine that fails every fourth call.

--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -52,6 +52,13 @@
  * stream, as a share of its target.
  */
 const INTERFERENCE_COST_SHARE = 0.5;
+/**
+ * Cost for an urgent call of an engine without a free slot, in multiples of its target: more than that of leaving the
+ * reserved engines, less than that of an engine that fails every fourth call.
+ */
+const NO_SLOT_COST_TARGETS = 2;
+/** The same of an engine that takes a slot from a less urgent call, which then has to be read again. */
+const PREEMPTION_COST_TARGETS = 1;
 /**
  * Cost of a certain failure for a call with a prompt, in multiples of its target: a call that may be
  * sent only once is lost with it.
@@ -202,6 +209,20 @@
   });
 }
 
+/**
+ * Cost of a slot for an urgent call. Guards against urgent calls that queue for the few reserved engines while others
+ * have room, since the estimated wait for a slot counts for at most their target.
+ */
+function computeSlotCostMs(
+  { input }: PromptChoice,
+  { startId, slots }: RegisteredEndpoint,
+): number {
+  const { running, preemptible } = input.loads.get(startId);
+  if (!input.isUrgent || running < slots) return 0;
+  const isPreempting = running - preemptible < slots;
+  return input.targetMs * (isPreempting ? PREEMPTION_COST_TARGETS : NO_SLOT_COST_TARGETS);
+}
+
 /** Estimated cost of sending the prompt to an engine. */
 function computeCostMs(
   choice: PromptChoice,
@@ -223,6 +244,7 @@
     Math.min(targetMs, queuedMs * urgencyFactor) +
     missShare * choice.rereadMs +
     failingMs +
+    computeSlotCostMs(choice, candidate) +
     computeEnginePauseCostMs(choice, candidate) +
     (input.isUrgent && hasInterference ? targetMs * INTERFERENCE_COST_SHARE : 0)
   );
@@ -262,25 +284,6 @@
     : { allowed: candidates, homes: candidates };
 }
 
-/**
- * Keeps the engines with a slot that the most urgent calls get at once: a free one, else one that the engine takes
- * from a less urgent call. Guards against urgent calls that queue for the few reserved engines, since a wait for a
- * slot costs no more than their target, while others have room.
- */
-function listWithSlot(
-  { isUrgent, loads }: ChoiceInput,
-  allowed: readonly RegisteredEndpoint[],
-): readonly RegisteredEndpoint[] {
-  if (!isUrgent) return allowed;
-  const free = allowed.filter(({ startId, slots }) => loads.get(startId).running < slots);
-  if (free.length > 0) return free;
-  const preempting = allowed.filter(({ startId, slots }) => {
-    const { running, preemptible } = loads.get(startId);
-    return running - preemptible < slots;
-  });
-  return preempting.length > 0 ? preempting : allowed;
-}
-
 /**
  * Returns the engine with the lowest cost. Other engines are skipped if the home costs no more than
  * reading the shared prefix again, since none of them can be cheaper.
@@ -290,7 +293,7 @@
   allowed: readonly RegisteredEndpoint[],
   homes: PrefixHomes,
 ): RegisteredEndpoint | undefined {
-  const first = allowed.find((endpoint) => endpoint === homes.first);
+  const { first } = homes;
   const leastMissMs = choice.rereadMs * getMissShare(choice.input, homes, homes.second);
   if (first !== undefined && computeCostMs(choice, first, 0) <= leastMissMs) return first;
   return chooseCheapest(allowed, choice.input.random, (candidate) =>
@@ -307,7 +310,7 @@
   const { allowed, homes } = listEngines(input, candidates);
   const prefixHomes = findPrefixHomes(cost.sharedPrefix, homes, input.slow);
   const choice = buildPromptChoice(input, allowed[0]?.pool ?? '', cost);
-  const endpoint = chooseForPrompt(choice, listWithSlot(input, allowed), prefixHomes);
+  const endpoint = chooseForPrompt(choice, allowed, prefixHomes);
   if (endpoint === undefined) return undefined;
   const rereadTokens = cost.sharedTokens * getMissShare(input, prefixHomes, endpoint);
   return { endpoint, readTokens: cost.ownTokens + rereadTokens };
