A call that waits for room is tried ten times a second at least

A route with a target of a minute would have been tried once in 3 s, and seldom have found a slot that had just become free. Bound: 100 ms. Targets under 2 s are tried as before. Test before: computeNextTryMs of 60 s gave 4000, expected 1100.

--- a/src/calls/wait-reason.ts
+++ b/src/calls/wait-reason.ts
@@ -29,8 +29,11 @@
  * urgent calls that wait in numbers and whose tries take the processor time that urgent ones need.
  */
 const TRY_PERIOD_TARGET_SHARE = 0.05;
+/** Bound of the same time: a free slot is taken by others meanwhile. */
+const TRY_PERIOD_MAX_MS = 100;
 
 /** Only calls that wait for room come in numbers; any other wait ends with one answer. */
 export function computeNextTryMs(reason: WaitReason, targetMs: number, nowMs: number): number {
-  return reason === WAIT_REASON.EngineRoom ? nowMs + targetMs * TRY_PERIOD_TARGET_SHARE : nowMs;
+  if (reason !== WAIT_REASON.EngineRoom) return nowMs;
+  return nowMs + Math.min(TRY_PERIOD_MAX_MS, targetMs * TRY_PERIOD_TARGET_SHARE);
 }
--- a/src/calls/waiting-tries.test.ts
+++ b/src/calls/waiting-tries.test.ts
@@ -10,6 +10,7 @@
 import type { Contact } from '../membership/membership-messages.js';
 import { createRandom } from '../utils/random.js';
 import type { CallSink, RoutedCall } from './call-messages.js';
+import { WAIT_REASON, computeNextTryMs } from './wait-reason.js';
 
 const SLOTS = 4;
 /** Time without load in which an instance without peers learns that it has none. */
@@ -88,4 +89,15 @@
     const tries = await countTries();
     t.true(tries > 1 && tries <= TRIES_MAX, `${tries} tries`);
   });
+
+  // Guards against calls with a target of minutes that never find the slot that has just become free.
+  it('is tried ten times a second at least', (t) => {
+    t.is(computeNextTryMs(WAIT_REASON.EngineRoom, 60_000, 1000), 1100);
+    t.is(computeNextTryMs(WAIT_REASON.EngineRoom, 400, 1000), 1020);
+  });
+
+  // Guards against a stream that goes on late since its version was found between two tries.
+  it('is tried at each chance if it waits for anything else', (t) => {
+    t.is(computeNextTryMs(WAIT_REASON.StreamVersion, 1500, 1000), 1000);
+  });
 });
