Calls at a lost path go to another endpoint, not from peer to peer

Cause: a call whose connection is refused asked up to five peers in turn (up to 0.3 s each), though other engines had room. Placement heard of the loss only when that had ended, so that more calls followed, and each second one call of any rank tried the engine again in the same way.

Change: the call that finds the loss moves on at once, as unsent, if another endpoint that this instance has reached has a free slot and the call may go there; placement takes the endpoint for suspect from then on; a trial asks one peer, and an urgent call makes one only after five seconds. An answer through a peer ends the suspicion. A call without another place goes through peers as before.

--- a/src/calls/attempt-starter.ts
+++ b/src/calls/attempt-starter.ts
@@ -85,6 +85,20 @@
     };
   }
 
+  /** Asked for the first attempt only, so that a call that finds no way by itself goes through peers. */
+  function hasOtherPlace(run: Run, { attempt, lastEventId }: AttemptCommand, id: string): boolean {
+    const { call, version } = run;
+    if (attempt > 1 || lastEventId !== undefined || version !== undefined) return false;
+    const choice = options.limits.choose(call, attempt + 1, [id]);
+    if (choice.kind !== 'send') return false;
+    const others = choice.endpoints.filter((endpoint) => endpoint.id !== id);
+    const shared = options.shares.choose(call, others);
+    if (shared.kind !== 'send') return false;
+    return shared.endpoints.some(
+      ({ startId, slots }) => loads.isReached(startId) && loads.get(startId).running < slots,
+    );
+  }
+
   function start(
     run: Run,
     command: AttemptCommand,
@@ -160,6 +174,7 @@
         ),
         buildRequest: (remainingMs) =>
           protocol.encode(call, { endpointId: endpoint.id, remainingMs, lastEventId }),
+        hasOtherPlace: () => hasOtherPlace(run, command, endpoint.id),
       },
       {
         isSendAllowed: () =>
--- a/src/calls/endpoint-exchanges.ts
+++ b/src/calls/endpoint-exchanges.ts
@@ -15,6 +15,8 @@
   readonly connectionsMax: number;
   /** Built when it is sent, since it states the time that is left. */
   readonly buildRequest: (remainingMs: number) => EndpointRequest;
+  /** Whether the call can go to another endpoint at once if this one cannot be reached. */
+  readonly hasOtherPlace: () => boolean;
 }
 
 export interface EndpointExchanges {
--- a/src/forwarding/cut-fleet.test.ts
+++ b/src/forwarding/cut-fleet.test.ts
@@ -53,6 +53,7 @@
     },
     connectionsMax: 8,
     buildRequest: () => ({ method: 'GET', target: '/', headers: [], body: Buffer.alloc(0) }),
+    hasOtherPlace: () => false,
   };
 }
 
--- a/src/forwarding/forwarded-exchanges.test.ts
+++ b/src/forwarding/forwarded-exchanges.test.ts
@@ -32,6 +32,7 @@
     },
     connectionsMax: 8,
     buildRequest: () => ({ method: 'POST', target: '/', headers: [], body: Buffer.alloc(0) }),
+    hasOtherPlace: () => false,
   };
 }
 
@@ -78,6 +79,7 @@
     },
     timers,
     listOwners: () => undefined,
+    onPeerAnswered: () => undefined,
   });
   return {
     exchanges,
@@ -128,3 +130,66 @@
     t.false(carried.told.includes('error'));
   });
 });
+
+/** An instance whose endpoint refuses connections, and that no peer reaches. */
+function createUnreachedHarness() {
+  const time = createVirtualTime();
+  const timers = time.createTimers(createActor('front-1'), 0);
+  const asked: (number | undefined)[] = [];
+  const ledger = createPathLedger({
+    getNow: () => timers.clock.monotonicMs(),
+    onChanged: () => undefined,
+  });
+  const exchanges = createForwardedExchanges({
+    connections: {
+      open(_address, _connectionsMax, _request, listener) {
+        queueMicrotask(() => listener.onError(false, 'refused', true));
+        return () => undefined;
+      },
+      closeIdle: () => undefined,
+    },
+    ledger,
+    forwarder: {
+      open(_, listener: ForwardedListener, way) {
+        asked.push(way?.peersMax);
+        queueMicrotask(() => listener.onUnavailable(false));
+        return () => undefined;
+      },
+    },
+    checkConnection: () => Promise.resolve(CONNECTION_RESULT.Refused),
+    timers,
+    listOwners: () => undefined,
+    onPeerAnswered: () => undefined,
+  });
+  return { exchanges, asked };
+}
+
+describe('an exchange whose endpoint refuses connections', ({ it }) => {
+  // Guards against calls that ask one peer after the other while another endpoint has room.
+  it('ends unsent at once if its call has another place', async (t) => {
+    const { exchanges, asked } = createUnreachedHarness();
+    const { told, listener } = createListener();
+    exchanges.open({ ...buildExchange(), hasOtherPlace: () => true }, listener);
+    await waitImmediate();
+    t.deepEqual(told, ['error']);
+    t.deepEqual(asked, []);
+  });
+
+  it('asks one peer later on if its call has another place', async (t) => {
+    const { exchanges, asked } = createUnreachedHarness();
+    const { listener } = createListener();
+    exchanges.open({ ...buildExchange(), hasOtherPlace: () => true }, listener);
+    await waitImmediate();
+    exchanges.open({ ...buildExchange(), hasOtherPlace: () => true }, listener);
+    await waitImmediate();
+    t.deepEqual(asked, [1]);
+  });
+
+  // Guards against an instance without any path that refuses calls which its peers can carry.
+  it('goes through peers if its call has no other place', async (t) => {
+    const { exchanges, asked } = createUnreachedHarness();
+    exchanges.open(buildExchange(), createListener().listener);
+    await waitImmediate();
+    t.deepEqual(asked, [undefined]);
+  });
+});
--- a/src/forwarding/forwarded-exchanges.ts
+++ b/src/forwarding/forwarded-exchanges.ts
@@ -26,6 +26,8 @@
 const LOST_SILENCE_MS = 1000;
 /** The same once the registry has named another start of its endpoint. */
 const ENDED_SILENCE_MS = 200;
+/** Peers asked for a call that has another place, to learn whether they reach the endpoint. */
+const TRIAL_PEERS_MAX = 1;
 /** Silence that is usual for an exchange of a peer, whose route is not known here. */
 const CARRIED_PATIENCE_MS = 2000;
 
@@ -37,6 +39,8 @@
   readonly timers: TimerService;
   /** Instances that own slots of a brittle endpoint, if this one does not; else undefined. */
   readonly listOwners: (endpoint: RegisteredEndpoint) => readonly string[] | undefined;
+  /** A peer got an answer of the endpoint to a request that was handed over. */
+  readonly onPeerAnswered: (start: string) => void;
 }
 
 export interface ForwardedExchanges extends EndpointExchanges {
@@ -179,7 +183,7 @@
     exchange: OutgoingExchange,
     listener: ExchangeListener,
     onUnavailable: () => void,
-    { flow, owners }: ForwardedWay,
+    way: ForwardedWay,
   ): () => void {
     const { startId } = exchange.endpoint;
     return forwarder.open(
@@ -188,13 +192,14 @@
         ...listener,
         onAnswering(sentMs) {
           if (ledger.recordPeerAnswered(startId, sentMs)) startCheck(exchange.endpoint);
+          options.onPeerAnswered(startId);
         },
         onUnavailable(isEndpointDown) {
           if (isEndpointDown) ledger.recordPeersFailed(startId);
           onUnavailable();
         },
       },
-      { flow, owners },
+      way,
     );
   }
 
@@ -225,13 +230,18 @@
       });
     }
 
-    function runForwarded(onUnavailable: () => void): void {
-      setCurrent(() => openForwarded(exchange, listener, onUnavailable, { flow }));
+    function runForwarded(onUnavailable: () => void, peersMax?: number): void {
+      setCurrent(() => openForwarded(exchange, listener, onUnavailable, { flow, peersMax }));
+    }
+
+    /** While no peer has reached the endpoint, the call does not search for one if it has another place. */
+    function isSearchNeeded(): boolean {
+      return ledger.isLossConfirmed(startId) || !exchange.hasOtherPlace();
     }
 
     function handleUnreachable(reason: string, isForwardable: boolean): void {
       const isLost = ledger.choose(startId, isRepeatable(call)).kind === 'peer';
-      if (isForwardable && isLost) runForwarded(() => closeUnsent(reason));
+      if (isForwardable && isLost && isSearchNeeded()) runForwarded(() => closeUnsent(reason));
       else closeUnsent(reason);
     }
 
@@ -279,8 +289,9 @@
         break;
       case 'peer':
         if (choice.isCheckDue) startCheck(endpoint);
-        runForwarded(() =>
-          closeUnsent('the endpoint is reached neither directly nor through a peer'),
+        runForwarded(
+          () => closeUnsent('the endpoint is reached neither directly nor through a peer'),
+          isSearchNeeded() ? undefined : TRIAL_PEERS_MAX,
         );
         break;
       default:
--- a/src/forwarding/forwarder.test.ts
+++ b/src/forwarding/forwarder.test.ts
@@ -99,6 +99,7 @@
       headers: [],
       body: Buffer.from('order'),
     }),
+    hasOtherPlace: () => false,
   };
   const flow: ExchangeFlow = { pause: () => undefined, resume: () => undefined };
   const listener: ForwardedListener = {
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -81,6 +81,8 @@
   readonly flow?: ExchangeFlow | undefined;
   /** Only these are asked, for a slot of their shares. */
   readonly owners?: readonly string[] | undefined;
+  /** Peers asked at most. @default 5 */
+  readonly peersMax?: number | undefined;
 }
 
 export interface Forwarder {
@@ -114,7 +116,7 @@
   function open(
     exchange: OutgoingExchange,
     listener: ForwardedListener,
-    { flow, owners }: ForwardedWay = {},
+    { flow, owners, peersMax = PEERS_MAX }: ForwardedWay = {},
   ): () => void {
     const { call, endpoint } = exchange;
     const asked = new Set<string>();
@@ -123,7 +125,7 @@
     let closeCurrent: () => void = () => undefined;
 
     function startNextOffer(): void {
-      const isDone = asked.size >= PEERS_MAX || failedPeers >= FAILED_PEERS_MAX;
+      const isDone = asked.size >= peersMax || failedPeers >= FAILED_PEERS_MAX;
       const isElsewhere = failedPeers > 0 || lostPeers >= NEAR_REFUSALS_MAX;
       const peer = isDone ? undefined : peers.choose(endpoint.startId, asked, isElsewhere, owners);
       if (peer === undefined) {
--- a/src/gateway/call-forwarding.ts
+++ b/src/gateway/call-forwarding.ts
@@ -12,7 +12,7 @@
 import { createForwarder } from '../forwarding/forwarder.js';
 import type { ForwardRecord } from '../forwarding/forwarder.js';
 import { findRefusal } from '../forwarding/offer-decision.js';
-import { createPathLedger } from '../forwarding/path-ledger.js';
+import { PATH_EVIDENCE, PATH_STATE, createPathLedger } from '../forwarding/path-ledger.js';
 import type { KnownPath, PathChange } from '../forwarding/path-ledger.js';
 import type { Contact } from '../membership/membership-messages.js';
 import type { ConnectionResult } from '../quarantine/crash-detector.js';
@@ -52,6 +52,10 @@
   readonly isAvailable: (endpoint: RegisteredEndpoint) => boolean;
   /** Time of the source's clock at which the keys were surely valid; undefined if unknown. */
   readonly getKeyConfirmedAt: () => number | undefined;
+  /** No connection to the endpoint could be made. */
+  readonly onUnreachable: (start: string) => void;
+  /** A peer got an answer of the endpoint. */
+  readonly onPeerAnswered: (start: string) => void;
   /** Whether keys that were valid at that time of the source's clock may still be used. */
   readonly isKeyTimeValid: (confirmedAtMs: number) => boolean;
 }
@@ -74,6 +78,8 @@
     getNow,
     onChanged(change) {
       observer.onPathChanged(change);
+      if (change.state === PATH_STATE.Lost && change.evidence === PATH_EVIDENCE.NotConnected)
+        options.onUnreachable(change.start);
       exchanges.handlePathChange(change);
     },
   });
@@ -98,6 +104,7 @@
     checkConnection: options.checkConnection,
     timers,
     listOwners: (endpoint) => options.shares.listOwners(endpoint),
+    onPeerAnswered: options.onPeerAnswered,
   });
 
   function isAvailable(endpoint: RegisteredEndpoint): boolean {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -245,6 +245,8 @@
     findStart: (start) => knowledge.directory.listAll().find(({ startId }) => startId === start),
     isAvailable: (endpoint) => availability.isAvailable(endpoint),
     getKeyConfirmedAt: () => knowledge.getSummary().confirmedAtMs,
+    onUnreachable: (start) => loads.recordUnreachable(start),
+    onPeerAnswered: (start) => loads.recordReachable(start),
     isKeyTimeValid: (confirmedAtMs) => isKeyAgeValid(knowledge.computeAgeOf(confirmedAtMs)),
   });
 
--- a/src/placement/choose-endpoint.test.ts
+++ b/src/placement/choose-endpoint.test.ts
@@ -389,6 +389,33 @@
       t.is(chooseEndpoint(buildInput({ endpoints, loads, nowMs: 1600 }))?.endpoint.id, 'dead');
     });
 
+    // Guards against urgent calls that find out for all others whether an endpoint is back.
+    it('probes it with an urgent call only after less urgent ones had time to', (t) => {
+      const loads = createTrainedLoads();
+      const endpoints = [buildEndpoint('dead'), buildEndpoint('live')];
+      const choose = (nowMs: number): string | undefined =>
+        chooseEndpoint(buildInput({ endpoints, loads, isUrgent: true, nowMs }))?.endpoint.id;
+      loads.start(buildEndpoint('dead'), 0, 0).recordEnd(ENDPOINT_VERDICT.Good, 0);
+      loads.start(buildEndpoint('dead'), 0, 0).recordEnd(ENDPOINT_VERDICT.Unreachable, 0);
+      loads.start(buildEndpoint('live'), 0, 0);
+      t.is(choose(1500), 'live');
+      t.is(choose(5500), 'dead');
+    });
+
+    // Guards against calls that follow one whose peers are still being asked.
+    it('skips an endpoint to which no connection could be made while a call looks for a way', (t) => {
+      const loads = createTrainedLoads();
+      const endpoints = [buildEndpoint('dead'), buildEndpoint('live')];
+      const choose = (): string | undefined =>
+        chooseEndpoint(buildInput({ endpoints, loads, nowMs: 1500 }))?.endpoint.id;
+      loads.start(buildEndpoint('dead'), 0, 0);
+      for (let count = 0; count < 3; count += 1) loads.start(buildEndpoint('live'), 0, 0);
+      loads.recordUnreachable('dead');
+      t.is(choose(), 'live');
+      loads.recordReachable('dead');
+      t.is(choose(), 'dead');
+    });
+
     it('returns undefined when every endpoint was tried', (t) => {
       const endpoints = [buildEndpoint('a')];
       t.is(chooseEndpoint(buildInput({ endpoints, excluded: ['a'] })), undefined);
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -115,7 +115,9 @@
     input.isDataCentreUnreachable(dataCentre),
   );
   const reachable = untried.filter(({ dataCentre }) => !unreachable.includes(dataCentre));
-  const healthy = reachable.filter(({ startId }) => !loads.isSuspect(startId, nowMs));
+  const healthy = reachable.filter(
+    ({ startId }) => !loads.isSuspect(startId, nowMs, input.isUrgent),
+  );
   const preferred = healthy.filter((endpoint) => !input.isAvoided(endpoint));
   // Guards against a call that is refused after it tried one address after the other at which nothing answers.
   const reached = preferred.filter(({ startId }) => loads.isReached(startId));
--- a/src/placement/endpoint-loads.ts
+++ b/src/placement/endpoint-loads.ts
@@ -38,6 +38,8 @@
  * entries of addresses where nothing answers, each of which costs a call an attempt.
  */
 const UNREACHED_PROBE_AFTER_MAX_MS = 8000;
+/** The same times are longer by this factor for urgent calls: less urgent ones try the endpoint first. */
+const URGENT_PROBE_FACTOR = 5;
 
 /** How an endpoint handled a call that has ended. */
 export const ENDPOINT_VERDICT = {
@@ -114,8 +116,16 @@
   ): number | undefined;
   /** Whether calls of this instance reached the endpoint, and none has failed to since. */
   isReached(id: string): boolean;
-  /** Whether the endpoint should be skipped because calls of this instance failed in a row. */
-  isSuspect(id: string, nowMs: number): boolean;
+  /**
+   * Whether the endpoint should be skipped because calls of this instance failed in a row. `isUrgent`: for a
+   * call that should not be the one that tries it again.
+   * @default isUrgent false
+   */
+  isSuspect(id: string, nowMs: number, isUrgent?: boolean): boolean;
+  /** Records that no connection could be made, while it is not known whether a peer reaches the endpoint. */
+  recordUnreachable(id: string): void;
+  /** Records that a peer got an answer of the endpoint. */
+  recordReachable(id: string): void;
   /**
    * Records that a call is sent to an endpoint that is expected to read `unreadTokens` of its
    * prompt.
@@ -146,6 +156,8 @@
   unreadTokens: number;
   failuresInRow: number;
   lastFailureMs: number;
+  /** No connection could be made, and no call has ended since. */
+  isUnreachable: boolean;
   wasReached: boolean;
   readonly failures: DecayingSums<keyof FailureCounts>;
   readonly prefill: DecayingSums<keyof PrefillSums>;
@@ -226,6 +238,7 @@
       unreadTokens: 0,
       failuresInRow: 0,
       lastFailureMs: -Infinity,
+      isUnreachable: false,
       wasReached: false,
       failures: createFailureCounts(),
       prefill: createPrefillSums(),
@@ -236,6 +249,7 @@
   }
 
   function recordVerdict(state: LoadState, verdict: EndpointVerdict, nowMs: number): void {
+    if (verdict !== ENDPOINT_VERDICT.None) state.isUnreachable = false;
     switch (verdict) {
       case ENDPOINT_VERDICT.Good:
       case ENDPOINT_VERDICT.Resting:
@@ -428,11 +442,22 @@
       const state = states.get(id);
       return state !== undefined && state.wasReached && state.failuresInRow === 0;
     },
-    isSuspect(id, nowMs) {
+    isSuspect(id, nowMs, isUrgent = false) {
       const state = states.get(id);
-      if (state === undefined || state.failuresInRow < SUSPECT_AFTER_FAILURES) return false;
+      if (state === undefined) return false;
+      if (state.isUnreachable && state.running > 0) return true;
+      if (state.failuresInRow < SUSPECT_AFTER_FAILURES) return false;
+      const probeAfterMs = computeProbeAfterMs(state) * (isUrgent ? URGENT_PROBE_FACTOR : 1);
       // A suspect endpoint gets one probe call at a time.
-      return state.running > 0 || nowMs - state.lastFailureMs < computeProbeAfterMs(state);
+      return state.running > 0 || nowMs - state.lastFailureMs < probeAfterMs;
+    },
+    recordUnreachable(id) {
+      const state = states.get(id);
+      if (state !== undefined) state.isUnreachable = true;
+    },
+    recordReachable(id) {
+      const state = states.get(id);
+      if (state !== undefined) Object.assign(state, { isUnreachable: false, failuresInRow: 0 });
     },
     start: startCall,
     remove(id) {
--- a/src/test/fleet-simulation.ts
+++ b/src/test/fleet-simulation.ts
@@ -57,6 +57,11 @@
    * @default all
    */
   readonly features?: EnabledFeatures;
+  /**
+   * Time by which messages about calls that instances carry for each other are late.
+   * @default no instance carries calls
+   */
+  readonly carriedDelayMs?: number;
   /** @default callers stay, and do not return after a refusal */
   readonly habits?: CallerHabits;
 }
@@ -124,6 +129,8 @@
       ...(options.features === undefined ? {} : { features: options.features }),
     });
     network.add(self.address, instance.exchange);
+    if (options.carriedDelayMs !== undefined)
+      network.addCarrier(self.address, instance.forwarding.runCarried);
     instances.push(instance);
   };
   contacts.forEach((self, index) => {
@@ -144,7 +151,9 @@
     options,
     time,
     random: createRandom(options.seed),
-    network: createSimulatedNetwork(time, createRandom(options.seed + 1)),
+    network: createSimulatedNetwork(time, createRandom(options.seed + 1), {
+      carriedDelayMs: options.carriedDelayMs ?? 0,
+    }),
     engines: createSimulatedEngines({ options, time, arrivalsStartMs, calls }),
     calls,
     arrivalsStartMs,
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -208,6 +208,8 @@
     findStart: (start) => listOpen().find(({ startId }) => startId === start),
     isAvailable: (endpoint) => availability.isAvailable(endpoint),
     getKeyConfirmedAt: () => undefined,
+    onUnreachable: (start) => loads.recordUnreachable(start),
+    onPeerAnswered: (start) => loads.recordReachable(start),
     isKeyTimeValid: () => true,
   });
   const streams = createCallStreams({
--- a/src/test/simulated-network.ts
+++ b/src/test/simulated-network.ts
@@ -57,6 +57,11 @@
    * @default 0.01
    */
   readonly lossProbability?: number;
+  /**
+   * Time by which a message about a carried call is late, as between instances short of processor time.
+   * @default 0
+   */
+  readonly carriedDelayMs?: number;
 }
 
 export interface SimulatedNetwork {
@@ -81,7 +86,11 @@
 export function createSimulatedNetwork(
   time: VirtualTime,
   random: Random,
-  { callMaxMs = 10, lossProbability = LOSS_PROBABILITY }: SimulatedNetworkOptions = {},
+  {
+    callMaxMs = 10,
+    lossProbability = LOSS_PROBABILITY,
+    carriedDelayMs = 0,
+  }: SimulatedNetworkOptions = {},
 ): SimulatedNetwork {
   const peers = new Map<string, PeerExchange>();
   const knowledgeBuilders = new Map<string, BuildKnowledge>();
@@ -162,7 +171,8 @@
     createForwardLinks: () =>
       createSimulatedForwardLinks({
         findCarrier: (address) => carriers.get(address),
-        runLater: (run) => time.add(undefined, DELAY_MIN_MS + random.next() * DELAY_SPREAD_MS, run),
+        runLater: (run) =>
+          time.add(undefined, carriedDelayMs + DELAY_MIN_MS + random.next() * DELAY_SPREAD_MS, run),
       }),
     createDatagrams: ({ name, dataCentre }) => ({
       sendLoads(loads, knowledge, sentTime) {
