A change is in force in time though the store falls silent to all watchers

Cause: instances look for a change themselves once their knowledge is 2.4 s old, whatever the deployment's bounds say.

The time that conclusions about streams cover stays the same for all.

--- a/src/gateway/configuration-spread.test.ts
+++ b/src/gateway/configuration-spread.test.ts
@@ -38,4 +38,15 @@
   // Guards against instances that stay on an older version which peers sent them as the newest.
   it('is in force in time while busy peers answer out of order', (t) =>
     checkInForce(t, [3, 4, 5, 6], {}));
+
+  // Guards against instances that follow watchers which the source no longer answers.
+  it('is in force in time if the source falls silent to all watchers of a small fleet', (t) =>
+    checkInForce(t, [1, 2, 3, 4, 5, 6, 7, 8], {
+      instances: 7,
+      dataCentres: 3,
+      changesMs: [50, 400, 800],
+      inForceMs: 2000,
+      lost: { share: 0, link: SOURCE_LINK.Silent, areWatchers: true },
+      peerResponseMaxMs: 50,
+    }));
 });
--- a/src/gateway/gateway-api.ts
+++ b/src/gateway/gateway-api.ts
@@ -92,6 +92,8 @@
   readonly duties: DutyOptions | undefined;
   /** Maximum age of the knowledge of keys when a call is sent. */
   readonly keyAgeMaxMs: number;
+  /** Time from a change's confirmation by the source until instances in reach must act on it. */
+  readonly inForceMs: number;
   readonly drainTimes: DrainTimes;
   /** Responses to callers that are not written out. */
   readonly countOpenResponses: () => number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import { createEndpointPace } from '../endpoint-pace/endpoint-pace.js';
 import { createDrain, STAGE } from '../lifecycle/drain.js';
 import type { DrainCommand } from '../lifecycle/drain.js';
+import { DEFAULT_WATCH_PACE, computeWatchPace } from '../knowledge/watch-pace.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { hashStartId } from '../placement/remote-loads.js';
 import { createPlacer } from '../placement/placer.js';
@@ -31,7 +32,7 @@
 import { createCallStreams } from './call-streams.js';
 import { createGatewayDuties, createTimedFeed } from './gateway-duties.js';
 import type { GatewayDuties } from './gateway-duties.js';
-import { LEADING_WATCH_WAIT_MS, createKnowledgeStore } from './knowledge-store.js';
+import { createKnowledgeStore } from './knowledge-store.js';
 import { createPeerExchange } from './peer-exchange.js';
 import type { Gateway, GatewayOptions } from './gateway-api.js';
 
@@ -42,16 +43,12 @@
 const KEY_AGE_MARGIN_MS = 500;
 /** Fraction of the maximum age of keys at which readiness is withdrawn, before calls have to be refused. */
 const READY_KEY_AGE_FRACTION = 0.6;
-/**
- * Knowledge older than this cannot prove that a route or key does not exist, and is fetched from peers.
- * The margin covers the spread of a confirmation to all instances.
- */
-const RECENT_KNOWLEDGE_MAX_MS = LEADING_WATCH_WAIT_MS + 700;
 /**
  * By how much the registry may be older than keys may be when a stream begins: its confirmations come at
- * other times than those of the keys, so in an outage of both the age of the keys decides.
+ * other times than those of the keys, so in an outage of both the age of the keys decides. The same for all
+ * instances of a fleet, whatever their release and bounds.
  */
-const REGISTRY_AGE_EXTRA_MS = RECENT_KNOWLEDGE_MAX_MS;
+const REGISTRY_AGE_EXTRA_MS = DEFAULT_WATCH_PACE.recentMaxMs;
 
 /** Creates a gateway, which immediately starts to contact other instances and the source. */
 export function createGateway(options: GatewayOptions): Gateway {
@@ -59,6 +56,7 @@
   const loads = createEndpointLoads();
   const drain = createDrain(options.drainTimes);
   const time = createFleetTime();
+  const watchPace = computeWatchPace(options.inForceMs);
   let table: RouteTable | undefined;
   const getNow = (): number => timers.clock.monotonicMs();
 
@@ -69,6 +67,7 @@
     configurationFeed: createTimedFeed(options.configurationFeed, time, getNow),
     endpointFeed: createTimedFeed(options.endpointFeed, time, getNow),
     decoder: options.decoder,
+    watchPace,
     onConfiguration(configuration) {
       table = createRouteTable(configuration);
       drain.handle({ kind: 'configured' }, getNow());
@@ -148,7 +147,7 @@
         streams.setLeading(role.kind === 'watch' && role.isLeading);
       },
     },
-    knowledgeAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
+    watchPace,
     isLeaving,
   });
 
@@ -218,7 +217,7 @@
     listRegistered: () => knowledge.directory.listAll(),
     hasUnreadable: () => knowledge.directory.hasUnreadable(),
     findEndpoint: (id) => knowledge.directory.find(id),
-    viewAgeMaxMs: RECENT_KNOWLEDGE_MAX_MS,
+    viewAgeMaxMs: REGISTRY_AGE_EXTRA_MS,
     servingAgeMaxMs: options.keyAgeMaxMs + REGISTRY_AGE_EXTRA_MS,
     computeViewAge: () => knowledge.computeEndpointsAge(),
     getRegistryRevision: () => knowledge.getEndpointsRevision(),
@@ -393,7 +392,7 @@
       const ageMs = knowledge.computeAge();
       return resolveCall(request, {
         table,
-        isRecent: ageMs <= RECENT_KNOWLEDGE_MAX_MS,
+        isRecent: ageMs <= watchPace.recentMaxMs,
         areKeysValid: isKeyAgeValid(ageMs),
       });
     },
--- a/src/gateway/knowledge-store.ts
+++ b/src/gateway/knowledge-store.ts
@@ -14,6 +14,8 @@
 import { createSourceOutage } from '../knowledge/source-outage.js';
 import { createSuspensionDetector } from '../knowledge/suspension-detector.js';
 import type { MirroredRow } from '../knowledge/table-mirror.js';
+import { DEFAULT_WATCH_PACE } from '../knowledge/watch-pace.js';
+import type { WatchPace } from '../knowledge/watch-pace.js';
 import type { WatchRole } from '../knowledge/watch-role.js';
 import { decodeRows, encodeTable } from '../peers/encode-table.js';
 import { NEVER_CONFIRMED_MS } from '../peers/peer-links.js';
@@ -26,12 +28,7 @@
 import type { EndpointListener } from './endpoint-knowledge.js';
 
 const TICK_MS = 100;
-/**
- * Time after which a watch returns even without a change, which confirms the current revision. Also limits
- * how long a connection that fails without being closed can hide changes of the endpoints.
- */
-export const LEADING_WATCH_WAIT_MS = 1500;
-/** The same for a watcher whose confirmations no other instance relies on. */
+/** Wait of a watcher whose confirmations no other instance relies on. */
 const STANDBY_WATCH_WAIT_MS = 6000;
 
 /** Decodes rows of the source; returns undefined for a row that was removed or cannot be read. */
@@ -47,6 +44,8 @@
   readonly configurationFeed: FeedReader;
   readonly endpointFeed: FeedReader;
   readonly decoder: RowDecoder;
+  /** @default that of a deployment without bounds */
+  readonly watchPace?: WatchPace;
   readonly onConfiguration: (configuration: TrafficConfiguration) => void;
   /** No confirmation is valid any more; knowledge must be fetched from a peer or the source at once. */
   readonly onSuspended: () => void;
@@ -81,6 +80,7 @@
 
 export function createKnowledgeStore(options: KnowledgeStoreOptions): KnowledgeStore {
   const { timers, log, decoder } = options;
+  const { leadingWaitMs } = options.watchPace ?? DEFAULT_WATCH_PACE;
   const knowledge = createConfigurationKnowledge<TrafficConfiguration>();
   const sourceClock = createSourceClock();
   const suspensionDetector = createSuspensionDetector(timers.clock);
@@ -209,7 +209,7 @@
   }
 
   function getWaitMs(): number {
-    return role.kind === 'watch' && role.isLeading ? LEADING_WATCH_WAIT_MS : STANDBY_WATCH_WAIT_MS;
+    return role.kind === 'watch' && role.isLeading ? leadingWaitMs : STANDBY_WATCH_WAIT_MS;
   }
 
   function getPauseFactor(): number {
--- a/src/gateway/leaving-loads.test.ts
+++ b/src/gateway/leaving-loads.test.ts
@@ -68,7 +68,6 @@
       getSummary: () => ({ configurationRevision: 1, endpointsRevision: 1, confirmedAtMs: 0 }),
       setRole: () => undefined,
     },
-    knowledgeAgeMaxMs: Infinity,
     isLeaving: () => isLeaving,
   });
   network.add(self.address, exchange);
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -4,6 +4,8 @@
  */
 import type { FleetTime } from '../duties/fleet-time.js';
 import type { UsageUpdate } from '../duties/usage-meter.js';
+import { DEFAULT_WATCH_PACE } from '../knowledge/watch-pace.js';
+import type { WatchPace } from '../knowledge/watch-pace.js';
 import { createWatchRoleSelector, listWatchers } from '../knowledge/watch-role.js';
 import { LOAD_UPDATE_PERIOD_MS, createLoadExchange } from '../load-sharing/load-exchange.js';
 import type { EndpointAvailability } from '../endpoint-availability/endpoint-availability.js';
@@ -72,8 +74,8 @@
     | 'getSummary'
     | 'setRole'
   >;
-  /** Knowledge older than this is fetched from peers. */
-  readonly knowledgeAgeMaxMs: number;
+  /** @default that of a deployment without bounds */
+  readonly watchPace?: WatchPace;
   readonly isLeaving: () => boolean;
 }
 
@@ -112,9 +114,10 @@
 
 export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
   const { self, timers, random, log, links, loads, knowledge, seeds } = options;
+  const { watchPace = DEFAULT_WATCH_PACE } = options;
   const getNow = (): number => timers.clock.monotonicMs();
   const reachability = createReachability(self.dataCentre);
-  const roleSelector = createWatchRoleSelector(getNow());
+  const roleSelector = createWatchRoleSelector(getNow(), watchPace);
   const hasContacts = seeds.length > 0 && !seeds.includes(self.address);
   let isListed = false;
   let unreachableDataCentres: ReadonlySet<string> = new Set();
@@ -246,7 +249,7 @@
   timers.subscribe(WATCH_ROLE_PERIOD_MS, () => {
     advanceWatchRole();
     const ageMs = Math.max(knowledge.computeAge(), knowledge.computeEndpointsAge());
-    if (ageMs > options.knowledgeAgeMaxMs) startKnowledgeFetches();
+    if (ageMs > watchPace.recentMaxMs) startKnowledgeFetches();
   });
   timers.subscribeOnce(0, advanceWatchRole);
 
--- a/src/knowledge/watch-role.ts
+++ b/src/knowledge/watch-role.ts
@@ -7,13 +7,12 @@
  * the fleet. More instances join as a confirmation becomes overdue.
  */
 import { chooseRendezvous } from '../utils/hash.js';
+import { DEFAULT_WATCH_PACE } from './watch-pace.js';
 
 /** Tolerates one watcher that is down and another that the source refuses. */
 export const WATCHERS_MIN = 3;
 /** Watchers that confirm the data for all instances; the others only wait for changes. */
 export const LEADING_WATCHERS = 2;
-/** A leading watcher's interval of 1.5 s, plus propagation and a slow call to the source. */
-const STALE_AFTER_MS = 2400;
 /**
  * Time in which the number of watchers doubles while the data is stale: if the first to join succeed,
  * all instances know before the next ones join.
@@ -95,14 +94,21 @@
  * Multiplier of the number of watchers, by the data's age or, if unknown, by how long it has been
  * unknown.
  */
-function computeEscalationFactor(knowledgeAgeMs: number, unknownMs: number): number {
+function computeEscalationFactor(
+  knowledgeAgeMs: number,
+  unknownMs: number,
+  staleAfterMs: number,
+): number {
   const periods = Number.isFinite(knowledgeAgeMs)
-    ? (knowledgeAgeMs - STALE_AFTER_MS) / ESCALATION_PERIOD_MS
+    ? (knowledgeAgeMs - staleAfterMs) / ESCALATION_PERIOD_MS
     : (unknownMs - STARTUP_GRACE_MS) / INITIAL_ESCALATION_PERIOD_MS;
   return periods < 0 ? 1 : 2 ** (1 + Math.floor(periods));
 }
 
-export function createWatchRoleSelector(startedMs: number): WatchRoleSelector {
+export function createWatchRoleSelector(
+  startedMs: number,
+  { staleAfterMs } = DEFAULT_WATCH_PACE,
+): WatchRoleSelector {
   let lastNeededMs = -Infinity;
   /** Start of the time without a known age: the process's start or a clock jump. */
   let unknownSinceMs = startedMs;
@@ -111,7 +117,7 @@
     advance({ self, alive, knowledgeAgeMs, hasContacts }, nowMs) {
       if (Number.isFinite(knowledgeAgeMs)) unknownSinceMs = nowMs;
       const uptimeMs = nowMs - startedMs;
-      const isFresh = knowledgeAgeMs <= STALE_AFTER_MS;
+      const isFresh = knowledgeAgeMs <= staleAfterMs;
       if (hasContacts && uptimeMs < (isFresh ? ROLE_HOLD_MS : STARTUP_GRACE_MS))
         return { kind: 'follow' };
       const watchers = Math.max(
@@ -119,7 +125,7 @@
         new Set(alive.map((candidate) => candidate.dataCentre)).size,
       );
       const rank = Math.max(0, listByRank(alive).indexOf(self));
-      const factor = computeEscalationFactor(knowledgeAgeMs, nowMs - unknownSinceMs);
+      const factor = computeEscalationFactor(knowledgeAgeMs, nowMs - unknownSinceMs, staleAfterMs);
       if (rank < watchers * factor) lastNeededMs = nowMs;
       if (nowMs - lastNeededMs >= ROLE_HOLD_MS) return { kind: 'follow' };
       return {
--- a/src/test/configuration-simulation.ts
+++ b/src/test/configuration-simulation.ts
@@ -4,6 +4,8 @@
 import type { KnowledgeStore } from '../gateway/knowledge-store.js';
 import { createPeerExchange } from '../gateway/peer-exchange.js';
 import type { FeedReader } from '../knowledge/feed.js';
+import { computeWatchPace } from '../knowledge/watch-pace.js';
+import { listWatchers } from '../knowledge/watch-role.js';
 import type { Contact } from '../membership/membership-messages.js';
 import { createEndpointLoads } from '../placement/endpoint-loads.js';
 import { createInvariants } from '../runtime/invariants.js';
@@ -29,7 +31,12 @@
   /** Time from the storing of a version at which every instance must have it. */
   readonly inForceMs: number;
   /** Instances that lose the source from the end of the warm-up on, and how. */
-  readonly lost: { readonly share: number; readonly link: SourceLink };
+  readonly lost: {
+    readonly share: number;
+    readonly link: SourceLink;
+    /** Whether all that watch in normal operation lose it. @default false */
+    readonly areWatchers?: boolean;
+  };
   /** Longest response time of a peer; most are much faster. */
   readonly peerResponseMaxMs: number;
 }
@@ -54,7 +61,6 @@
 const SEED_COUNT = 3;
 const WARM_UP_MS = 10_000;
 const FIRST_VERSION = 1;
-const KNOWLEDGE_AGE_MAX_MS = 2200;
 const CHECK_PERIOD_MS = 100;
 /** Time after the last change for which instances are checked. */
 const CHECKED_AFTER_MS = 8000;
@@ -75,11 +81,12 @@
 }
 
 function createInstance(
-  { network, source, contacts }: Simulation,
+  { options, network, source, contacts }: Simulation,
   self: Contact,
   timers: TimerService,
   random: Random,
 ): ConfigurationInstance {
+  const watchPace = computeWatchPace(options.inForceMs);
   const store = createKnowledgeStore({
     timers,
     random,
@@ -87,6 +94,7 @@
     configurationFeed: source.createReader(self.name),
     endpointFeed: IDLE_FEED,
     decoder: SIMULATED_DECODER,
+    watchPace,
     onConfiguration: () => undefined,
     onEndpointStarted: () => undefined,
     onEndpointEnded: () => undefined,
@@ -114,7 +122,7 @@
     limits: { takeReports: () => [] },
     availability: { takeReports: () => [] },
     knowledge: store,
-    knowledgeAgeMaxMs: KNOWLEDGE_AGE_MAX_MS,
+    watchPace,
     isLeaving: () => false,
   });
   network.add(self.address, exchange, (request) => store.buildResponse(request));
@@ -146,6 +154,7 @@
   const lost = new Set(
     contacts.filter(() => random.next() < options.lost.share).map(({ name }) => name),
   );
+  if (options.lost.areWatchers === true) listWatchers(contacts).forEach((name) => lost.add(name));
   for (const name of lost) source.setLink(name, options.lost.link);
   options.changesMs.forEach((atMs, index) =>
     time.add(undefined, atMs, () => source.storeVersion(FIRST_VERSION + index + 1)),
--- a/src/test/simulated-instance.ts
+++ b/src/test/simulated-instance.ts
@@ -146,7 +146,6 @@
       getSummary: () => ({ configurationRevision: 1, endpointsRevision: 1, confirmedAtMs: 0 }),
       setRole: () => undefined,
     },
-    knowledgeAgeMaxMs: Infinity,
     isLeaving: () => false,
   });
   const shares = createSlotShares({
